Workspace, point in time and typed messages

Cause: decisions and I/O have to be kept apart, so that one engine runs in production, tests and benches alike. Ruled out: std's Instant, which a bench cannot make up. Conclusion: messages are plain data, encoded by postcard.

--- /dev/null
+++ b/crates/proto/src/datagram.rs
@@ -0,0 +1,55 @@
+//! What nodes say to each other over UDP.
+
+use crate::Incarnation;
+use crate::MemberMessage;
+use stdx::data;
+use stdx::plain;
+
+data! {
+    /// One datagram. Any of them may be lost, late, repeated or out of order.
+    pub enum Datagram {
+        /// Membership.
+        Member {
+            /// [`crate::PROTOCOL_VERSION`] of the sender.
+            version: u16,
+            /// The message.
+            message: MemberMessage,
+        },
+        /// Leases within a service.
+        Lease {
+            /// [`crate::PROTOCOL_VERSION`] of the sender.
+            version: u16,
+            /// The message.
+            message: LeaseMessage,
+        },
+    }
+}
+
+plain! {
+    /// How a home keeps its right to start work: by a quorum of its service's view.
+    pub enum LeaseMessage {
+        /// Asks for the lease.
+        Request {
+            /// Who asks.
+            from: Incarnation,
+            /// The newest view that the sender knows.
+            view: u64,
+            /// Counts the sender's rounds; a grant names the round it answers.
+            round: u64,
+        },
+        /// Says which view the granter is in. A granter that has seen a view without the asker
+        /// never grants it anything again.
+        Grant {
+            /// Who grants.
+            from: Incarnation,
+            /// The newest view that the granter knows.
+            view: u64,
+            /// All views below this one are fenced, as far as the granter knows.
+            fenced_below: u64,
+            /// The round that is answered.
+            round: u64,
+            /// Whether the asker is in the granter's view.
+            granted: bool,
+        },
+    }
+}
--- /dev/null
+++ b/crates/proto/src/frame.rs
@@ -0,0 +1,100 @@
+//! What nodes say to each other over TCP.
+
+use crate::ActionId;
+use crate::Answer;
+use crate::CallId;
+use crate::Fingerprint;
+use crate::Incarnation;
+use crate::KeyHash;
+use crate::Request;
+use crate::SlotTransfer;
+use bytes::Bytes;
+use stdx::data;
+use stdx::plain;
+
+/// The version of frames and datagrams; others are refused and counted.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+data! {
+    /// One frame. The shell adds the length in front.
+    pub enum Frame {
+        /// The first frame each way.
+        Hello {
+            /// [`PROTOCOL_VERSION`] of the sender.
+            version: u16,
+            /// The sender.
+            from: Incarnation,
+            /// The receiver that the sender expects; a newer incarnation at that address says so
+            /// by its own `Hello` and the connection is closed.
+            to: Option<Incarnation>,
+        },
+        /// Asks whether the other end still hears; sent when nothing else was.
+        Ping(u64),
+        /// Answers a [`Frame::Ping`].
+        Pong(u64),
+        /// A call. A second one with the same id attaches to the first.
+        Call(Box<Call>),
+        /// The end of the call with this id.
+        Answer(CallId, Box<Answer>),
+        /// The caller has gone: work that may be cancelled is.
+        Cancel(CallId),
+        /// A slot of the key space changes hands.
+        Transfer(Box<SlotTransfer>),
+        /// The slot's new holder has it.
+        TransferDone {
+            /// The slot.
+            slot: u16,
+            /// The view that moved it.
+            view: u64,
+        },
+        /// Asks for the log's state, from a node that cannot reach the log.
+        FetchState {
+            /// The next offset that the sender lacks.
+            next: u64,
+        },
+        /// The log's state as a snapshot, encoded by the journal package.
+        State(Bytes),
+    }
+}
+
+plain! {
+    /// What the receiver of a call is asked to be.
+    #[derive(Hash)]
+    pub enum Leg {
+        /// Run an idempotent call on the receiver's own backend server.
+        Serve,
+        /// Be the home of the call's key: check the records, then run it.
+        Home,
+        /// Run a non-idempotent call for its home, which holds the record.
+        RunForHome {
+            /// The view in which the sender is the home.
+            view: u64,
+        },
+    }
+}
+
+data! {
+    /// A call from node to node.
+    pub struct Call {
+        /// Never reused; the same id means the same call.
+        pub id: CallId,
+        /// The customer's action.
+        pub action: ActionId,
+        /// The action's random value for admission, the same at every hop.
+        pub dice: u16,
+        /// What the receiver is asked to be.
+        pub leg: Leg,
+        /// Milliseconds that are left for the answer.
+        pub remaining_ms: u32,
+        /// Retries lent to this call and all below it.
+        pub allowance: u16,
+        /// The key, for non-idempotent calls.
+        pub key: Option<(KeyHash, Fingerprint)>,
+        /// The sender knows that no attempt with this key was ever made before.
+        pub fresh: bool,
+        /// How many calls are above this one.
+        pub depth: u8,
+        /// What is asked.
+        pub request: Request,
+    }
+}
--- /dev/null
+++ b/crates/proto/src/lib.rs
@@ -0,0 +1,49 @@
+//! The typed messages between the system's processes, and the identifiers and outcomes in them.
+//!
+//! This package does no I/O and takes no decisions. It knows nothing about sockets, rules or
+//! policy.
+
+mod answer;
+mod codec;
+mod datagram;
+mod frame;
+mod ids;
+mod instance;
+mod key;
+mod member;
+mod request;
+mod transfer;
+
+pub use answer::Answer;
+pub use answer::LoadReport;
+pub use answer::Outcome;
+pub use answer::Reason;
+pub use answer::Refusal;
+pub use codec::decode;
+pub use codec::encode;
+pub use codec::DecodeError;
+pub use datagram::Datagram;
+pub use datagram::LeaseMessage;
+pub use frame::Call;
+pub use frame::Frame;
+pub use frame::Leg;
+pub use frame::PROTOCOL_VERSION;
+pub use ids::hash64;
+pub use ids::ActionId;
+pub use ids::CallId;
+pub use ids::Incarnation;
+pub use ids::RunId;
+pub use instance::Instance;
+pub use key::Fingerprint;
+pub use key::IdempotencyKey;
+pub use key::KeyHash;
+pub use key::SLOTS;
+pub use member::MemberMessage;
+pub use member::PeerState;
+pub use member::Rumour;
+pub use request::Class;
+pub use request::Request;
+pub use request::Response;
+pub use transfer::KeyRecord;
+pub use transfer::RecordState;
+pub use transfer::SlotTransfer;
