--- /dev/null
+++ b/crates/journal/src/lib.rs
@@ -0,0 +1,14 @@
+//! The log's stream: its records, and the fold by which every reader comes to the same state.
+//!
+//! This package does no I/O. It knows nothing about how records reach it, about calls or leases.
+
+mod record;
+mod state;
+
+pub use record::Record;
+pub use state::Change;
+pub use state::Departure;
+pub use state::Rejection;
+pub use state::State;
+pub use state::Verdict;
+pub use state::View;
--- /dev/null
+++ b/crates/rules/src/lib.rs
@@ -0,0 +1,17 @@
+//! The rules file: one rule a line, each with a comment that names who asked for it.
+//!
+//! This package parses and answers questions about the rules. It knows nothing about where a file
+//! comes from, and does no I/O.
+
+mod duration;
+mod error;
+mod model;
+mod parse;
+
+pub use duration::parse_duration;
+pub use error::RuleError;
+pub use error::RuleProblem;
+pub use model::Asked;
+pub use model::Limit;
+pub use model::Operation;
+pub use model::Rules;
--- /dev/null
+++ b/crates/rules/src/model.rs
@@ -0,0 +1,116 @@
+//! The rules, parsed.
+
+use indexmap::IndexMap;
+use proto::Class;
+use std::sync::Arc;
+use std::time::Duration;
+use stdx::data;
+
+data! {
+    /// Where a rule stands and who asked for it.
+    pub struct Asked {
+        /// The line in the file, from 1.
+        pub line: u32,
+        /// The comment's text after `asked by`.
+        pub by: Arc<str>,
+    }
+}
+
+data! {
+    /// An `operation` rule: what a method and path of a service means.
+    pub struct Operation {
+        /// The service.
+        pub service: Arc<str>,
+        /// The method; `*` for any.
+        pub method: Arc<str>,
+        /// The path; a final `*` stands for any rest.
+        pub path: Arc<str>,
+        /// What it is for.
+        pub class: Class,
+        /// Whether running it twice is the same as running it once.
+        pub idempotent: bool,
+        /// The longest a call may take, when its caller sets no shorter deadline.
+        pub deadline: Duration,
+        /// Retries that a root call of this operation may spend over its whole tree.
+        pub retries: u16,
+        /// Where this rule stands.
+        pub asked: Asked,
+    }
+}
+
+data! {
+    /// The bounds that hold for a service; the defaults where no rule sets them.
+    pub struct Limit {
+        /// The least that the adaptive concurrency limit goes down to, in calls.
+        pub min_concurrency: u16,
+        /// The most that it goes up to, in calls.
+        pub max_concurrency: u16,
+        /// The longest a call waits in the queue.
+        pub queue: Duration,
+        /// How long the record of a key is kept after its run ended.
+        pub key_retention: Duration,
+        /// A caller's own re-sends, in hundredths of its first sends, at the edge.
+        pub resend_percent: u16,
+        /// The rules that set these bounds.
+        pub asked: Vec<Asked>,
+    }
+}
+
+impl Default for Limit {
+    fn default() -> Self {
+        Self {
+            min_concurrency: 2,
+            max_concurrency: 400,
+            queue: Duration::from_millis(100),
+            key_retention: Duration::from_secs(15 * 60),
+            resend_percent: 20,
+            asked: Vec::new(),
+        }
+    }
+}
+
+data! {
+    /// A whole rules file.
+    #[derive(Default)]
+    pub struct Rules {
+        /// `operation` rules in the file's order.
+        pub operations: Vec<Operation>,
+        /// `limit`, `keys` and `resends` rules by service.
+        pub limits: IndexMap<Arc<str>, Limit>,
+    }
+}
+
+impl Rules {
+    /// The rule that decides a call: the first in the file that matches. `path` may have a query.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let text = "operation press POST /slots class=booking deadline=2s # asked by Anna";
+    /// let rules = bilberry_rules::Rules::parse(text).unwrap();
+    /// assert!(!rules.operation("press", "POST", "/slots?day=3").unwrap().idempotent);
+    /// assert!(rules.operation("press", "GET", "/slots").is_none());
+    /// ```
+    pub fn operation(&self, service: &str, method: &str, path: &str) -> Option<&Operation> {
+        let path = path.split('?').next().unwrap_or(path);
+        self.operations
+            .iter()
+            .find(|operation| operation.matches(service, method, path))
+    }
+
+    /// The bounds of a service.
+    pub fn limit(&self, service: &str) -> Limit {
+        self.limits.get(service).cloned().unwrap_or_default()
+    }
+}
+
+impl Operation {
+    fn matches(&self, service: &str, method: &str, path: &str) -> bool {
+        let method_fits = &*self.method == "*" || &*self.method == method;
+        let path_fits = match self.path.strip_suffix('*') {
+            Some(prefix) => path.starts_with(prefix),
+            None => &*self.path == path,
+        };
+        &*self.service == service && method_fits && path_fits
+    }
+}
