Engine: requests pass a filter chain, controllers keep the state

Cause: production and tests have to run the same decisions. Change: one handle(now, input) -> outputs; frames of a node to itself go the same way as others'. Ruled out: decisions in async tasks, whose order no seed repeats.

--- /dev/null
+++ b/crates/engine/src/calls.rs
@@ -0,0 +1,292 @@
+//! Calls of this node to others (and to itself): routing, retries, deadlines, lost connections.
+
+use crate::entry::Draft;
+use crate::timers::Timer;
+use crate::Counter;
+use crate::Engine;
+use crate::Token;
+use policy::Account;
+use policy::Candidate;
+use policy::Place;
+use proto::ActionId;
+use proto::Answer;
+use proto::Call;
+use proto::CallId;
+use proto::Fingerprint;
+use proto::Frame;
+use proto::Incarnation;
+use proto::Instance;
+use proto::KeyHash;
+use proto::Leg;
+use proto::Outcome;
+use proto::Reason;
+use proto::Request;
+use stdx::Time;
+
+/// How often a call that certainly did not run may go elsewhere for free.
+const MAX_REDIRECTS: u8 = 3;
+
+/// How often a call is sent again under the same id over a new connection.
+const MAX_REATTACHES: u8 = 3;
+
+/// A call in flight.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) token: Token,
+    pub(crate) target: Instance,
+    action: ActionId,
+    dice: u16,
+    depth: u8,
+    deadline: Time,
+    idempotent: bool,
+    key: Option<(KeyHash, Fingerprint)>,
+    fresh: bool,
+    account: Account,
+    /// Lent to the present attempt.
+    lent: u16,
+    redirects: u8,
+    reattaches: u8,
+    /// Nodes that this call shall not go to again.
+    avoid: Vec<Incarnation>,
+    request: Request,
+}
+
+impl Engine {
+    /// Sends a new request's first attempt.
+    pub(crate) fn route_first(&mut self, now: Time, draft: Draft) {
+        let call = Outgoing {
+            token: draft.token,
+            target: self.me.clone(),
+            action: draft.action,
+            dice: draft.dice,
+            depth: draft.depth,
+            deadline: draft.deadline,
+            idempotent: draft.operation.idempotent,
+            key: draft.key,
+            fresh: draft.fresh,
+            account: draft.account,
+            lent: 0,
+            redirects: 0,
+            reattaches: 0,
+            avoid: Vec::new(),
+            request: draft.request,
+        };
+        self.route(now, call);
+    }
+
+    /// Chooses a target and sends one attempt.
+    fn route(&mut self, now: Time, mut call: Outgoing) {
+        let target = match call.key {
+            Some((key, _)) => self.home_of(&call.request.service, key),
+            None => self.choose_server(&call),
+        };
+        let Some(target) = target else {
+            return self.conclude(call, Outcome::NotRun(self.refusal(Reason::NoInstance)));
+        };
+        if now >= call.deadline {
+            return self.conclude(call, Outcome::NotRun(self.refusal(Reason::Deadline)));
+        }
+        call.target = target;
+        call.lent = call.account.lend_all();
+        let id = CallId {
+            from: self.me.incarnation,
+            number: self.number(),
+        };
+        if let Some(open) = self.open.get_mut(&call.token) {
+            open.call = id;
+        }
+        self.timers.set(call.deadline, Timer::Deadline(id));
+        self.send_attempt(now, id, &call);
+        self.calls.insert(id, call);
+    }
+
+    fn send_attempt(&mut self, now: Time, id: CallId, call: &Outgoing) {
+        let leg = if call.key.is_some() {
+            Leg::Home
+        } else {
+            Leg::Serve
+        };
+        let frame = Frame::Call(Box::new(Call {
+            id,
+            action: call.action,
+            dice: call.dice,
+            leg,
+            remaining_ms: u32::try_from(now.until(call.deadline).as_millis()).unwrap_or(u32::MAX),
+            allowance: call.lent,
+            key: call.key,
+            fresh: call.fresh,
+            depth: call.depth,
+            request: call.request.clone(),
+        }));
+        self.send(&call.target.clone(), frame);
+    }
+
+    fn home_of(&self, service: &str, key: KeyHash) -> Option<Instance> {
+        let view = self.journal.view(service)?;
+        once::owner(&view.members, key.slot()).cloned()
+    }
+
+    fn choose_server(&mut self, call: &Outgoing) -> Option<Instance> {
+        let service = &call.request.service;
+        let mut candidates: Vec<Candidate> = self
+            .members
+            .usable(service)
+            .filter(|peer| !call.avoid.contains(&peer.instance.incarnation))
+            .map(|peer| Candidate {
+                incarnation: peer.instance.incarnation,
+                place: self.place(&peer.instance),
+                load: peer.load,
+                in_flight: self.in_flight(peer.instance.incarnation),
+            })
+            .collect();
+        let mine = self.me.incarnation;
+        if self.me.service == *service && !self.stopping && !call.avoid.contains(&mine) {
+            candidates.push(Candidate {
+                incarnation: mine,
+                place: Place::SameDomain,
+                load: self.server.report(),
+                in_flight: 0,
+            });
+        }
+        let chosen = policy::choose(&candidates, &mut self.rng)?;
+        if chosen == mine {
+            return Some(self.me.clone());
+        }
+        self.members.get(chosen).map(|peer| peer.instance.clone())
+    }
+
+    fn in_flight(&self, peer: Incarnation) -> u32 {
+        self.calls
+            .values()
+            .filter(|call| call.target.incarnation == peer)
+            .count() as u32
+    }
+
+    fn place(&self, peer: &Instance) -> Place {
+        if peer.failure_domain == self.me.failure_domain {
+            Place::SameDomain
+        } else if peer.region == self.me.region {
+            Place::SameRegion
+        } else {
+            Place::OtherRegion
+        }
+    }
+
+    pub(crate) fn on_answer(&mut self, now: Time, from: Incarnation, id: CallId, answer: Answer) {
+        self.members.heard_load(from, answer.load);
+        // An answer to an attempt that was given up, or a second one to the same attempt, is late.
+        let Some(mut call) = self.take_call(id) else {
+            return;
+        };
+        call.account.give_back(call.lent, answer.unspent);
+        match answer.outcome {
+            Outcome::NotRun(refusal) => self.after_not_run(now, call, refusal),
+            outcome => self.conclude(call, outcome),
+        }
+    }
+
+    /// A call that did not run goes elsewhere, if that may help.
+    fn after_not_run(&mut self, now: Time, mut call: Outgoing, refusal: proto::Refusal) {
+        let reason = refusal.reason;
+        let elsewhere = matches!(reason, Reason::Moving | Reason::Draining | Reason::PeerLost);
+        if elsewhere && call.redirects < MAX_REDIRECTS {
+            call.redirects += 1;
+            self.count(Counter::Redirect(reason));
+            call.avoid.push(call.target.incarnation);
+            return self.route(now, call);
+        }
+        let busy = matches!(
+            reason,
+            Reason::QueueFull | Reason::ServerRefused | Reason::ServerLost
+        );
+        if busy && call.account.spend() {
+            self.count(Counter::Retry(reason));
+            call.avoid.push(call.target.incarnation);
+            return self.route(now, call);
+        }
+        self.conclude(call, Outcome::NotRun(refusal));
+    }
+
+    /// The connection is gone: calls go out again under the same id, which makes the other end
+    /// attach them to what it already has. Without this an answer that was on its way when the
+    /// connection went silent would be lost, though the work was done.
+    pub(crate) fn on_peer_lost(&mut self, now: Time, peer: Incarnation) {
+        for id in self.calls_to(peer) {
+            let Some(mut call) = self.calls.swap_remove(&id) else {
+                continue;
+            };
+            if call.reattaches < MAX_REATTACHES {
+                call.reattaches += 1;
+                self.count(Counter::Reattach);
+                self.send_attempt(now, id, &call);
+                self.calls.insert(id, call);
+            } else {
+                self.timers.clear(call.deadline, Timer::Deadline(id));
+                self.after_lost(now, call);
+            }
+        }
+    }
+
+    /// Frames could not be sent. A call's first sending certainly did not run.
+    pub(crate) fn on_unsent(&mut self, now: Time, _peer: Incarnation, unsent: Vec<Frame>) {
+        for frame in unsent {
+            let Frame::Call(frame) = frame else {
+                continue;
+            };
+            let Some(mut call) = self.take_call(frame.id) else {
+                continue;
+            };
+            if call.reattaches > 0 {
+                self.after_lost(now, call);
+            } else {
+                call.account.give_back(call.lent, call.lent);
+                let refusal = self.refusal(Reason::PeerLost);
+                self.after_not_run(now, call, refusal);
+            }
+        }
+    }
+
+    /// Nobody will tell how the attempt ended. Only an idempotent call may be tried again.
+    fn after_lost(&mut self, now: Time, mut call: Outgoing) {
+        if call.idempotent && call.account.spend() {
+            self.count(Counter::Retry(Reason::PeerLost));
+            call.avoid.push(call.target.incarnation);
+            return self.route(now, call);
+        }
+        self.conclude(call, Outcome::Unknown(Reason::PeerLost));
+    }
+
+    pub(crate) fn on_deadline(&mut self, _now: Time, id: CallId) {
+        let Some(call) = self.take_call(id) else {
+            return;
+        };
+        self.send(&call.target.clone(), Frame::Cancel(id));
+        self.conclude(call, Outcome::Unknown(Reason::Deadline));
+    }
+
+    pub(crate) fn abandon_call(&mut self, _now: Time, id: CallId) {
+        let Some(call) = self.take_call(id) else {
+            return;
+        };
+        self.send(&call.target.clone(), Frame::Cancel(id));
+        self.conclude(call, Outcome::Unknown(Reason::CallerGone));
+    }
+
+    fn conclude(&mut self, call: Outgoing, outcome: Outcome) {
+        self.close_request(call.token, call.account.left(), outcome);
+    }
+
+    fn take_call(&mut self, id: CallId) -> Option<Outgoing> {
+        let call = self.calls.swap_remove(&id)?;
+        self.timers.clear(call.deadline, Timer::Deadline(id));
+        Some(call)
+    }
+
+    fn calls_to(&self, peer: Incarnation) -> Vec<CallId> {
+        let to_peer = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.target.incarnation == peer);
+        to_peer.map(|(id, _)| *id).collect()
+    }
+}
--- /dev/null
+++ b/crates/engine/src/config.rs
@@ -0,0 +1,40 @@
+//! Bounds and times of an engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Bounds and times of an engine; filled once and passed down.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Hints where other nodes may be, for a start while the log is down.
+    pub contacts: Vec<SocketAddr>,
+    /// Membership.
+    pub membership: membership::Config,
+    /// Records and leases.
+    pub once: once::Config,
+    /// The most requests that may be in flight from this node.
+    pub max_calls: usize,
+    /// The longest `Idempotency-Key`, in bytes.
+    pub max_key: usize,
+    /// The deepest call tree.
+    pub max_depth: u8,
+    /// How long to wait before a lost append is tried again.
+    pub append_retry: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            seed: 0,
+            contacts: Vec::new(),
+            membership: membership::Config::default(),
+            once: once::Config::default(),
+            max_calls: 10_000,
+            max_key: 255,
+            max_depth: 32,
+            append_retry: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/counter.rs
@@ -0,0 +1,82 @@
+//! What is counted.
+
+use proto::Class;
+use proto::Reason;
+use stdx::plain;
+
+plain! {
+    /// One thing to count; the shell passes it on to the metrics.
+    #[derive(Hash)]
+    pub enum Counter {
+        /// A request came from a caller or the own backend server.
+        Request(Class),
+        /// A request was answered whole.
+        Whole(Class),
+        /// A request was answered as not run.
+        NotRun(Reason),
+        /// A request was answered as unknown.
+        Unknown(Reason),
+        /// A call was tried again, because the try before ended for this reason.
+        Retry(Reason),
+        /// A call went to another node without having run, at no cost to the allowance.
+        Redirect(Reason),
+        /// A call was sent again over a new connection, under the same id.
+        Reattach,
+        /// A re-send attached to the run in flight.
+        Attached,
+        /// A re-send got the recorded response.
+        Replayed,
+        /// Work was started on the own backend server.
+        Run(Class),
+        /// A run ended without a whole response.
+        RunLost,
+        /// A record of the log could not be read.
+        BrokenRecord,
+        /// A publication was rejected.
+        RejectedPublication,
+        /// A rules file came in force.
+        RulesInForce,
+        /// A frame or datagram made no sense here.
+        Unexpected,
+        /// A peer's state changed.
+        PeerChanged,
+        /// A view of this node's service was taken.
+        ViewTaken,
+        /// A slot moved to another node.
+        SlotMoved,
+    }
+}
+
+impl Counter {
+    /// The metric's name.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_engine::Counter;
+    ///
+    /// assert_eq!(Counter::NotRun(proto::Reason::Shed).name(), "not_run.shed");
+    /// ```
+    pub fn name(self) -> String {
+        match self {
+            Counter::Request(class) => format!("request.{}", class.name()),
+            Counter::Whole(class) => format!("whole.{}", class.name()),
+            Counter::NotRun(reason) => format!("not_run.{}", reason.name()),
+            Counter::Unknown(reason) => format!("unknown.{}", reason.name()),
+            Counter::Retry(reason) => format!("retry.{}", reason.name()),
+            Counter::Redirect(reason) => format!("redirect.{}", reason.name()),
+            Counter::Run(class) => format!("run.{}", class.name()),
+            Counter::Reattach => "reattach".to_owned(),
+            Counter::Attached => "attached".to_owned(),
+            Counter::Replayed => "replayed".to_owned(),
+            Counter::RunLost => "run_lost".to_owned(),
+            Counter::BrokenRecord => "broken_record".to_owned(),
+            Counter::RejectedPublication => "rejected_publication".to_owned(),
+            Counter::RulesInForce => "rules_in_force".to_owned(),
+            Counter::Unexpected => "unexpected".to_owned(),
+            Counter::PeerChanged => "peer_changed".to_owned(),
+            Counter::ViewTaken => "view_taken".to_owned(),
+            Counter::SlotMoved => "slot_moved".to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,244 @@
+//! The engine's state, and how inputs reach the controllers.
+
+use crate::calls::Outgoing;
+use crate::entry::OpenRequest;
+use crate::homes::KeyWork;
+use crate::log::LogLink;
+use crate::serve::Inbound;
+use crate::serve::Job;
+use crate::timers::Timer;
+use crate::timers::Timers;
+use crate::Config;
+use crate::Counter;
+use crate::Input;
+use crate::Output;
+use crate::Token;
+use indexmap::IndexMap;
+use journal::State;
+use membership::Membership;
+use once::Home;
+use policy::Server;
+use proto::Answer;
+use proto::CallId;
+use proto::Frame;
+use proto::Instance;
+use proto::KeyHash;
+use proto::Reason;
+use proto::Refusal;
+use proto::RunId;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use std::collections::VecDeque;
+use std::time::Duration;
+use stdx::Bounded;
+use stdx::Time;
+
+/// Answers of inbound calls that are kept for a caller whose connection was lost.
+const ANSWERS_KEPT: usize = 256;
+
+/// When a caller may come back after a refusal that says nothing more exact.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A node's decisions and state.
+#[derive(Debug)]
+pub struct Engine {
+    pub(crate) cfg: Config,
+    pub(crate) me: Instance,
+    pub(crate) rng: StdRng,
+    /// What the log's stream says.
+    pub(crate) journal: State,
+    pub(crate) log: LogLink,
+    pub(crate) members: Membership,
+    pub(crate) home: Home,
+    pub(crate) server: Server,
+    /// Requests of callers and of the own backend server, in flight.
+    pub(crate) open: IndexMap<Token, OpenRequest>,
+    /// Calls to nodes (this one included), by the id of the present attempt.
+    pub(crate) calls: IndexMap<CallId, Outgoing>,
+    /// Calls from nodes (this one included) that are not answered yet.
+    pub(crate) inbound: IndexMap<CallId, Inbound>,
+    /// Answers given lately, for calls that attach again.
+    pub(crate) answered: Bounded<CallId, Answer>,
+    /// Work for the own backend server, queued or running.
+    pub(crate) jobs: IndexMap<RunId, Job>,
+    /// Who waits for the run of a key.
+    pub(crate) keys: IndexMap<KeyHash, KeyWork>,
+    pub(crate) timers: Timers,
+    pub(crate) stopping: bool,
+    next_number: u64,
+    /// Frames of this node to itself.
+    loopback: VecDeque<Frame>,
+    pub(crate) out: Vec<Output>,
+}
+
+impl Engine {
+    /// An engine that has just started; it takes no work before it has rules.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_engine::{Config, Engine};
+    /// use proto::{Incarnation, Instance};
+    ///
+    /// let me = Instance {
+    ///     incarnation: Incarnation(1),
+    ///     service: "press".into(),
+    ///     failure_domain: "milano-1".into(),
+    ///     region: "lombardia".into(),
+    ///     addr: ([127, 0, 0, 1], 7000).into(),
+    /// };
+    /// assert_eq!(Engine::new(Config::default(), me).rules_version(), 0);
+    /// ```
+    pub fn new(cfg: Config, me: Instance) -> Self {
+        let defaults = rules::Limit::default();
+        let incarnation = me.incarnation;
+        Self {
+            rng: StdRng::seed_from_u64(cfg.seed),
+            journal: State::default(),
+            log: LogLink::default(),
+            members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
+            home: Home::new(cfg.once.clone(), incarnation),
+            server: Server::new(defaults.max_concurrency, defaults.queue),
+            open: IndexMap::new(),
+            calls: IndexMap::new(),
+            inbound: IndexMap::new(),
+            answered: Bounded::new(ANSWERS_KEPT),
+            jobs: IndexMap::new(),
+            keys: IndexMap::new(),
+            timers: Timers::default(),
+            stopping: false,
+            next_number: 0,
+            loopback: VecDeque::new(),
+            out: Vec::new(),
+            cfg,
+            me,
+        }
+    }
+
+    /// Handles one input. `now` must not go backwards.
+    pub fn handle(&mut self, now: Time, input: Input) -> Vec<Output> {
+        match input {
+            Input::Request {
+                token,
+                caller,
+                context,
+                key,
+                patience,
+                request,
+            } => {
+                self.on_request(now, token, &caller, context, key, patience, request);
+            }
+            Input::CallerGone(token) => self.on_caller_gone(now, token),
+            Input::Frame { from, frame } => self.on_frame(now, from, frame),
+            Input::PeerLost(peer) => self.on_peer_lost(now, peer),
+            Input::PeerUnreachable { peer, unsent } => self.on_unsent(now, peer, unsent),
+            Input::Datagram { from, datagram } => self.on_datagram(now, from, datagram),
+            Input::RunEnded { run, end } => self.on_run_ended(now, run, end),
+            Input::Records(records) => self.on_records(now, records),
+            Input::LogRead => self.on_log_read(now),
+            Input::LogUnreachable => self.log.reachable = false,
+            Input::Appended(number) => self.on_appended(number),
+            Input::AppendLost(number) => self.on_append_lost(now, number),
+            Input::Stop => self.on_stop(now),
+            Input::Tick => {}
+        }
+        self.run_due(now);
+        self.drain_loopback(now);
+        self.check_stopped();
+        std::mem::take(&mut self.out)
+    }
+
+    /// When [`Input::Tick`] has to come at the latest.
+    pub fn next_timer(&self) -> Option<Time> {
+        [
+            self.timers.next(),
+            self.members.next_timer(),
+            self.server.next_timer(),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    /// The version of the rules in force; 0 before there are any.
+    pub fn rules_version(&self) -> u64 {
+        self.journal.version
+    }
+
+    /// The offset of the next record that this node lacks.
+    pub fn next_offset(&self) -> u64 {
+        self.journal.next
+    }
+
+    /// What the log's stream says, as far as it was read.
+    pub fn journal(&self) -> &State {
+        &self.journal
+    }
+
+    fn run_due(&mut self, now: Time) {
+        while let Some(timer) = self.timers.pop(now) {
+            match timer {
+                Timer::Deadline(call) => self.on_deadline(now, call),
+                Timer::Append => self.on_append_timer(now),
+            }
+        }
+        self.tick_members(now);
+        self.pump_server(now);
+    }
+
+    /// Handles what this node sent itself, as if it had come from another.
+    fn drain_loopback(&mut self, now: Time) {
+        let me = self.me.incarnation;
+        while let Some(frame) = self.loopback.pop_front() {
+            self.on_frame(now, me, frame);
+        }
+    }
+
+    fn on_frame(&mut self, now: Time, from: proto::Incarnation, frame: Frame) {
+        match frame {
+            Frame::Call(call) => self.on_call(now, from, *call),
+            Frame::Answer(id, answer) => self.on_answer(now, from, id, *answer),
+            Frame::Cancel(id) => self.on_cancel(now, from, id),
+            // The shell answers the frames that are about the connection itself.
+            _ => self.count(Counter::Unexpected),
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: &Instance, frame: Frame) {
+        if to.incarnation == self.me.incarnation {
+            self.loopback.push_back(frame);
+        } else {
+            self.out.push(Output::Send {
+                to: to.clone(),
+                frame,
+            });
+        }
+    }
+
+    pub(crate) fn count(&mut self, counter: Counter) {
+        self.out.push(Output::Count(counter));
+    }
+
+    /// A number that this incarnation has never used.
+    pub(crate) fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    pub(crate) fn refusal(&self, reason: Reason) -> Refusal {
+        Refusal::new(reason, RETRY_AFTER)
+    }
+
+    fn on_stop(&mut self, now: Time) {
+        self.stopping = true;
+        self.leave_members(now);
+        self.leave_log();
+    }
+
+    fn check_stopped(&mut self) {
+        let idle = self.open.is_empty() && self.inbound.is_empty() && self.jobs.is_empty();
+        if self.stopping && idle && self.log.left() {
+            self.out.push(Output::Stopped);
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/entry.rs
@@ -0,0 +1,294 @@
+//! Requests from callers and from the own backend server: the filter chain.
+
+use crate::engine::RETRY_AFTER;
+use crate::Counter;
+use crate::Engine;
+use crate::Output;
+use crate::Token;
+use policy::Account;
+use proto::ActionId;
+use proto::CallId;
+use proto::Fingerprint;
+use proto::IdempotencyKey;
+use proto::KeyHash;
+use proto::Outcome;
+use proto::Reason;
+use proto::Refusal;
+use proto::Request;
+use proto::RunId;
+use rand::RngExt;
+use rules::Operation;
+use std::sync::Arc;
+use std::time::Duration;
+use stdx::Time;
+
+/// A request in flight at this node.
+#[derive(Debug)]
+pub(crate) struct OpenRequest {
+    /// The present attempt.
+    pub(crate) call: CallId,
+    /// The run that asked, for a child call.
+    pub(crate) parent: Option<RunId>,
+    /// The retries that the parent lent.
+    pub(crate) lent: u16,
+    /// The key that this node made.
+    pub(crate) made_key: Option<Arc<str>>,
+    pub(crate) operation: Operation,
+}
+
+/// What the filters have found out about a request.
+pub(crate) struct Draft {
+    pub(crate) token: Token,
+    pub(crate) request: Request,
+    pub(crate) operation: Operation,
+    pub(crate) action: ActionId,
+    pub(crate) dice: u16,
+    pub(crate) depth: u8,
+    pub(crate) deadline: Time,
+    pub(crate) account: Account,
+    pub(crate) parent: Option<RunId>,
+    pub(crate) lent: u16,
+    pub(crate) key: Option<(KeyHash, Fingerprint)>,
+    /// No attempt with this key can have been made before.
+    pub(crate) fresh: bool,
+    pub(crate) made_key: Option<Arc<str>>,
+}
+
+impl Engine {
+    #[allow(clippy::too_many_arguments)]
+    pub(crate) fn on_request(
+        &mut self,
+        now: Time,
+        token: Token,
+        caller: &str,
+        context: Option<Arc<str>>,
+        key: Option<Arc<str>>,
+        patience: Option<Duration>,
+        request: Request,
+    ) {
+        let draft = self
+            .filter_state(&request)
+            .and_then(|operation| self.filter_context(now, token, context, operation, request))
+            .map(|draft| shorten(draft, now, patience))
+            .and_then(|draft| self.filter_key(draft, caller, key));
+        match draft {
+            Ok(draft) => self.open_request(now, draft),
+            Err(reason) => self.refuse(token, reason),
+        }
+    }
+
+    /// Refuses what this node cannot judge or no rule allows.
+    fn filter_state(&mut self, request: &Request) -> Result<Operation, Reason> {
+        if self.journal.version == 0 {
+            return Err(Reason::NoRules);
+        }
+        if self.open.len() >= self.cfg.max_calls {
+            return Err(Reason::TableFull);
+        }
+        let rules = &self.journal.rules;
+        let operation = rules.operation(&request.service, &request.method, &request.path);
+        let operation = operation.ok_or(Reason::NoSuchOperation)?.clone();
+        self.count(Counter::Request(operation.class));
+        Ok(operation)
+    }
+
+    /// Finds the run that a child call belongs to, or makes a new root.
+    fn filter_context(
+        &mut self,
+        now: Time,
+        token: Token,
+        context: Option<Arc<str>>,
+        operation: Operation,
+        request: Request,
+    ) -> Result<Draft, Reason> {
+        let Some(context) = context else {
+            return self.root(now, token, operation, request);
+        };
+        let run = RunId::parse(&context).ok_or(Reason::BadRequest)?;
+        let job = self.jobs.get_mut(&run).ok_or(Reason::ParentGone)?;
+        if job.depth >= self.cfg.max_depth {
+            return Err(Reason::BadRequest);
+        }
+        let lent = job.account.lend();
+        Ok(Draft {
+            token,
+            action: job.action,
+            dice: job.dice,
+            depth: job.depth + 1,
+            deadline: job.deadline.min(now + operation.deadline),
+            account: Account::new(lent),
+            parent: Some(run),
+            lent,
+            key: None,
+            fresh: false,
+            made_key: None,
+            operation,
+            request,
+        })
+    }
+
+    fn root(
+        &mut self,
+        now: Time,
+        token: Token,
+        operation: Operation,
+        request: Request,
+    ) -> Result<Draft, Reason> {
+        // A planned stop still finishes its runs, whose child calls come with a context.
+        if self.stopping {
+            return Err(Reason::Draining);
+        }
+        Ok(Draft {
+            token,
+            action: ActionId(self.rng.random()),
+            dice: self.rng.random(),
+            depth: 0,
+            deadline: now + operation.deadline,
+            account: Account::new(operation.retries),
+            parent: None,
+            lent: 0,
+            key: None,
+            fresh: false,
+            made_key: None,
+            operation,
+            request,
+        })
+    }
+
+    /// Gives a non-idempotent call its key.
+    fn filter_key(
+        &mut self,
+        mut draft: Draft,
+        caller: &str,
+        key: Option<Arc<str>>,
+    ) -> Result<Draft, Reason> {
+        if draft.operation.idempotent {
+            return Ok(draft);
+        }
+        if key
+            .as_ref()
+            .is_some_and(|key| key.is_empty() || key.len() > self.cfg.max_key)
+        {
+            return Err(Reason::BadKey);
+        }
+        let fingerprint = Fingerprint::of(&draft.request);
+        let service = draft.request.service.clone();
+        let key = match (draft.parent, key) {
+            (Some(run), key) => self.child_key(run, service, fingerprint, key),
+            (None, Some(text)) => IdempotencyKey {
+                caller: caller.into(),
+                service,
+                text,
+            },
+            (None, None) => {
+                let text: Arc<str> = format!("{:032x}", self.rng.random::<u128>()).into();
+                draft.made_key = Some(text.clone());
+                draft.fresh = true;
+                IdempotencyKey {
+                    caller: caller.into(),
+                    service,
+                    text,
+                }
+            }
+        };
+        if draft.parent.is_none() {
+            draft.action = key.action();
+        }
+        draft.key = Some((key.hash(), fingerprint));
+        Ok(draft)
+    }
+
+    /// A child's key comes from its action and its place among like calls of the same run, so that
+    /// a second run of the same action makes the same keys and no second child.
+    fn child_key(
+        &mut self,
+        run: RunId,
+        service: Arc<str>,
+        fingerprint: Fingerprint,
+        key: Option<Arc<str>>,
+    ) -> IdempotencyKey {
+        let Some(job) = self.jobs.get_mut(&run) else {
+            return IdempotencyKey {
+                caller: run.to_string().into(),
+                service,
+                text: "".into(),
+            };
+        };
+        let text = match key {
+            Some(key) => key,
+            None => {
+                let nth = job
+                    .children
+                    .entry((service.clone(), fingerprint))
+                    .or_insert(0);
+                *nth += 1;
+                format!("{:032x}.{nth}", fingerprint.0).into()
+            }
+        };
+        IdempotencyKey {
+            caller: job.path.clone(),
+            service,
+            text,
+        }
+    }
+
+    fn open_request(&mut self, now: Time, draft: Draft) {
+        let token = draft.token;
+        let open = OpenRequest {
+            call: CallId {
+                from: self.me.incarnation,
+                number: 0,
+            },
+            parent: draft.parent,
+            lent: draft.lent,
+            made_key: draft.made_key.clone(),
+            operation: draft.operation.clone(),
+        };
+        self.open.insert(token, open);
+        self.route_first(now, draft);
+    }
+
+    /// Ends a request: one answer, at once, and the unspent retries go back to the parent.
+    pub(crate) fn close_request(&mut self, token: Token, unspent: u16, outcome: Outcome) {
+        let Some(open) = self.open.swap_remove(&token) else {
+            return;
+        };
+        if let Some(job) = open.parent.and_then(|run| self.jobs.get_mut(&run)) {
+            job.account.give_back(open.lent, unspent);
+        }
+        self.count(match &outcome {
+            Outcome::Whole(_) => Counter::Whole(open.operation.class),
+            Outcome::NotRun(refusal) => Counter::NotRun(refusal.reason),
+            Outcome::Unknown(reason) => Counter::Unknown(*reason),
+        });
+        self.out.push(Output::Answer {
+            token,
+            outcome,
+            made_key: open.made_key,
+        });
+    }
+
+    /// Refuses a request that was never opened.
+    fn refuse(&mut self, token: Token, reason: Reason) {
+        self.count(Counter::NotRun(reason));
+        let outcome = Outcome::NotRun(Refusal::new(reason, RETRY_AFTER));
+        self.out.push(Output::Answer {
+            token,
+            outcome,
+            made_key: None,
+        });
+    }
+
+    pub(crate) fn on_caller_gone(&mut self, now: Time, token: Token) {
+        if let Some(open) = self.open.get(&token) {
+            self.abandon_call(now, open.call);
+        }
+    }
+}
+
+fn shorten(mut draft: Draft, now: Time, patience: Option<Duration>) -> Draft {
+    if let Some(patience) = patience {
+        draft.deadline = draft.deadline.min(now + patience);
+    }
+    draft
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,25 @@
+//! A node's decisions, whole: requests pass a filter chain, controllers keep the state.
+//!
+//! [`Engine::handle`] takes the time and one typed [`Input`] and gives typed [`Output`]s. It does no
+//! I/O and reads no clock, global or unseeded random number, so production, tests and benches run
+//! the same code, each with a clock and a network of its own.
+
+mod calls;
+mod config;
+mod counter;
+mod engine;
+mod entry;
+mod homes;
+mod io;
+mod log;
+mod members;
+mod serve;
+mod timers;
+
+pub use config::Config;
+pub use counter::Counter;
+pub use engine::Engine;
+pub use io::Input;
+pub use io::Output;
+pub use io::RunEnd;
+pub use io::Token;
--- /dev/null
+++ b/crates/engine/src/serve.rs
@@ -0,0 +1,262 @@
+//! Calls from other nodes, and work on the own backend server.
+
+use crate::Counter;
+use crate::Engine;
+use crate::Output;
+use crate::RunEnd;
+use indexmap::IndexMap;
+use policy::Account;
+use policy::Offer;
+use policy::Ticket;
+use proto::ActionId;
+use proto::Answer;
+use proto::Call;
+use proto::CallId;
+use proto::Class;
+use proto::Fingerprint;
+use proto::Frame;
+use proto::Incarnation;
+use proto::KeyHash;
+use proto::Leg;
+use proto::Outcome;
+use proto::Reason;
+use proto::Refusal;
+use proto::Request;
+use proto::RunId;
+use std::sync::Arc;
+use std::time::Duration;
+use stdx::Time;
+
+/// A call from another node that has no answer yet.
+#[derive(Debug)]
+pub(crate) struct Inbound {
+    /// What it waits for.
+    pub(crate) work: Work,
+}
+
+/// What an inbound call waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Work {
+    /// A run of its own.
+    Run(RunId),
+    /// The run of a key, perhaps together with others.
+    Key(KeyHash),
+}
+
+/// Work for the own backend server, queued or running.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) owner: JobOwner,
+    pub(crate) action: ActionId,
+    pub(crate) dice: u16,
+    pub(crate) depth: u8,
+    pub(crate) deadline: Time,
+    pub(crate) account: Account,
+    /// Stands for the place in the call tree, as the scope of child keys.
+    pub(crate) path: Arc<str>,
+    /// Child calls of each kind so far.
+    pub(crate) children: IndexMap<(Arc<str>, Fingerprint), u32>,
+    class: Class,
+    started: Option<Time>,
+    request: Request,
+}
+
+/// Who gets the result of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum JobOwner {
+    /// An inbound call.
+    Call(CallId),
+    /// All that wait for a key.
+    Key(KeyHash),
+}
+
+impl Engine {
+    pub(crate) fn on_call(&mut self, now: Time, from: Incarnation, call: Call) {
+        // The id is known: the call came over a connection that was lost, or the frame came twice.
+        if let Some(answer) = self.answered.get(&call.id) {
+            let frame = Frame::Answer(call.id, Box::new(answer.clone()));
+            return self.send_to(from, frame);
+        }
+        if self.inbound.contains_key(&call.id) {
+            return;
+        }
+        match call.leg {
+            Leg::Serve => self.serve(now, call),
+            Leg::Home => self.on_home_call(now, call),
+            Leg::RunForHome { .. } => self.count(Counter::Unexpected),
+        }
+    }
+
+    fn serve(&mut self, now: Time, call: Call) {
+        if self.stopping {
+            return self.answer_call(call.id, call.allowance, self.not_run(Reason::Draining));
+        }
+        let id = call.id;
+        let run = self.new_job(now, JobOwner::Call(id), call);
+        self.inbound.insert(
+            id,
+            Inbound {
+                work: Work::Run(run),
+            },
+        );
+        self.offer(now, run);
+    }
+
+    /// Enters work for the own backend server.
+    pub(crate) fn new_job(&mut self, now: Time, owner: JobOwner, call: Call) -> RunId {
+        let run = RunId {
+            at: self.me.incarnation,
+            number: self.number(),
+        };
+        let request = call.request;
+        let rules = &self.journal.rules;
+        let operation = rules.operation(&request.service, &request.method, &request.path);
+        let class = operation.map_or(Class::Lookup, |operation| operation.class);
+        let job = Job {
+            owner,
+            action: call.action,
+            dice: call.dice,
+            depth: call.depth,
+            deadline: now + Duration::from_millis(u64::from(call.remaining_ms)),
+            account: Account::new(call.allowance),
+            path: child_scope(call.action, call.key.map(|(key, _)| key)),
+            children: IndexMap::new(),
+            class,
+            started: None,
+            request,
+        };
+        self.jobs.insert(run, job);
+        run
+    }
+
+    /// Offers a job to the server's limit and queue.
+    pub(crate) fn offer(&mut self, now: Time, run: RunId) {
+        let Some(job) = self.jobs.get(&run) else {
+            return;
+        };
+        let ticket = Ticket {
+            id: run.number,
+            class: job.class,
+            dice: job.dice,
+            deadline: job.deadline,
+            arrived: now,
+        };
+        let offer = self.server.offer(now, ticket);
+        self.after_offer(now, run, offer);
+    }
+
+    /// Lets the queue move.
+    pub(crate) fn pump_server(&mut self, now: Time) {
+        while let Some((ticket, offer)) = self.server.next(now) {
+            let run = RunId {
+                at: self.me.incarnation,
+                number: ticket.id,
+            };
+            self.after_offer(now, run, offer);
+        }
+    }
+
+    fn after_offer(&mut self, now: Time, run: RunId, offer: Offer) {
+        match offer {
+            Offer::Start => self.start(now, run),
+            Offer::Queued => {}
+            Offer::Refused(refusal) => self.end_job(now, run, Outcome::NotRun(refusal)),
+        }
+    }
+
+    fn start(&mut self, now: Time, run: RunId) {
+        let Some(job) = self.jobs.get_mut(&run) else {
+            return;
+        };
+        job.started = Some(now);
+        let class = job.class;
+        self.out.push(Output::Run {
+            run,
+            request: job.request.clone(),
+            remaining: now.until(job.deadline),
+            start_within: None,
+        });
+        self.count(Counter::Run(class));
+    }
+
+    pub(crate) fn on_run_ended(&mut self, now: Time, run: RunId, end: RunEnd) {
+        let Some(job) = self.jobs.get(&run) else {
+            return self.count(Counter::Unexpected);
+        };
+        let took = job.started.map(|started| now.since(started));
+        let whole = matches!(end, RunEnd::Response(_));
+        self.server.finished(now, took.filter(|_| whole));
+        let outcome = match end {
+            RunEnd::Response(response) => Outcome::Whole(response),
+            RunEnd::Refused { retry_after } => {
+                let retry_after = retry_after.unwrap_or(crate::engine::RETRY_AFTER);
+                Outcome::NotRun(Refusal::new(Reason::ServerRefused, retry_after))
+            }
+            RunEnd::NeverSent => self.not_run(Reason::ServerLost),
+            RunEnd::Lost => {
+                self.count(Counter::RunLost);
+                Outcome::Unknown(Reason::ServerLost)
+            }
+        };
+        self.end_job(now, run, outcome);
+    }
+
+    fn end_job(&mut self, now: Time, run: RunId, outcome: Outcome) {
+        let Some(job) = self.jobs.swap_remove(&run) else {
+            return;
+        };
+        let unspent = job.account.left();
+        match job.owner {
+            JobOwner::Call(call) => self.answer_call(call, unspent, outcome),
+            JobOwner::Key(key) => self.end_key(now, key, unspent, outcome),
+        }
+    }
+
+    pub(crate) fn on_cancel(&mut self, now: Time, _from: Incarnation, id: CallId) {
+        let Some(inbound) = self.inbound.get(&id) else {
+            return;
+        };
+        match inbound.work {
+            Work::Run(run) => self.cancel_run(now, run),
+            Work::Key(key) => self.cancel_key(now, key, id),
+        }
+    }
+
+    /// Takes work out of the queue, or asks the backend server to stop it.
+    pub(crate) fn cancel_run(&mut self, now: Time, run: RunId) {
+        if self.server.withdraw(run.number) {
+            self.withdraw_job(now, run);
+        } else {
+            self.out.push(Output::CancelRun(run));
+        }
+    }
+
+    /// Ends a job that was taken out of the queue.
+    pub(crate) fn withdraw_job(&mut self, now: Time, run: RunId) {
+        self.end_job(now, run, self.not_run(Reason::CallerGone));
+    }
+
+    /// Answers an inbound call, once.
+    pub(crate) fn answer_call(&mut self, id: CallId, unspent: u16, outcome: Outcome) {
+        self.inbound.swap_remove(&id);
+        let answer = Answer {
+            outcome,
+            unspent,
+            load: self.load_report(),
+        };
+        self.answered.insert(id, answer.clone());
+        self.send_to(id.from, Frame::Answer(id, Box::new(answer)));
+    }
+
+    pub(crate) fn not_run(&self, reason: Reason) -> Outcome {
+        Outcome::NotRun(self.refusal(reason))
+    }
+}
+
+/// The scope of the keys of child calls: the same for every run of the same call of the action.
+fn child_scope(action: ActionId, key: Option<KeyHash>) -> Arc<str> {
+    match key {
+        Some(key) => format!("{action}/{:032x}", key.0).into(),
+        None => action.to_string().into(),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/timers.rs
@@ -0,0 +1,45 @@
+//! What is due when.
+
+use proto::CallId;
+use std::collections::BTreeSet;
+use stdx::plain;
+use stdx::Time;
+
+plain! {
+    /// What a timer is for.
+    #[derive(PartialOrd, Ord)]
+    pub(crate) enum Timer {
+        /// A call's deadline.
+        Deadline(CallId),
+        /// A lost append may be tried again.
+        Append,
+    }
+}
+
+/// Timers in the order in which they are due.
+#[derive(Debug, Default)]
+pub(crate) struct Timers {
+    due: BTreeSet<(Time, Timer)>,
+}
+
+impl Timers {
+    pub(crate) fn set(&mut self, at: Time, timer: Timer) {
+        self.due.insert((at, timer));
+    }
+
+    pub(crate) fn clear(&mut self, at: Time, timer: Timer) {
+        self.due.remove(&(at, timer));
+    }
+
+    pub(crate) fn next(&self) -> Option<Time> {
+        self.due.first().map(|(at, _)| *at)
+    }
+
+    /// Takes out a timer that is due.
+    pub(crate) fn pop(&mut self, now: Time) -> Option<Timer> {
+        if self.next()? > now {
+            return None;
+        }
+        self.due.pop_first().map(|(_, timer)| timer)
+    }
+}
