--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,18 @@
+//! `bilberryctl`: the operator's tool.
+
+mod args;
+mod commands;
+
+use gumdrop::Options;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args = args::Args::parse_args_default_or_exit();
+    match actix_rt::System::new().block_on(commands::run(args)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            e.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,19 @@
+//! The shell around the engine: sockets, the clock, settings, logs and metrics.
+//!
+//! It takes no decisions: whatever happens becomes an `engine::Input`, and whatever the engine asks
+//! for is done. One thread, one `actix-rt` system.
+
+mod backend;
+mod caller;
+mod log_reader;
+mod metrics;
+mod peers;
+mod settings;
+mod shell;
+mod udp;
+
+pub use settings::Settings;
+pub use settings::SettingsError;
+pub use shell::start;
+pub use shell::Node;
+pub use shell::StartError;
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,85 @@
+//! `bilberry-node`: the process beside a backend server instance.
+
+use bilberry_node::start;
+use bilberry_node::Settings;
+use gumdrop::Options;
+use log4rs::append::console::ConsoleAppender;
+use log4rs::append::console::Target;
+use log4rs::config::Appender;
+use log4rs::config::Root;
+use log4rs::encode::pattern::PatternEncoder;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::signal::unix::signal;
+use tokio::signal::unix::SignalKind;
+
+/// The exit code for bad arguments or settings.
+const USAGE: u8 = 2;
+
+const LOG_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {t} {m}{n}";
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version")]
+    version: bool,
+    #[options(free, help = "the settings file")]
+    settings: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    if args.version {
+        println!("bilberry-node {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = args.settings else {
+        eprintln!("usage: bilberry-node SETTINGS\n\n{}", Args::usage());
+        return ExitCode::from(USAGE);
+    };
+    let settings = match Settings::read(&path) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{}: {e}", path.display());
+            return ExitCode::from(USAGE);
+        }
+    };
+    start_logging(settings.log_level);
+    actix_rt::System::new().block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> ExitCode {
+    let node = match start(settings).await {
+        Ok(node) => node,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("listening http={} peer={}", node.http_addr, node.peer_addr);
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        eprintln!("no handler for SIGTERM");
+        return ExitCode::FAILURE;
+    };
+    terminate.recv().await;
+    log::info!("graceful shutdown");
+    node.stop();
+    node.stopped().await;
+    ExitCode::SUCCESS
+}
+
+fn start_logging(level: log::LevelFilter) {
+    let encoder = Box::new(PatternEncoder::new(LOG_PATTERN));
+    let stderr = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(encoder)
+        .build();
+    let cfg = log4rs::Config::builder()
+        .appender(Appender::builder().build("stderr", Box::new(stderr)))
+        .build(Root::builder().appender("stderr").build(level));
+    match cfg.map(log4rs::init_config) {
+        Ok(Ok(_)) => {}
+        _ => eprintln!("no log: the logger could not be set up"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/shell.rs
@@ -0,0 +1,292 @@
+//! The node as one `actix-rt` system: starts everything, and carries inputs and outputs.
+
+use crate::backend::Backend;
+use crate::caller;
+use crate::log_reader;
+use crate::metrics::Metrics;
+use crate::peers;
+use crate::peers::Peers;
+use crate::udp;
+use crate::Settings;
+use bytes::Bytes;
+use engine::Config;
+use engine::Counter;
+use engine::Engine;
+use engine::Input;
+use engine::Output;
+use engine::Token;
+use indexmap::IndexMap;
+use logservice::LogClient;
+use proto::Incarnation;
+use proto::Instance;
+use proto::Outcome;
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use stdx::Time;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// How often a pair of free ports for TCP and UDP is looked for.
+const BIND_ATTEMPTS: u32 = 20;
+
+/// What a waiting request is answered with: the outcome and a key that was made for it.
+pub(crate) type Reply = (Outcome, Option<Arc<str>>);
+
+/// Why a node did not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address could not be bound.
+    Bind(SocketAddr, std::io::Error),
+    /// The metrics socket could not be made.
+    Metrics(std::io::Error),
+}
+
+impl std::fmt::Display for StartError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            StartError::Bind(addr, e) => write!(f, "{addr} cannot be bound: {e}"),
+            StartError::Metrics(e) => write!(f, "no socket for metrics: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// A node that runs in this system.
+pub struct Node {
+    /// Where it takes HTTP.
+    pub http_addr: SocketAddr,
+    /// Where other nodes reach it.
+    pub peer_addr: SocketAddr,
+    shell: Rc<Shell>,
+}
+
+impl Node {
+    /// Asks for a graceful shutdown.
+    pub fn stop(&self) {
+        self.shell.feed(Input::Stop);
+    }
+
+    /// Waits until a graceful shutdown is complete.
+    pub async fn stopped(&self) {
+        self.shell.stopped.notified().await;
+    }
+
+    /// Counters by name, in order.
+    pub fn totals(&self) -> Vec<(String, u64)> {
+        self.shell.metrics.totals()
+    }
+}
+
+pub(crate) struct Shell {
+    pub(crate) settings: Settings,
+    pub(crate) me: Instance,
+    pub(crate) engine: RefCell<Engine>,
+    pub(crate) log: LogClient,
+    pub(crate) read_log: Notify,
+    pub(crate) metrics: Metrics,
+    origin: Instant,
+    waiting: RefCell<IndexMap<Token, oneshot::Sender<Reply>>>,
+    next_token: Cell<u64>,
+    peers: Peers,
+    backend: Backend,
+    socket: Rc<UdpSocket>,
+    timer: Notify,
+    stopped: Notify,
+}
+
+/// Starts a node in the running system.
+///
+/// # Errors
+///
+/// [`StartError`] if an address cannot be bound.
+pub async fn start(settings: Settings) -> Result<Node, StartError> {
+    let bind = |e| StartError::Bind(settings.http_addr, e);
+    let http = TcpListener::bind(settings.http_addr).await.map_err(bind)?;
+    let http_addr = http.local_addr().map_err(bind)?;
+    let (tcp, socket) = bind_peer(settings.peer_addr).await?;
+    let bind = |e| StartError::Bind(settings.peer_addr, e);
+    let peer_addr = tcp.local_addr().map_err(bind)?;
+
+    let me = Instance {
+        incarnation: Incarnation(uuid::Uuid::new_v4().as_u64_pair().0),
+        service: settings.service.as_str().into(),
+        failure_domain: settings.failure_domain.as_str().into(),
+        region: settings.region.as_str().into(),
+        addr: peer_addr,
+    };
+    let seed = me.incarnation.0;
+    let mut cfg = Config {
+        seed,
+        contacts: settings.contacts.clone(),
+        ..Config::default()
+    };
+    cfg.membership.seed = seed;
+    let socket = Rc::new(socket);
+    let shell = Rc::new(Shell {
+        engine: RefCell::new(Engine::new(cfg, me.clone())),
+        log: LogClient::new(&settings.log_addr.to_string(), &settings.log_stream),
+        read_log: Notify::new(),
+        metrics: Metrics::new(settings.metrics_addr).map_err(StartError::Metrics)?,
+        origin: Instant::now(),
+        waiting: RefCell::default(),
+        next_token: Cell::new(0),
+        peers: Peers::default(),
+        backend: Backend::new(&settings),
+        socket: socket.clone(),
+        timer: Notify::new(),
+        stopped: Notify::new(),
+        me,
+        settings,
+    });
+    log::info!(
+        "incarnation {} of {}",
+        shell.me.incarnation,
+        shell.me.service
+    );
+    actix_rt::spawn(caller::accept(shell.clone(), http));
+    actix_rt::spawn(peers::accept(shell.clone(), tcp));
+    actix_rt::spawn(udp::receive(shell.clone(), socket));
+    actix_rt::spawn(log_reader::run(shell.clone()));
+    actix_rt::spawn(run_timers(shell.clone()));
+    Ok(Node {
+        http_addr,
+        peer_addr,
+        shell,
+    })
+}
+
+/// TCP and UDP on the same port. A port that the system chose for TCP may be taken for UDP, hence
+/// several attempts.
+async fn bind_peer(addr: SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
+    let bind = |e| StartError::Bind(addr, e);
+    let mut attempt = 0;
+    loop {
+        let tcp = TcpListener::bind(addr).await.map_err(bind)?;
+        let bound = tcp.local_addr().map_err(bind)?;
+        match UdpSocket::bind(bound).await {
+            Ok(udp) => return Ok((tcp, udp)),
+            Err(e) if attempt == BIND_ATTEMPTS => return Err(bind(e)),
+            Err(_) => attempt += 1,
+        }
+    }
+}
+
+async fn run_timers(shell: Rc<Shell>) {
+    loop {
+        let due = shell.engine.borrow().next_timer();
+        let due = due.map(|due| shell.origin + std::time::Duration::from_micros(due.as_micros()));
+        let sleep = async {
+            match due {
+                Some(due) => tokio::time::sleep_until(due).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = sleep => shell.feed(Input::Tick),
+            () = shell.timer.notified() => {}
+        }
+    }
+}
+
+impl Shell {
+    pub(crate) fn now(&self) -> Time {
+        Time::ZERO + self.origin.elapsed()
+    }
+
+    pub(crate) fn count(&self, counter: Counter) {
+        self.metrics.count(counter);
+    }
+
+    /// Counts bytes from outside that are no message.
+    pub(crate) fn count_broken(&self) {
+        self.count(Counter::Unexpected);
+    }
+
+    /// Enters a request; the receiver gets its answer.
+    pub(crate) fn request(
+        self: &Rc<Self>,
+        input: impl FnOnce(Token) -> Input,
+    ) -> (Token, oneshot::Receiver<Reply>) {
+        let token = Token(self.next_token.get());
+        self.next_token.set(token.0 + 1);
+        let (tx, rx) = oneshot::channel();
+        self.waiting.borrow_mut().insert(token, tx);
+        self.feed(input(token));
+        (token, rx)
+    }
+
+    /// Tells the engine what happened and does what it asks for.
+    pub(crate) fn feed(self: &Rc<Self>, input: Input) {
+        let (outputs, timer) = {
+            let mut engine = self.engine.borrow_mut();
+            let before = engine.next_timer();
+            let outputs = engine.handle(self.now(), input);
+            (outputs, engine.next_timer() != before)
+        };
+        for output in outputs {
+            self.perform(output);
+        }
+        if timer {
+            self.timer.notify_one();
+        }
+    }
+
+    fn perform(self: &Rc<Self>, output: Output) {
+        match output {
+            Output::Answer {
+                token,
+                outcome,
+                made_key,
+            } => {
+                if let Some(tx) = self.waiting.borrow_mut().swap_remove(&token) {
+                    // The caller may have gone meanwhile.
+                    let _ = tx.send((outcome, made_key));
+                }
+            }
+            Output::Send { to, frame } => self.peers.send(self, to, frame),
+            Output::Datagram { to, datagram } => udp::send(&self.socket, to, &datagram),
+            Output::Run {
+                run,
+                request,
+                remaining,
+                start_within,
+            } => {
+                self.backend
+                    .run(self, run, request, remaining, start_within);
+            }
+            Output::CancelRun(run) => self.backend.cancel(run),
+            Output::Append { number, record } => self.append(number, record),
+            Output::ReadLog => self.read_log.notify_one(),
+            Output::Count(counter) => self.count(counter),
+            Output::Stopped => self.stopped.notify_one(),
+        }
+    }
+
+    fn append(self: &Rc<Self>, number: u64, record: Bytes) {
+        let shell = self.clone();
+        actix_rt::spawn(async move {
+            match shell.log.append(record).await {
+                Ok(_) => shell.feed(Input::Appended(number)),
+                Err(e) => {
+                    log::warn!("append {number}: {e}");
+                    shell.feed(Input::AppendLost(number));
+                }
+            }
+        });
+    }
+
+    pub(crate) fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    pub(crate) fn backend(&self) -> &Backend {
+        &self.backend
+    }
+}
--- /dev/null
+++ b/crates/node/src/udp.rs
@@ -0,0 +1,29 @@
+//! Datagrams.
+
+use crate::shell::Shell;
+use engine::Input;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+/// The largest datagram that is read.
+const MAX_DATAGRAM: usize = 65_536;
+
+pub(crate) async fn receive(shell: Rc<Shell>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        // An error here is about an earlier send to a port that is closed; the socket lives on.
+        let Ok((len, from)) = socket.recv_from(&mut buf).await else {
+            continue;
+        };
+        match proto::decode(&buf[..len]) {
+            Ok(datagram) => shell.feed(Input::Datagram { from, datagram }),
+            Err(_) => shell.count_broken(),
+        }
+    }
+}
+
+pub(crate) fn send(socket: &UdpSocket, to: SocketAddr, datagram: &proto::Datagram) {
+    // Loss is allowed: a full socket buffer drops the datagram.
+    let _ = socket.try_send_to(&proto::encode(datagram), to);
+}
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,159 @@
+//! Real processes for end-to-end tests: nodes and the operator's tool, beside stand-ins that run in
+//! the test's own process.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use standin::Backend;
+use standin::Child;
+use standin::Log;
+use standin::Work;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child as Process;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+use std::time::Duration;
+
+pub const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+
+/// A node's process; killed when dropped.
+pub struct NodeProcess {
+    pub http: SocketAddr,
+    pub process: Process,
+    settings: PathBuf,
+}
+
+impl NodeProcess {
+    pub fn start(service: &str, domain: &str, backend: SocketAddr, log: SocketAddr) -> Self {
+        let text = format!(
+            "[node]\nservice = {service}\nfailure_domain = {domain}\nregion = lombardia\n\
+             http_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n\
+             [backend_server]\naddr = {backend}\n[log_service]\naddr = {log}\n\
+             [logging]\nlevel = warn\n"
+        );
+        let settings = std::env::temp_dir().join(format!("node-{}.ini", uuid::Uuid::new_v4()));
+        std::fs::write(&settings, text).unwrap();
+        let mut process = Command::new(env!("CARGO_BIN_EXE_bilberry-node"))
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(process.stdout.take().unwrap())
+            .read_line(&mut line)
+            .unwrap();
+        let http = line
+            .split_whitespace()
+            .find_map(|word| word.strip_prefix("http="));
+        Self {
+            http: http.unwrap().parse().unwrap(),
+            process,
+            settings,
+        }
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let pid = self.process.id().to_string();
+        assert!(Command::new("kill")
+            .args([signal, &pid])
+            .status()
+            .unwrap()
+            .success());
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// A backend server with its node beside it.
+pub struct Server {
+    pub backend: Backend,
+    pub node: NodeProcess,
+}
+
+impl Server {
+    pub async fn start(service: &str, domain: &str, log: &Log, children: &[&str]) -> Self {
+        let children = children.iter().map(|path| Child {
+            method: awc::http::Method::POST,
+            path: (*path).to_owned(),
+        });
+        let work = Work {
+            takes: Duration::ZERO,
+            children: children.collect(),
+        };
+        let backend = Backend::start(LOOPBACK.into(), work).await.unwrap();
+        let node = NodeProcess::start(service, domain, backend.addr, log.addr);
+        backend.node.set(Some(node.http));
+        Self { backend, node }
+    }
+
+    pub fn runs(&self) -> u32 {
+        self.backend.runs.borrow().values().sum()
+    }
+}
+
+/// Runs `bilberryctl`; it stands beside the node's binary.
+pub async fn ctl(args: &[&str]) -> Output {
+    let path = PathBuf::from(env!("CARGO_BIN_EXE_bilberry-node")).with_file_name("bilberryctl");
+    tokio::process::Command::new(path)
+        .args(args)
+        .output()
+        .await
+        .unwrap()
+}
+
+/// Publishes rules with the operator's tool.
+pub async fn publish(log: &Log, rules: &str) {
+    let file = std::env::temp_dir().join(format!("rules-{}", uuid::Uuid::new_v4()));
+    std::fs::write(&file, rules).unwrap();
+    let file = file.to_str().unwrap();
+    let output = ctl(&["publish", file, "--log", &log.addr.to_string()]).await;
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    std::fs::remove_file(file).unwrap();
+}
+
+/// A caller's answer: status, outcome header, body.
+pub type Answer = (u16, String, String);
+
+pub async fn call(node: SocketAddr, method: &str, path: &str, key: &str, body: &str) -> Answer {
+    let client = awc::Client::builder().disable_redirects().finish();
+    let mut req = client.request(method.parse().unwrap(), format!("http://{node}{path}"));
+    if !key.is_empty() {
+        req = req.insert_header(("idempotency-key", key));
+    }
+    let mut response = req.send_body(body.to_owned()).await.unwrap();
+    let outcome = response.headers().get("bilberry-outcome");
+    let outcome = outcome.map_or(String::new(), |o| o.to_str().unwrap().to_owned());
+    let body = response.body().await.unwrap();
+    (
+        response.status().as_u16(),
+        outcome,
+        String::from_utf8(body.to_vec()).unwrap(),
+    )
+}
+
+/// The value of a line of the node's status page.
+pub async fn status(node: SocketAddr, key: &str) -> String {
+    let (_, _, page) = call(node, "GET", "/-/status", "", "").await;
+    let line = page.lines().find_map(|line| line.strip_prefix(key));
+    line.unwrap_or("").trim().to_owned()
+}
+
+/// Asks until the node says so; the test runner's own limit is the only one.
+pub async fn until_status(node: SocketAddr, key: &str, value: &str) {
+    while status(node, key).await != value {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/backend.rs
@@ -0,0 +1,126 @@
+//! A backend server's stand-in: takes a while, calls other services through its own node, and
+//! counts its runs by key.
+
+use crate::http;
+use actix_http::body::BoxBody;
+use actix_http::HttpMessage;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use bytes::Bytes;
+use indexmap::IndexMap;
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+const CONTEXT_HEADER: &str = "bilberry-context";
+const KEY_HEADER: &str = "idempotency-key";
+
+/// A call that the server makes for each request that it serves.
+#[derive(Debug, Clone)]
+pub struct Child {
+    /// The method.
+    pub method: awc::http::Method,
+    /// `/SERVICE/REST`.
+    pub path: String,
+}
+
+/// What the server does for a request.
+#[derive(Debug, Clone, Default)]
+pub struct Work {
+    /// How long it takes.
+    pub takes: Duration,
+    /// What it calls, one after another, before it answers.
+    pub children: Vec<Child>,
+}
+
+/// A backend server's stand-in.
+#[derive(Clone)]
+pub struct Backend {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its own node; it calls others through it.
+    pub node: Rc<Cell<Option<SocketAddr>>>,
+    /// What it does.
+    pub work: Rc<RefCell<Work>>,
+    /// Runs begun, by `Idempotency-Key`, or by path without one.
+    pub runs: Rc<RefCell<IndexMap<String, u32>>>,
+    client: awc::Client,
+}
+
+impl Backend {
+    /// Starts a server on `addr`, for as long as the system runs.
+    pub async fn start(addr: SocketAddr, work: Work) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let backend = Self {
+            addr: listener.local_addr()?,
+            node: Rc::default(),
+            work: Rc::new(RefCell::new(work)),
+            runs: Rc::default(),
+            client: awc::Client::builder()
+                .disable_redirects()
+                .disable_timeout()
+                .finish(),
+        };
+        let serving = backend.clone();
+        let handler = move |req| {
+            let backend = serving.clone();
+            async move { backend.handle(req).await }
+        };
+        actix_rt::spawn(http::serve(listener, handler));
+        Ok(backend)
+    }
+
+    async fn handle(&self, mut req: Request) -> Response<BoxBody> {
+        let body = http::body(&mut req).await;
+        if req.path() == "/-/runs" {
+            return ok(self.runs_page());
+        }
+        let header = |name| req.headers().get(name)?.to_str().ok().map(str::to_owned);
+        let key = header(KEY_HEADER).unwrap_or_else(|| req.path().to_owned());
+        *self.runs.borrow_mut().entry(key).or_insert(0) += 1;
+        let work = self.work.borrow().clone();
+        tokio::time::sleep(work.takes).await;
+        let context = header(CONTEXT_HEADER).unwrap_or_default();
+        let mut answer = body.to_vec();
+        for child in &work.children {
+            match self.call(child, &context, body.clone()).await {
+                Ok(part) => answer.extend_from_slice(&part),
+                Err(status) => return Response::new(status),
+            }
+        }
+        answer.extend_from_slice(req.path().as_bytes());
+        ok(answer)
+    }
+
+    async fn call(&self, child: &Child, context: &str, body: Bytes) -> Result<Bytes, StatusCode> {
+        let node = self.node.get().ok_or(StatusCode::INTERNAL_SERVER_ERROR)?;
+        let url = format!("http://{node}{}", child.path);
+        let req = self.client.request(child.method.clone(), url);
+        let req = req.insert_header((CONTEXT_HEADER, context));
+        let mut response = req
+            .send_body(body)
+            .await
+            .map_err(|_| StatusCode::BAD_GATEWAY)?;
+        if response.status() != awc::http::StatusCode::OK {
+            return Err(StatusCode::BAD_GATEWAY);
+        }
+        response.body().await.map_err(|_| StatusCode::BAD_GATEWAY)
+    }
+
+    fn runs_page(&self) -> String {
+        let runs = self.runs.borrow();
+        runs.iter()
+            .map(|(key, count)| format!("{count} {key}\n"))
+            .collect()
+    }
+}
+
+fn ok(body: impl Into<Bytes>) -> Response<BoxBody> {
+    Response::build(StatusCode::OK)
+        .body(body.into())
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,17 @@
+//! Stand-ins for what surrounds the system: the log service, backend servers and callers. They run
+//! inside a test's process or as examples, and ship in no binary.
+
+mod backend;
+mod http;
+mod load;
+mod log;
+
+pub use backend::Backend;
+pub use backend::Child;
+pub use backend::Work;
+pub use load::run as run_load;
+pub use load::Kind;
+pub use load::Load;
+pub use load::Report;
+pub use log::Faults;
+pub use log::Log;
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,113 @@
+//! Callers: a bounded load at a set rate, open loop.
+
+use awc::http::Method;
+use hdrhistogram::Histogram;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// One kind of request of the mix.
+#[derive(Debug, Clone)]
+pub struct Kind {
+    /// The method.
+    pub method: Method,
+    /// The whole URL.
+    pub url: String,
+    /// Whether each request gets a key of its own.
+    pub keyed: bool,
+}
+
+/// A load: `count` requests, one every `interval`, over the kinds in turn.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// The mix.
+    pub kinds: Vec<Kind>,
+    /// The time between two requests.
+    pub interval: Duration,
+    /// How many requests there are in all.
+    pub count: u32,
+    /// How long a caller waits.
+    pub patience: Duration,
+}
+
+/// What became of a load, one entry a kind.
+pub struct Report {
+    /// Whole answers.
+    pub whole: Vec<u32>,
+    /// Answers that say not run.
+    pub not_run: Vec<u32>,
+    /// Everything else.
+    pub other: Vec<u32>,
+    /// Times of whole answers, in microseconds.
+    pub micros: Vec<Histogram<u64>>,
+}
+
+impl Report {
+    fn new(kinds: usize) -> Self {
+        let histogram = || Histogram::new(3).expect("three digits are allowed");
+        Self {
+            whole: vec![0; kinds],
+            not_run: vec![0; kinds],
+            other: vec![0; kinds],
+            micros: (0..kinds).map(|_| histogram()).collect(),
+        }
+    }
+}
+
+/// Runs a load to its end.
+pub async fn run(load: Load) -> Report {
+    let client = awc::Client::builder()
+        .disable_redirects()
+        .timeout(load.patience)
+        .finish();
+    let report = Rc::new(RefCell::new(Report::new(load.kinds.len())));
+    let start = Instant::now();
+    let mut tasks = Vec::new();
+    for n in 0..load.count {
+        tokio::time::sleep_until(start + load.interval * n).await;
+        let index = n as usize % load.kinds.len();
+        let one = send(
+            client.clone(),
+            load.kinds[index].clone(),
+            index,
+            report.clone(),
+        );
+        tasks.push(actix_rt::spawn(one));
+    }
+    for task in tasks {
+        let _ = task.await;
+    }
+    report.replace(Report::new(0))
+}
+
+async fn send(client: awc::Client, kind: Kind, index: usize, report: Rc<RefCell<Report>>) {
+    let mut req = client.request(kind.method, kind.url);
+    if kind.keyed {
+        req = req.insert_header(("idempotency-key", uuid::Uuid::new_v4().to_string()));
+    }
+    let sent = Instant::now();
+    let response = req.send().await;
+    let outcome = match response {
+        Ok(mut response) => {
+            let outcome = response.headers().get("bilberry-outcome").cloned();
+            let ok = response.status() == awc::http::StatusCode::OK;
+            match (response.body().await, outcome) {
+                (Ok(_), None) if ok => Some("whole".to_owned()),
+                (Ok(_), outcome) => outcome.and_then(|o| o.to_str().ok().map(str::to_owned)),
+                (Err(_), _) => None,
+            }
+        }
+        Err(_) => None,
+    };
+    let micros = sent.elapsed().as_micros() as u64;
+    let mut report = report.borrow_mut();
+    match outcome.as_deref() {
+        Some("whole") => {
+            report.whole[index] += 1;
+            report.micros[index].saturating_record(micros);
+        }
+        Some("not-run") => report.not_run[index] += 1,
+        _ => report.other[index] += 1,
+    }
+}
