--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -6,8 +6,6 @@
 use crate::Engine;
 use crate::Token;
 use policy::Account;
-use policy::Candidate;
-use policy::Place;
 use proto::ActionId;
 use proto::Answer;
 use proto::Call;
@@ -39,7 +37,7 @@
     depth: u8,
     deadline: Time,
     idempotent: bool,
-    key: Option<(KeyHash, Fingerprint)>,
+    pub(crate) key: Option<(KeyHash, Fingerprint)>,
     fresh: bool,
     account: Account,
     /// Lent to the present attempt.
@@ -47,8 +45,8 @@
     redirects: u8,
     reattaches: u8,
     /// Nodes that this call shall not go to again.
-    avoid: Vec<Incarnation>,
-    request: Request,
+    pub(crate) avoid: Vec<Incarnation>,
+    pub(crate) request: Request,
 }
 
 impl Engine {
@@ -121,57 +119,6 @@
         self.send(&call.target.clone(), frame);
     }
 
-    fn home_of(&self, service: &str, key: KeyHash) -> Option<Instance> {
-        let view = self.journal.view(service)?;
-        once::owner(&view.members, key.slot()).cloned()
-    }
-
-    fn choose_server(&mut self, call: &Outgoing) -> Option<Instance> {
-        let service = &call.request.service;
-        let mut candidates: Vec<Candidate> = self
-            .members
-            .usable(service)
-            .filter(|peer| !call.avoid.contains(&peer.instance.incarnation))
-            .map(|peer| Candidate {
-                incarnation: peer.instance.incarnation,
-                place: self.place(&peer.instance),
-                load: peer.load,
-                in_flight: self.in_flight(peer.instance.incarnation),
-            })
-            .collect();
-        let mine = self.me.incarnation;
-        if self.me.service == *service && !self.stopping && !call.avoid.contains(&mine) {
-            candidates.push(Candidate {
-                incarnation: mine,
-                place: Place::SameDomain,
-                load: self.server.report(),
-                in_flight: 0,
-            });
-        }
-        let chosen = policy::choose(&candidates, &mut self.rng)?;
-        if chosen == mine {
-            return Some(self.me.clone());
-        }
-        self.members.get(chosen).map(|peer| peer.instance.clone())
-    }
-
-    fn in_flight(&self, peer: Incarnation) -> u32 {
-        self.calls
-            .values()
-            .filter(|call| call.target.incarnation == peer)
-            .count() as u32
-    }
-
-    fn place(&self, peer: &Instance) -> Place {
-        if peer.failure_domain == self.me.failure_domain {
-            Place::SameDomain
-        } else if peer.region == self.me.region {
-            Place::SameRegion
-        } else {
-            Place::OtherRegion
-        }
-    }
-
     pub(crate) fn on_answer(&mut self, now: Time, from: Incarnation, id: CallId, answer: Answer) {
         self.members.heard_load(from, answer.load);
         // An answer to an attempt that was given up, or a second one to the same attempt, is late.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,6 +13,7 @@
 mod io;
 mod log;
 mod members;
+mod routing;
 mod serve;
 mod timers;
 
