Membership by SWIM-style probes, with digests, contacts and evictions

Cause: the table took the log's roster for the truth and probed nobody, so a killed instance stayed in use for ever, and nobody was found while the log was down.

Ruled out: heartbeats from all to all (quadratic in the fleet), gossip of whole tables (bytes grow with the fleet on every message), taking the newest rumour for the newest incarnation at an address (a late rumour would bury the live one).

Change: one probe a period in shuffled rounds, near peers mostly; indirect probes through three others; suspicion that the suspect refutes by its beat; rumours sent 3 log2(n) times within datagrams of 1,200 bytes; a digest on each probe and a pull of the buckets that differ; pings to dead peers and contacts now and then, so that a verdict on a live peer heals; a ping settles which incarnation is at an address. A listed peer that stays dead is evicted by the first live member of its service, after a check that live peers answer and that they are a majority.

Conclusion: the membership package stands; the engine passes evictions on to the log.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -120,7 +120,7 @@
     }
 
     pub(crate) fn on_answer(&mut self, now: Time, from: Incarnation, id: CallId, answer: Answer) {
-        self.members.heard_load(from, answer.load);
+        self.members.heard_load(now, from, answer.load);
         // An answer to an attempt that was given up, or a second one to the same attempt, is late.
         let Some(mut call) = self.take_call(id) else {
             return;
--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -40,6 +40,10 @@
         Unexpected,
         /// A peer's state changed.
         PeerChanged,
+        /// This node asked the log to take out a dead peer.
+        EvictionAsked,
+        /// The table of peers is full; one that only rumours tell of was left out.
+        PeerTableFull,
         /// A view of this node's service was taken.
         ViewTaken,
         /// A slot moved to another node.
@@ -75,6 +79,8 @@
             Counter::RulesInForce => "rules_in_force".to_owned(),
             Counter::Unexpected => "unexpected".to_owned(),
             Counter::PeerChanged => "peer_changed".to_owned(),
+            Counter::EvictionAsked => "eviction_asked".to_owned(),
+            Counter::PeerTableFull => "peer_table_full".to_owned(),
             Counter::ViewTaken => "view_taken".to_owned(),
             Counter::SlotMoved => "slot_moved".to_owned(),
         }
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -3,6 +3,7 @@
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
+use journal::Record;
 use membership::Effect;
 use proto::Datagram;
 use proto::Frame;
@@ -77,6 +78,14 @@
                     self.out.push(Output::Datagram { to, datagram });
                 }
                 Effect::Changed { .. } => self.count(Counter::PeerChanged),
+                Effect::Evict(incarnation) => {
+                    self.count(Counter::EvictionAsked);
+                    self.append(&Record::Evict {
+                        incarnation,
+                        by: self.me.incarnation,
+                    });
+                }
+                Effect::TableFull => self.count(Counter::PeerTableFull),
             }
         }
     }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -1,56 +1,39 @@
-//! The table of peers.
+//! The table of peers: what is heard, from whom, and what it changes.
 
+use crate::digest::Digests;
+use crate::evict::Evictions;
+use crate::probe::Probes;
+use crate::rumours::RumourQueue;
+use crate::table::Entry;
+use crate::Config;
+use crate::Peer;
 use indexmap::IndexMap;
 use proto::Incarnation;
 use proto::Instance;
 use proto::LoadReport;
 use proto::MemberMessage;
 use proto::PeerState;
+use proto::Rumour;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
+use stdx::Bounded;
 use stdx::Time;
 
-/// How often to probe and how long to wait.
-#[derive(Debug, Clone)]
-pub struct Config {
-    /// The time between two probes of this node.
-    pub probe_interval: Duration,
-    /// How long an ack may take before others are asked to probe, and again before suspicion.
-    pub ack_timeout: Duration,
-    /// How long a suspect has to refute before it counts as dead.
-    pub suspicion_timeout: Duration,
-    /// Seed for the choice of whom to probe.
-    pub seed: u64,
-}
+/// Incarnations that never come back, remembered beyond their entries, because old rumours about
+/// them may still be under way.
+const MAX_BURIED: usize = 4096;
 
-impl Default for Config {
-    fn default() -> Self {
-        Self {
-            probe_interval: Duration::from_secs(1),
-            ack_timeout: Duration::from_millis(250),
-            suspicion_timeout: Duration::from_secs(3),
-            seed: 0,
-        }
-    }
-}
+/// A peer that was heard within this time is told directly when this node leaves.
+const IN_TOUCH: Duration = Duration::from_secs(30);
 
-/// What is known of a peer.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Peer {
-    /// Who it is.
-    pub instance: Instance,
-    /// Its state.
-    pub state: PeerState,
-    /// What it last said of its load.
-    pub load: LoadReport,
-}
+/// The most peers that are told directly; the others hear it by gossip.
+const MAX_TOLD: usize = 64;
 
 /// What the driver has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
-#[expect(
-    clippy::large_enum_variant,
-    reason = "effects are handled at once, never stored"
-)]
 pub enum Effect {
     /// Send a datagram.
     Send {
@@ -66,71 +49,183 @@
         /// The new one.
         state: PeerState,
     },
+    /// Ask the log to take out a peer.
+    Evict(Incarnation),
+    /// The table is full: a peer that only rumours tell of was left out.
+    TableFull,
 }
 
 /// The table of peers, and the probes that keep it.
 #[derive(Debug)]
 pub struct Membership {
-    me: Instance,
-    peers: IndexMap<Incarnation, Peer>,
-    load: LoadReport,
+    pub(crate) cfg: Config,
+    pub(crate) me: Instance,
+    pub(crate) rng: StdRng,
+    pub(crate) peers: IndexMap<Incarnation, Entry>,
+    /// Who was last known to be at an address.
+    pub(crate) occupants: IndexMap<SocketAddr, Incarnation>,
+    pub(crate) contacts: Vec<SocketAddr>,
+    pub(crate) load: LoadReport,
+    pub(crate) probes: Probes,
+    pub(crate) digests: Digests,
+    pub(crate) evictions: Evictions,
+    /// The log's views name this node.
+    pub(crate) listed: bool,
+    pub(crate) leaving: bool,
+    pub(crate) effects: Vec<Effect>,
+    beat: u32,
+    rumours: RumourQueue,
+    gossip_at: Time,
+    /// When suspects count as dead.
+    suspects: BTreeSet<(Time, Incarnation)>,
+    /// `true` while it holds; the log may list one again.
+    buried: Bounded<Incarnation, bool>,
 }
 
 impl Membership {
     /// A table that knows only this instance, and contact addresses that are hints.
-    pub fn new(_cfg: Config, me: Instance, _contacts: Vec<SocketAddr>) -> Self {
+    pub fn new(cfg: Config, me: Instance, contacts: Vec<SocketAddr>) -> Self {
         Self {
+            rng: StdRng::seed_from_u64(cfg.seed),
+            cfg,
             me,
             peers: IndexMap::new(),
+            occupants: IndexMap::new(),
+            contacts,
             load: LoadReport::default(),
+            probes: Probes::new(),
+            digests: Digests::default(),
+            evictions: Evictions::default(),
+            listed: false,
+            leaving: false,
+            effects: Vec::new(),
+            beat: 0,
+            rumours: RumourQueue::default(),
+            gossip_at: Time::ZERO,
+            suspects: BTreeSet::new(),
+            buried: Bounded::new(MAX_BURIED),
         }
     }
 
-    /// Takes the log's word on who joined; it never makes a dead peer alive again.
+    /// Takes the log's word on who is there. Who was listed and is not any more is gone for good,
+    /// unless the log lists it again; it is not taken for dead before it is silent, because it may
+    /// still be finishing what it has in flight.
     pub fn set_roster<'a>(
         &mut self,
-        _now: Time,
+        now: Time,
         roster: impl Iterator<Item = &'a Instance>,
     ) -> Vec<Effect> {
-        let mut effects = Vec::new();
+        let mut unlisted: IndexMap<Incarnation, ()> = self
+            .peers
+            .iter()
+            .filter(|(_, entry)| entry.listed)
+            .map(|(incarnation, _)| (*incarnation, ()))
+            .collect();
+        self.listed = false;
+        let mut listed = Vec::new();
         for instance in roster {
-            let incarnation = instance.incarnation;
-            if incarnation == self.me.incarnation || self.peers.contains_key(&incarnation) {
-                continue;
+            if unlisted.swap_remove(&instance.incarnation).is_none() {
+                listed.push(instance);
             }
-            let peer = Peer {
-                instance: instance.clone(),
-                state: PeerState::Alive,
-                load: LoadReport::default(),
-            };
-            self.peers.insert(incarnation, peer);
-            effects.push(Effect::Changed {
-                incarnation,
-                state: PeerState::Alive,
-            });
         }
-        effects
+        for (incarnation, ()) in unlisted {
+            self.set_gone(now, incarnation);
+        }
+        for instance in listed {
+            self.list(now, instance);
+        }
+        std::mem::take(&mut self.effects)
     }
 
     /// Handles a message.
-    pub fn on_message(&mut self, _now: Time, _from: SocketAddr, _: MemberMessage) -> Vec<Effect> {
-        Vec::new()
+    pub fn on_message(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        message: MemberMessage,
+    ) -> Vec<Effect> {
+        match message {
+            MemberMessage::Ping {
+                from: sender,
+                seq,
+                digest,
+                load,
+                rumours,
+            } => {
+                self.hear_sender(now, &sender, load);
+                self.hear_all(now, &rumours);
+                self.on_ping(from, &sender, seq);
+                self.compare(now, from, digest);
+            }
+            MemberMessage::Ack {
+                from: sender,
+                seq,
+                digest,
+                load,
+                rumours,
+            } => {
+                self.on_ack(now, &sender, seq, load);
+                self.hear_sender(now, &sender, load);
+                self.hear_all(now, &rumours);
+                if from == sender.instance.addr {
+                    self.compare(now, from, digest);
+                }
+            }
+            MemberMessage::PingReq { seq, target } => self.on_ping_req(from, seq, target),
+            MemberMessage::Gossip { rumours } => self.hear_all(now, &rumours),
+            MemberMessage::Pull { digests } => self.on_pull(from, &digests),
+            MemberMessage::News { rumours } => self.on_news(now, &rumours),
+        }
+        std::mem::take(&mut self.effects)
     }
 
     /// Does what is due. Call when [`Membership::next_timer`] has come.
-    pub fn tick(&mut self, _now: Time) -> Vec<Effect> {
-        Vec::new()
+    pub fn tick(&mut self, now: Time) -> Vec<Effect> {
+        if self.next_timer().is_some_and(|at| now < at) {
+            return Vec::new();
+        }
+        self.excuse_pause(now);
+        self.tick_probes(now);
+        self.tick_evictions(now);
+        self.tick_suspects(now);
+        self.tick_gossip(now);
+        std::mem::take(&mut self.effects)
     }
 
     /// When [`Membership::tick`] is due.
     pub fn next_timer(&self) -> Option<Time> {
-        None
+        let gossip = Some(self.gossip_at).filter(|_| !self.rumours.is_empty());
+        let suspect = self.suspects.first().map(|(at, _)| *at);
+        [
+            Some(self.probes.next_timer()),
+            gossip,
+            suspect,
+            self.evictions.next_timer(),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 
-    /// Tells the others that this instance is leaving.
-    pub fn leave(&mut self, _now: Time) -> Vec<Effect> {
-        self.load.draining = true;
-        Vec::new()
+    /// Tells the others that this instance is leaving: those that it is in touch with at once, the
+    /// rest by gossip.
+    pub fn leave(&mut self, now: Time) -> Vec<Effect> {
+        if !self.leaving {
+            self.leaving = true;
+            self.load.draining = true;
+            self.raise_beat(self.beat);
+            let recent = |entry: &&Entry| {
+                let heard = entry.heard.is_some_and(|at| now.since(at) < IN_TOUCH);
+                heard && !entry.is_dead()
+            };
+            let told = self.peers.values().filter(recent).take(MAX_TOLD);
+            let told: Vec<SocketAddr> = told.map(|entry| entry.peer.instance.addr).collect();
+            for to in told {
+                let rumours = vec![self.my_rumour()];
+                self.send(to, MemberMessage::Gossip { rumours });
+            }
+        }
+        std::mem::take(&mut self.effects)
     }
 
     /// What this node says of its own load from now on.
@@ -139,23 +234,360 @@
     }
 
     /// Takes a report that came with an answer.
-    pub fn heard_load(&mut self, from: Incarnation, load: LoadReport) {
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.load = load;
+    pub fn heard_load(&mut self, now: Time, from: Incarnation, load: LoadReport) {
+        if let Some(entry) = self.peers.get_mut(&from) {
+            entry.peer.load = load;
+            entry.heard = Some(now);
         }
     }
 
     /// A peer by its incarnation.
     pub fn get(&self, incarnation: Incarnation) -> Option<&Peer> {
-        self.peers.get(&incarnation)
+        self.peers.get(&incarnation).map(|entry| &entry.peer)
+    }
+
+    /// Every peer that is remembered, the dead included.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().map(|entry| &entry.peer)
     }
 
     /// The peers that may be given new work for `service`.
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Peer> {
-        self.peers.values().filter(move |peer| {
+        self.peers().filter(move |peer| {
             &*peer.instance.service == service
                 && peer.state == PeerState::Alive
                 && !peer.load.draining
         })
     }
+
+    pub(crate) fn send(&mut self, to: SocketAddr, message: MemberMessage) {
+        self.effects.push(Effect::Send { to, message });
+    }
+
+    pub(crate) fn my_state(&self) -> PeerState {
+        if self.leaving {
+            PeerState::Leaving
+        } else {
+            PeerState::Alive
+        }
+    }
+
+    pub(crate) fn my_rumour(&self) -> Rumour {
+        Rumour {
+            instance: self.me.clone(),
+            state: self.my_state(),
+            beat: self.beat,
+        }
+    }
+
+    /// The rumours for one datagram.
+    pub(crate) fn take_rumours(&mut self, first: Option<Rumour>) -> Vec<Rumour> {
+        let mine = self.my_rumour();
+        self.rumours.take(first, |about| {
+            if about == mine.instance.incarnation {
+                return Some(mine.clone());
+            }
+            self.peers.get(&about).map(Entry::rumour)
+        })
+    }
+
+    pub(crate) fn hear_all(&mut self, now: Time, rumours: &[Rumour]) {
+        for rumour in rumours {
+            self.hear(now, rumour);
+        }
+    }
+
+    /// Takes a message's sender: what it says of itself, and that it is there.
+    fn hear_sender(&mut self, now: Time, sender: &Rumour, load: LoadReport) {
+        self.hear(now, sender);
+        if let Some(entry) = self.peers.get_mut(&sender.instance.incarnation) {
+            entry.heard = Some(now);
+            entry.peer.load = load;
+        }
+    }
+
+    fn hear(&mut self, now: Time, rumour: &Rumour) {
+        let instance = &rumour.instance;
+        let incarnation = instance.incarnation;
+        if incarnation == self.me.incarnation {
+            return self.refute(rumour);
+        }
+        if self.is_buried(incarnation) && !self.peers.contains_key(&incarnation) {
+            return;
+        }
+        if instance.addr == self.me.addr {
+            return self.disown(now, rumour);
+        }
+        if rumour.state != PeerState::Dead && !self.may_be_at(incarnation, instance.addr) {
+            return self.probes.doubt(instance.addr);
+        }
+        match self.peers.get(&incarnation) {
+            None if rumour.state == PeerState::Dead => {}
+            None => self.discover(now, rumour),
+            Some(entry) if entry.is_news(rumour) => {
+                self.set_state(now, incarnation, rumour.state, rumour.beat);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Whether nobody else is known to be alive at the address. Rumours are late at times, so a
+    /// rumour of another incarnation there does not tell which of the two came first; a ping does.
+    fn may_be_at(&self, incarnation: Incarnation, addr: SocketAddr) -> bool {
+        let Some(occupant) = self.occupants.get(&addr) else {
+            return true;
+        };
+        *occupant == incarnation || self.peers.get(occupant).is_none_or(Entry::is_dead)
+    }
+
+    /// Only this node gives out its own beats, so a higher one overrides what others say of it.
+    fn refute(&mut self, rumour: &Rumour) {
+        let wrong = rumour.state != self.my_state();
+        if rumour.beat > self.beat || (rumour.beat == self.beat && wrong) {
+            self.raise_beat(rumour.beat);
+        }
+    }
+
+    fn raise_beat(&mut self, above: u32) {
+        self.beat = above.saturating_add(1);
+        self.digests.invalidate();
+        self.spread(self.me.incarnation);
+    }
+
+    fn discover(&mut self, now: Time, rumour: &Rumour) {
+        if self.peers.len() >= self.cfg.max_peers {
+            return self.effects.push(Effect::TableFull);
+        }
+        let instance = rumour.instance.clone();
+        self.enter(now, instance, rumour.state, rumour.beat);
+    }
+
+    fn enter(&mut self, now: Time, instance: Instance, state: PeerState, beat: u32) {
+        let incarnation = instance.incarnation;
+        self.occupants.insert(instance.addr, incarnation);
+        self.peers
+            .insert(incarnation, Entry::new(now, instance, state, beat));
+        self.after_change(now, incarnation, state);
+    }
+
+    pub(crate) fn set_state(
+        &mut self,
+        now: Time,
+        incarnation: Incarnation,
+        state: PeerState,
+        beat: u32,
+    ) {
+        let Some(entry) = self.peers.get_mut(&incarnation) else {
+            return;
+        };
+        let changed = entry.peer.state != state;
+        entry.peer.state = state;
+        entry.beat = beat;
+        if let Some(at) = entry.dead_at.take() {
+            self.suspects.remove(&(at, incarnation));
+        }
+        if changed {
+            entry.since = now;
+            if state != PeerState::Dead {
+                let addr = entry.peer.instance.addr;
+                self.occupants.insert(addr, incarnation);
+            }
+            self.after_change(now, incarnation, state);
+        } else {
+            self.spread(incarnation);
+        }
+    }
+
+    fn after_change(&mut self, now: Time, incarnation: Incarnation, state: PeerState) {
+        self.digests.invalidate();
+        self.spread(incarnation);
+        if state == PeerState::Suspect {
+            self.start_suspicion(now, incarnation);
+        }
+        self.effects.push(Effect::Changed { incarnation, state });
+    }
+
+    fn spread(&mut self, about: Incarnation) {
+        let size = self.peers.len() as u32 + 2;
+        let times = self.cfg.retransmit * (size.ilog2() + 1);
+        self.rumours.push(about, times);
+    }
+
+    /// From now on the peer has a time to refute in.
+    pub(crate) fn start_suspicion(&mut self, now: Time, incarnation: Incarnation) {
+        let at = now + self.cfg.suspicion_timeout;
+        if let Some(entry) = self.peers.get_mut(&incarnation) {
+            if entry.dead_at.is_none() {
+                entry.dead_at = Some(at);
+                self.suspects.insert((at, incarnation));
+            }
+        }
+    }
+
+    fn tick_suspects(&mut self, now: Time) {
+        while let Some((at, incarnation)) = self.suspects.first().copied() {
+            if at > now {
+                return;
+            }
+            self.suspects.pop_first();
+            let Some(entry) = self.peers.get_mut(&incarnation) else {
+                continue;
+            };
+            entry.dead_at = None;
+            let began = self.cfg.suspicion_timeout;
+            // It spoke to this node meanwhile; it only has not heard of the suspicion yet.
+            let spoke = entry.heard.is_some_and(|heard| now.since(heard) < began);
+            let beat = entry.beat;
+            match (spoke, entry.peer.state) {
+                (true, PeerState::Suspect) => self.start_suspicion(now, incarnation),
+                (true, _) => {}
+                (false, _) => self.set_state(now, incarnation, PeerState::Dead, beat),
+            }
+        }
+    }
+
+    fn tick_gossip(&mut self, now: Time) {
+        if now < self.gossip_at || self.rumours.is_empty() {
+            return;
+        }
+        self.gossip_at = now + self.cfg.gossip_interval;
+        for to in self.pick_helpers(self.cfg.gossip_fanout, None) {
+            let rumours = self.take_rumours(None);
+            if !rumours.is_empty() {
+                self.send(to, MemberMessage::Gossip { rumours });
+            }
+        }
+    }
+
+    /// A node that was paused finds all its timers run out, and the acks and refutations that came
+    /// meanwhile unread. Without this it would hold live peers for dead when it wakes up.
+    fn excuse_pause(&mut self, now: Time) {
+        let due = self.next_timer().unwrap_or(now);
+        if now.since(due) < self.cfg.probe_interval || due == Time::ZERO {
+            return;
+        }
+        self.probes.abandon();
+        for (_, incarnation) in std::mem::take(&mut self.suspects) {
+            if let Some(entry) = self.peers.get_mut(&incarnation) {
+                entry.dead_at = None;
+            }
+            self.start_suspicion(now, incarnation);
+        }
+    }
+
+    /// An earlier incarnation at this node's own address has ended; nobody knows that better.
+    fn disown(&mut self, now: Time, rumour: &Rumour) {
+        let incarnation = rumour.instance.incarnation;
+        if !self.peers.contains_key(&incarnation) {
+            self.enter(now, rumour.instance.clone(), PeerState::Dead, rumour.beat);
+        }
+        self.bury(now, incarnation);
+    }
+
+    /// `sender` has just answered at its address: whoever else is known there has ended.
+    pub(crate) fn settle_address(&mut self, now: Time, sender: &Rumour) {
+        let (addr, incarnation) = (sender.instance.addr, sender.instance.incarnation);
+        if incarnation == self.me.incarnation || self.is_buried(incarnation) {
+            return;
+        }
+        let others = self.peers.iter().filter(|(other, entry)| {
+            let there = entry.peer.instance.addr == addr && **other != incarnation;
+            there && !(entry.gone && entry.is_dead())
+        });
+        let others: Vec<Incarnation> = others.map(|(other, _)| *other).collect();
+        for other in others {
+            self.bury(now, other);
+        }
+    }
+
+    fn is_buried(&self, incarnation: Incarnation) -> bool {
+        self.buried.get(&incarnation).is_some_and(|buried| *buried)
+    }
+
+    /// Takes a peer for dead without a way back.
+    fn bury(&mut self, now: Time, incarnation: Incarnation) {
+        self.buried.insert(incarnation, true);
+        if let Some(entry) = self.peers.get_mut(&incarnation) {
+            entry.gone = true;
+            let (beat, dead) = (entry.beat, entry.is_dead());
+            if !dead {
+                self.set_state(now, incarnation, PeerState::Dead, beat);
+            }
+        }
+    }
+
+    /// The log has dropped a peer.
+    fn set_gone(&mut self, now: Time, incarnation: Incarnation) {
+        self.buried.insert(incarnation, true);
+        self.digests.invalidate();
+        let Some(entry) = self.peers.get_mut(&incarnation) else {
+            return;
+        };
+        entry.listed = false;
+        entry.gone = true;
+        let (state, beat) = (entry.peer.state, entry.beat);
+        if matches!(state, PeerState::Alive | PeerState::Suspect) {
+            self.set_state(now, incarnation, PeerState::Leaving, beat);
+            if state == PeerState::Suspect {
+                self.start_suspicion(now, incarnation);
+            }
+        }
+    }
+
+    /// The log lists a peer that it did not list before.
+    fn list(&mut self, now: Time, instance: &Instance) {
+        let incarnation = instance.incarnation;
+        if incarnation == self.me.incarnation {
+            self.listed = true;
+            return;
+        }
+        let occupant = self.occupants.get(&instance.addr).copied();
+        let other = occupant.filter(|other| *other != incarnation);
+        let other_lives = other
+            .and_then(|other| self.peers.get(&other))
+            .is_some_and(|entry| !entry.gone && !entry.is_dead());
+        let known = self.peers.get(&incarnation);
+        let buried = self.is_buried(incarnation);
+        if known.is_none() && (other_lives || buried) {
+            // Either may be the older one. It counts as a suspect until somebody answers there.
+            self.enter(now, instance.clone(), PeerState::Suspect, 0);
+            self.probes.doubt(instance.addr);
+        } else if known.is_none() {
+            self.enter(now, instance.clone(), PeerState::Alive, 0);
+        } else if known.is_some_and(|entry| entry.gone) && other.is_none() {
+            self.revive(now, incarnation);
+        }
+        if let Some(entry) = self.peers.get_mut(&incarnation) {
+            entry.listed = true;
+        }
+        if let Some(other) = other.filter(|_| !other_lives) {
+            self.bury(now, other);
+        }
+    }
+
+    /// The log has taken a peer back that it had dropped.
+    fn revive(&mut self, now: Time, incarnation: Incarnation) {
+        if let Some(buried) = self.buried.get_mut(&incarnation) {
+            *buried = false;
+        }
+        if let Some(entry) = self.peers.get_mut(&incarnation) {
+            entry.gone = false;
+            let beat = entry.beat;
+            self.set_state(now, incarnation, PeerState::Alive, beat);
+        }
+    }
+
+    /// Drops entries of peers that are dead for long and that the log does not list.
+    pub(crate) fn forget(&mut self, now: Time) {
+        let after = self.cfg.forget_after;
+        let occupants = &mut self.occupants;
+        self.peers.retain(|incarnation, entry| {
+            let old = now.since(entry.since) >= after;
+            let keep = !entry.is_dead() || entry.listed || !old;
+            if !keep && occupants.get(&entry.peer.instance.addr) == Some(incarnation) {
+                occupants.swap_remove(&entry.peer.instance.addr);
+            }
+            keep
+        });
+    }
 }
--- /dev/null
+++ b/crates/membership/tests/evict.rs
@@ -0,0 +1,117 @@
+//! Who asks for whose eviction, and when nobody does.
+
+mod common;
+
+use common::Fleet;
+use proto::Incarnation;
+use std::time::Duration;
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn incarnations(fleet: &Fleet, numbers: impl Iterator<Item = usize>) -> Vec<Incarnation> {
+    let mut all: Vec<_> = numbers
+        .map(|n| fleet.nodes[n].instance.incarnation)
+        .collect();
+    all.sort();
+    all
+}
+
+/// Runs a fleet with these nodes down, and checks who the others had evicted by then.
+fn check(seed: u64, down: &[usize], time: u64, expected: &[usize]) -> Fleet {
+    let mut fleet = Fleet::listed(seed, 12);
+    fleet.run(secs(5));
+    for number in down {
+        fleet.nodes[*number].up = false;
+    }
+    fleet.run(secs(time));
+    let expected = incarnations(&fleet, expected.iter().copied());
+    assert_eq!(fleet.evicted(), expected);
+    fleet
+}
+
+#[test]
+fn a_dead_instance_is_evicted_by_one_member_of_its_service() {
+    // The log goes on listing an instance that was killed: its share of the keys has no home until
+    // somebody has it taken out. If all asked at once, the log would get one append from each.
+    let mut fleet = Fleet::listed(1, 12);
+    fleet.run(secs(5));
+    fleet.nodes[5].up = false;
+    while fleet.evicted().is_empty() {
+        fleet.run(Duration::from_millis(100));
+    }
+    // All nodes read the log at once; the roster does not name the dead instance any more.
+    fleet.list_all();
+    fleet.run(secs(30));
+    assert_eq!(fleet.evicted(), incarnations(&fleet, [5].into_iter()));
+    let asked: Vec<_> = fleet
+        .nodes
+        .iter()
+        .filter(|node| !node.evictions.is_empty())
+        .collect();
+    assert_eq!(asked.len(), 1);
+    assert_eq!(asked[0].instance.service, fleet.nodes[5].instance.service);
+}
+
+#[test]
+fn the_next_member_evicts_if_the_first_does_not_get_through() {
+    // The member whose turn it is may be unable to reach the log.
+    let fleet = check(1, &[5], 40, &[5]);
+    let asked = fleet.nodes.iter().filter(|node| !node.evictions.is_empty());
+    assert!(asked.count() > 1);
+}
+
+#[test]
+fn a_service_that_is_all_dead_is_evicted_by_the_others() {
+    check(3, &[1, 5], 20, &[1, 5]);
+    let mut fleet = Fleet::listed(3, 12);
+    fleet.run(secs(5));
+    // Service 1 has the odd nodes; one member of the other service takes its place each time.
+    for number in [1, 3, 5, 7, 9] {
+        fleet.nodes[number].up = false;
+    }
+    fleet.run(secs(30));
+    assert_eq!(
+        fleet.evicted(),
+        incarnations(&fleet, [1, 3, 5, 7, 9].into_iter())
+    );
+}
+
+#[test]
+fn a_minority_that_was_cut_off_evicts_nobody() {
+    // Four of twelve instances lose the others but still reach the log. Each holds eight for dead;
+    // evicting them would take the live part of the service away.
+    let mut fleet = Fleet::listed(4, 12);
+    fleet.run(secs(5));
+    fleet.cut = Box::new(|from, to| (from < 4) != (to < 4));
+    fleet.run(secs(120));
+    let minority = incarnations(&fleet, 0..4);
+    assert_eq!(fleet.evicted(), minority);
+}
+
+#[test]
+fn two_halves_evict_nobody() {
+    let mut fleet = Fleet::listed(5, 12);
+    fleet.run(secs(5));
+    fleet.cut = Box::new(|from, to| from % 2 != to % 2);
+    fleet.run(secs(300));
+    assert_eq!(fleet.evicted(), []);
+}
+
+#[test]
+fn one_node_evicts_a_bounded_number_a_minute() {
+    // Many instances die at once and the log does not take the evictions. Without a bound each node
+    // would fill the log's few hundred appends a second for all.
+    let mut fleet = Fleet::listed(6, 60);
+    fleet.run(secs(5));
+    for number in 0..28 {
+        fleet.nodes[number].up = false;
+    }
+    fleet.run(secs(50));
+    let most = fleet.nodes.iter().map(|node| node.evictions.len()).max();
+    assert!(
+        most.is_some_and(|most| (1..=10).contains(&most)),
+        "{most:?}"
+    );
+}
--- a/crates/proto/src/member.rs
+++ b/crates/proto/src/member.rs
@@ -1,13 +1,14 @@
 //! Membership messages: SWIM-style probes with rumours on them.
 
-use crate::Incarnation;
 use crate::Instance;
 use crate::LoadReport;
+use std::net::SocketAddr;
 use stdx::data;
 use stdx::plain;
 
 plain! {
-    /// What is known of a peer. Later variants override earlier ones of the same `beat`.
+    /// What is known of a peer. Later variants override earlier ones of the same `beat`; a higher
+    /// `beat`, which only the peer itself can give out, overrides them all.
     #[derive(Hash, PartialOrd, Ord)]
     pub enum PeerState {
         /// It answers.
@@ -16,7 +17,10 @@
         Suspect,
         /// It is leaving: nothing new goes to it.
         Leaving,
-        /// It is gone for good. An incarnation never comes back from this.
+        /// It is taken for gone. This is a verdict of soft state and may be wrong, after a cut for
+        /// example: a peer that hears it refutes it with a higher `beat`. It is final once the
+        /// log's views have dropped the incarnation, or once another incarnation has answered at
+        /// its address.
         Dead,
     }
 }
@@ -38,34 +42,51 @@
     pub enum MemberMessage {
         /// Asks for an [`MemberMessage::Ack`].
         Ping {
-            /// Who asks.
-            from: Instance,
+            /// The sender, as it sees itself.
+            from: Rumour,
             /// Matches the answer to it.
             seq: u64,
+            /// A digest of the peers that the sender holds to be there.
+            digest: u64,
             /// The sender's load.
             load: LoadReport,
             /// News.
             rumours: Vec<Rumour>,
         },
-        /// Answers a ping.
+        /// Answers a ping; a relay passes it on to the node that asked for the ping.
         Ack {
-            /// Who answers.
-            from: Incarnation,
+            /// Who answers, as it sees itself.
+            from: Rumour,
             /// The ping's.
             seq: u64,
+            /// A digest of the peers that the sender holds to be there.
+            digest: u64,
             /// The sender's load.
             load: LoadReport,
             /// News.
             rumours: Vec<Rumour>,
         },
-        /// Asks the receiver to ping `target` and pass the answer on.
+        /// Asks the receiver to ping an address and to pass the ack on.
         PingReq {
-            /// Who asks.
-            from: Instance,
             /// The ping's.
             seq: u64,
             /// Whom to ping.
-            target: Instance,
+            target: SocketAddr,
+        },
+        /// News that is not answered.
+        Gossip {
+            /// The news.
+            rumours: Vec<Rumour>,
+        },
+        /// Asks for the part of the receiver's table that differs from the sender's.
+        Pull {
+            /// Digests of the sender's table, one for each bucket of incarnations.
+            digests: Vec<u32>,
+        },
+        /// Answers a [`MemberMessage::Pull`], perhaps in several datagrams.
+        News {
+            /// Entries of the sender's table.
+            rumours: Vec<Rumour>,
         },
     }
 }
