--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -87,6 +87,7 @@
         });
         let work = Work {
             takes: Duration::ZERO,
+            slots: 0,
             children: children.collect(),
         };
         let backend = Backend::start(LOOPBACK.into(), work).await.unwrap();
--- a/crates/standin/examples/latency.rs
+++ b/crates/standin/examples/latency.rs
@@ -28,6 +28,7 @@
         region: "lombardia",
         work: Work {
             takes: Duration::from_millis(2),
+            slots: 0,
             children: Vec::new(),
         },
     };
--- /dev/null
+++ b/crates/standin/examples/quickstart.rs
@@ -0,0 +1,123 @@
+//! A small deployment in one process, a load above its capacity, and a table of what became of it.
+
+use awc::http::Method;
+use bilberry_standin::run_load;
+use bilberry_standin::status_page;
+use bilberry_standin::Child;
+use bilberry_standin::Deployment;
+use bilberry_standin::Kind;
+use bilberry_standin::Load;
+use bilberry_standin::Place;
+use bilberry_standin::Report;
+use bilberry_standin::Work;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const RULES: &str = include_str!("quickstart.rules");
+
+/// Requests a second, and for how long. The catalogue has room for about 800 a second.
+const RATE: u32 = 1_600;
+const SECONDS: u32 = 8;
+
+#[actix_rt::main]
+async fn main() {
+    let deployment = Deployment::start(&places());
+    println!("{} nodes; publishing the rules", deployment.instances.len());
+    deployment.publish(RULES).await;
+    println!("{RATE} requests a second for {SECONDS} s: three lookups for each order");
+    let report = run_load(load(&deployment)).await;
+    print_report(&report);
+    print_counters(&deployment).await;
+    for mut instance in deployment.instances {
+        instance.stop();
+    }
+    println!("all nodes stopped gracefully");
+}
+
+fn places() -> Vec<Place> {
+    let call = |path: &str| Child {
+        method: Method::POST,
+        path: path.to_owned(),
+    };
+    let lookup = Work {
+        takes: Duration::from_millis(9),
+        slots: 4,
+        children: Vec::new(),
+    };
+    let order = Work {
+        children: vec![call("/press/slots")],
+        ..Work::default()
+    };
+    let press = Work {
+        takes: Duration::from_millis(4),
+        ..Work::default()
+    };
+    let mut places = Vec::new();
+    for (failure_domain, region) in [("milano-1", "lombardia"), ("verona-1", "veneto")] {
+        for (service, work) in [("catalogue", &lookup), ("order", &order), ("press", &press)] {
+            places.push(Place {
+                service,
+                failure_domain,
+                region,
+                work: work.clone(),
+            });
+        }
+    }
+    places
+}
+
+fn load(deployment: &Deployment) -> Load {
+    let entry = |n: usize| deployment.instances[n % deployment.instances.len()].http_addr;
+    let lookup = |n| Kind {
+        method: Method::GET,
+        url: format!("http://{}/catalogue/patterns/7", entry(n)),
+        keyed: false,
+    };
+    let order = |n| Kind {
+        method: Method::POST,
+        url: format!("http://{}/order/orders", entry(n)),
+        keyed: true,
+    };
+    Load {
+        kinds: vec![lookup(0), lookup(2), lookup(3), order(5)],
+        interval: Duration::from_secs(1) / RATE,
+        count: RATE * SECONDS,
+        patience: Duration::from_secs(5),
+    }
+}
+
+fn print_report(report: &Report) {
+    println!("\nwhat callers saw");
+    println!(
+        "{:<10}{:>8}{:>9}{:>8}{:>10}{:>10}",
+        "", "whole", "not run", "other", "p50 ms", "p99 ms"
+    );
+    for (index, name) in ["lookup", "lookup", "lookup", "order"].iter().enumerate() {
+        let millis = |quantile| report.micros[index].value_at_quantile(quantile) as f64 / 1000.0;
+        println!(
+            "{name:<10}{:>8}{:>9}{:>8}{:>10.1}{:>10.1}",
+            report.whole[index],
+            report.not_run[index],
+            report.other[index],
+            millis(0.5),
+            millis(0.99),
+        );
+    }
+}
+
+async fn print_counters(deployment: &Deployment) {
+    let mut totals = BTreeMap::new();
+    for instance in &deployment.instances {
+        let page = status_page(instance.http_addr).await;
+        let counters = page
+            .lines()
+            .filter_map(|line| line.strip_prefix("counter."));
+        for (name, count) in counters.filter_map(|line| line.split_once(' ')) {
+            *totals.entry(name.to_owned()).or_insert(0) += count.parse::<u64>().unwrap_or(0);
+        }
+    }
+    println!("\nwhat the nodes counted");
+    for (name, count) in totals {
+        println!("{name:<30}{count:>8}");
+    }
+}
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 
 const CONTEXT_HEADER: &str = "bilberry-context";
 const KEY_HEADER: &str = "idempotency-key";
@@ -33,6 +34,8 @@
 pub struct Work {
     /// How long it takes.
     pub takes: Duration,
+    /// How many requests it works on at a time; the others wait inside it. 0: all at once.
+    pub slots: usize,
     /// What it calls, one after another, before it answers.
     pub children: Vec<Child>,
 }
@@ -49,17 +52,24 @@
     /// Runs begun, by `Idempotency-Key`, or by path without one.
     pub runs: Rc<RefCell<IndexMap<String, u32>>>,
     client: awc::Client,
+    slots: Rc<Semaphore>,
 }
 
 impl Backend {
     /// Starts a server on `addr`, for as long as the system runs.
     pub async fn start(addr: SocketAddr, work: Work) -> std::io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
+        let slots = if work.slots == 0 {
+            Semaphore::MAX_PERMITS
+        } else {
+            work.slots
+        };
         let backend = Self {
             addr: listener.local_addr()?,
             node: Rc::default(),
             work: Rc::new(RefCell::new(work)),
             runs: Rc::default(),
+            slots: Rc::new(Semaphore::new(slots)),
             client: awc::Client::builder()
                 .disable_redirects()
                 .disable_timeout()
@@ -83,7 +93,9 @@
         let key = header(KEY_HEADER).unwrap_or_else(|| req.path().to_owned());
         *self.runs.borrow_mut().entry(key).or_insert(0) += 1;
         let work = self.work.borrow().clone();
+        let slot = self.slots.acquire().await;
         tokio::time::sleep(work.takes).await;
+        drop(slot);
         let context = header(CONTEXT_HEADER).unwrap_or_default();
         let mut answer = body.to_vec();
         for child in &work.children {
