--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -65,6 +65,18 @@
     }
 }
 
+impl NodeProcess {
+    /// Waits for the process to end, while the stand-ins of this thread go on.
+    pub async fn ended(&mut self) -> std::process::ExitStatus {
+        loop {
+            if let Some(status) = self.process.try_wait().unwrap() {
+                return status;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         let _ = self.process.kill();
