Appends wait in a bounded queue, and a stop says its Leave

Cause: the engine knew one pending append. A node that was stopped while its Join had no answer yet said no Leave and ended; a lost append was tried again at a fixed interval by all nodes alike; a second record (an eviction) would have overwritten the first.

Ruled out: appending the Leave beside the Join in flight, because the log may take them in either order.

Change: records wait in a queue of at most 64, one for each thing to say, the most urgent first, one in flight. A lost answer waits 1 s, doubled up to 30 s, half of it random. A record is dropped once the fold shows its effect. A stop waits for its Leave for 10 s, then ends without; the views name the node until another evicts it.

--- /dev/null
+++ b/crates/engine/src/appends.rs
@@ -0,0 +1,106 @@
+//! Records on their way to the log's stream: a bounded queue, one append in flight.
+
+use bytes::Bytes;
+use proto::Incarnation;
+use stdx::plain;
+use stdx::Time;
+
+/// The most records that wait. What is left out is asked for again by whoever wanted it.
+const MAX_WAITING: usize = 64;
+
+plain! {
+    /// What a record says; the queue holds one record for each. In the order of their urgency.
+    #[derive(PartialOrd, Ord)]
+    pub(crate) enum AppendKey {
+        /// This node leaves.
+        Leave,
+        /// This node announces itself.
+        Join,
+        /// Another node is taken for dead.
+        Evict(Incarnation),
+        /// The state, before older records expire.
+        Snapshot,
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    key: AppendKey,
+    record: Bytes,
+    due: Time,
+    attempts: u32,
+}
+
+/// Records that the stream does not show yet.
+#[derive(Debug, Default)]
+pub(crate) struct AppendQueue {
+    entries: Vec<Entry>,
+    /// The append that waits for its answer. Its entry may be gone meanwhile.
+    in_flight: Option<(u64, AppendKey)>,
+}
+
+impl AppendQueue {
+    pub(crate) fn contains(&self, key: AppendKey) -> bool {
+        self.entries.iter().any(|entry| entry.key == key)
+    }
+
+    /// Whether there is room for a record that says something new.
+    pub(crate) fn has_room(&self, key: AppendKey) -> bool {
+        // What this node says of itself always fits.
+        !matches!(key, AppendKey::Evict(_)) || self.entries.len() < MAX_WAITING
+    }
+
+    pub(crate) fn push(&mut self, key: AppendKey, record: Bytes) {
+        self.entries.push(Entry {
+            key,
+            record,
+            due: Time::ZERO,
+            attempts: 0,
+        });
+    }
+
+    pub(crate) fn remove(&mut self, key: AppendKey) {
+        self.entries.retain(|entry| entry.key != key);
+    }
+
+    /// Keeps only the records that `wanted` still wants said.
+    pub(crate) fn retain(&mut self, wanted: impl Fn(AppendKey) -> bool) {
+        self.entries.retain(|entry| wanted(entry.key));
+    }
+
+    /// When [`AppendQueue::start`] has something to start.
+    pub(crate) fn next_due(&self) -> Option<Time> {
+        if self.in_flight.is_some() {
+            return None;
+        }
+        self.entries.iter().map(|entry| entry.due).min()
+    }
+
+    /// Starts the most urgent append that is due, under `number`.
+    pub(crate) fn start(&mut self, now: Time, number: u64) -> Option<(AppendKey, Bytes)> {
+        if self.in_flight.is_some() {
+            return None;
+        }
+        let due = self.entries.iter_mut().filter(|entry| entry.due <= now);
+        let entry = due.min_by_key(|entry| entry.key)?;
+        entry.attempts += 1;
+        self.in_flight = Some((number, entry.key));
+        Some((entry.key, entry.record.clone()))
+    }
+
+    /// The append in flight has ended; says which it was and how often it was tried.
+    pub(crate) fn ended(&mut self, number: u64) -> Option<(AppendKey, u32)> {
+        let (_, key) = self.in_flight.take_if(|(id, _)| *id == number)?;
+        let entry = self.entries.iter().find(|entry| entry.key == key);
+        Some((key, entry.map_or(1, |entry| entry.attempts)))
+    }
+
+    /// Does not try a record again before `due`.
+    pub(crate) fn postpone(&mut self, key: AppendKey, due: Time) {
+        for entry in &mut self.entries {
+            if entry.key == key {
+                entry.due = due;
+            }
+        }
+    }
+}
--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -22,6 +22,8 @@
     pub max_depth: u8,
     /// How long to wait before a lost append is tried again.
     pub append_retry: Duration,
+    /// How long a stop waits until the log has taken its `Leave`.
+    pub leave_patience: Duration,
 }
 
 impl Default for Config {
@@ -35,6 +37,7 @@
             max_key: 255,
             max_depth: 32,
             append_retry: Duration::from_secs(1),
+            leave_patience: Duration::from_secs(10),
         }
     }
 }
--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -36,6 +36,12 @@
         RejectedPublication,
         /// A rules file came in force.
         RulesInForce,
+        /// An append got no answer; it is tried again unless the stream shows it.
+        AppendLost,
+        /// The queue of appends was full.
+        AppendLeftOut,
+        /// The node stopped though the log had not taken its `Leave`.
+        LeaveUnsaid,
         /// A frame or datagram made no sense here.
         Unexpected,
         /// A peer's state changed.
@@ -73,6 +79,9 @@
             Counter::BrokenRecord => "broken_record".to_owned(),
             Counter::RejectedPublication => "rejected_publication".to_owned(),
             Counter::RulesInForce => "rules_in_force".to_owned(),
+            Counter::AppendLost => "append_lost".to_owned(),
+            Counter::AppendLeftOut => "append_left_out".to_owned(),
+            Counter::LeaveUnsaid => "leave_unsaid".to_owned(),
             Counter::Unexpected => "unexpected".to_owned(),
             Counter::PeerChanged => "peer_changed".to_owned(),
             Counter::ViewTaken => "view_taken".to_owned(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -137,13 +137,14 @@
             Input::Records(records) => self.on_records(now, records),
             Input::LogRead => self.on_log_read(now),
             Input::LogUnreachable => self.log.reachable = false,
-            Input::Appended(number) => self.on_appended(number),
+            Input::Appended(number) => self.on_appended(now, number),
             Input::AppendLost(number) => self.on_append_lost(now, number),
             Input::Stop => self.on_stop(now),
             Input::Tick => {}
         }
         self.run_due(now);
         self.drain_loopback(now);
+        self.pump_appends(now);
         self.check_stopped();
         std::mem::take(&mut self.out)
     }
@@ -154,6 +155,7 @@
             self.timers.next(),
             self.members.next_timer(),
             self.server.next_timer(),
+            self.log.next_timer(),
         ]
         .into_iter()
         .flatten()
@@ -179,7 +181,6 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Deadline(call) => self.on_deadline(now, call),
-                Timer::Append => self.on_append_timer(now),
             }
         }
         self.tick_members(now);
@@ -232,7 +233,7 @@
     fn on_stop(&mut self, now: Time) {
         self.stopping = true;
         self.leave_members(now);
-        self.leave_log();
+        self.leave_log(now);
     }
 
     fn check_stopped(&mut self) {
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -1,6 +1,7 @@
 //! The log controller: folds the stream, announces this node, and takes it out again.
 
-use crate::timers::Timer;
+use crate::appends::AppendKey;
+use crate::appends::AppendQueue;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
@@ -8,22 +9,38 @@
 use journal::Change;
 use journal::Record;
 use proto::Incarnation;
+use rand::RngExt;
+use std::time::Duration;
 use stdx::Time;
 
+/// The longest wait between two tries of the same append.
+const MAX_APPEND_RETRY: Duration = Duration::from_secs(30);
+
+/// How often the wait between two tries doubles at most.
+const MAX_DOUBLINGS: u32 = 5;
+
 /// What this node has to say to the log and whether it got through.
 #[derive(Debug, Default)]
 pub(crate) struct LogLink {
     pub(crate) reachable: bool,
     caught_up: bool,
-    /// The append in flight.
-    pending: Option<u64>,
-    leaving: bool,
+    pub(crate) appends: AppendQueue,
+    /// A `Join` may stand in the stream, now or later.
+    join_sent: bool,
+    /// When a stop no longer waits for its `Leave`.
+    give_up: Option<Time>,
 }
 
 impl LogLink {
     /// Whether nothing is left to say before the process ends.
     pub(crate) fn left(&self) -> bool {
-        self.pending.is_none()
+        !self.appends.contains(AppendKey::Leave)
+    }
+
+    /// When the controller has something to do.
+    pub(crate) fn next_timer(&self) -> Option<Time> {
+        let timers = [self.appends.next_due(), self.give_up];
+        timers.into_iter().flatten().min()
     }
 }
 
@@ -65,63 +82,103 @@
     pub(crate) fn on_log_read(&mut self, _now: Time) {
         self.log.reachable = true;
         self.log.caught_up = true;
-        self.announce();
-    }
-
-    /// Appends whatever the log does not say yet about this node.
-    fn announce(&mut self) {
-        if !self.log.caught_up || self.log.pending.is_some() {
-            return;
-        }
-        let mine = self.me.incarnation;
-        let listed = self
-            .journal
-            .instances()
-            .any(|instance| instance.incarnation == mine);
-        if self.stopping && listed {
-            self.append(&Record::Leave(mine));
-        } else if !self.stopping && !listed {
+        if !self.stopping && !self.is_listed() {
             self.append(&Record::Join(self.me.clone()));
         }
     }
 
+    /// Has a record appended, unless the same is waiting already. It is tried until the fold shows
+    /// its effect. When the queue is full it is left out and counted; ask again later.
     pub(crate) fn append(&mut self, record: &Record) {
-        let number = self.number();
-        self.log.pending = Some(number);
+        let key = match record {
+            Record::Join(_) => AppendKey::Join,
+            Record::Leave(_) => AppendKey::Leave,
+            Record::Evict { incarnation, .. } => AppendKey::Evict(*incarnation),
+            Record::Snapshot(_) => AppendKey::Snapshot,
+            // Only operators publish.
+            Record::Publish { .. } => return self.count(Counter::Unexpected),
+        };
+        if self.log.appends.contains(key) {
+            return;
+        }
+        if !self.log.appends.has_room(key) {
+            return self.count(Counter::AppendLeftOut);
+        }
         let record = Bytes::from(proto::encode(record));
-        self.out.push(Output::Append { number, record });
+        self.log.appends.push(key, record);
     }
 
-    pub(crate) fn on_appended(&mut self, number: u64) {
-        if self.log.pending == Some(number) {
-            self.log.pending = None;
-            self.out.push(Output::ReadLog);
+    /// Drops what the stream shows by now, and starts the next append that is due.
+    pub(crate) fn pump_appends(&mut self, now: Time) {
+        let mine = self.me.incarnation;
+        let journal = &self.journal;
+        self.log.appends.retain(|key| match key {
+            AppendKey::Join => !journal.is_listed(mine),
+            AppendKey::Leave => true,
+            AppendKey::Evict(other) => journal.is_listed(other),
+            AppendKey::Snapshot => true,
+        });
+        if self.log.give_up.is_some_and(|give_up| give_up <= now) {
+            self.log.give_up = None;
+            if !self.log.left() {
+                self.log.appends.remove(AppendKey::Leave);
+                self.count(Counter::LeaveUnsaid);
+            }
+        }
+        if self.log.appends.next_due().is_none_or(|due| due > now) {
+            return;
+        }
+        let number = self.number();
+        if let Some((key, record)) = self.log.appends.start(now, number) {
+            self.log.join_sent |= key == AppendKey::Join;
+            self.out.push(Output::Append { number, record });
         }
     }
 
-    /// The record may stand in the stream all the same; reading it again tells.
-    pub(crate) fn on_append_lost(&mut self, now: Time, number: u64) {
-        if self.log.pending == Some(number) {
-            self.log.pending = None;
-            self.timers.set(now + self.cfg.append_retry, Timer::Append);
-            self.out.push(Output::ReadLog);
+    pub(crate) fn on_appended(&mut self, now: Time, number: u64) {
+        let Some((key, _)) = self.log.appends.ended(number) else {
+            return;
+        };
+        match key {
+            AppendKey::Leave => self.log.appends.remove(key),
+            // The fold has the last word; meanwhile there is no reason to say it again.
+            _ => self.log.appends.postpone(key, now + MAX_APPEND_RETRY),
         }
+        self.out.push(Output::ReadLog);
     }
 
-    pub(crate) fn on_append_timer(&mut self, _now: Time) {
-        self.announce();
+    /// The record may stand in the stream all the same; reading it again tells. All nodes lose
+    /// their answers together when the log goes down, so the next try waits longer each time and
+    /// for a random part of it; else they would all come back at once.
+    pub(crate) fn on_append_lost(&mut self, now: Time, number: u64) {
+        let Some((key, attempts)) = self.log.appends.ended(number) else {
+            return;
+        };
+        self.count(Counter::AppendLost);
+        let doublings = attempts.saturating_sub(1).min(MAX_DOUBLINGS);
+        let wait = self.cfg.append_retry * (1 << doublings);
+        let wait = wait
+            .min(MAX_APPEND_RETRY)
+            .mul_f64(self.rng.random_range(0.5..1.0));
+        self.log.appends.postpone(key, now + wait);
+        self.out.push(Output::ReadLog);
     }
 
-    pub(crate) fn leave_log(&mut self) {
-        self.log.leaving = true;
-        self.announce();
+    /// Says to the log that this node leaves. A `Join` that may be on its way makes no difference:
+    /// the `Leave` is said after it.
+    pub(crate) fn leave_log(&mut self, now: Time) {
+        self.log.appends.remove(AppendKey::Join);
+        if self.log.join_sent || self.is_listed() {
+            self.append(&Record::Leave(self.me.incarnation));
+            // In an outage of the log a stop would never end. The views go on naming this node
+            // then, until another one evicts it.
+            self.log.give_up = Some(now + self.cfg.leave_patience);
+        }
     }
 
     /// Whether the log's views name this incarnation.
     pub fn is_listed(&self) -> bool {
         let mine: Incarnation = self.me.incarnation;
-        self.journal
-            .instances()
-            .any(|instance| instance.incarnation == mine)
+        self.journal.is_listed(mine)
     }
 }
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -11,8 +11,6 @@
     pub(crate) enum Timer {
         /// A call's deadline.
         Deadline(CallId),
-        /// A lost append may be tried again.
-        Append,
     }
 }
 
--- /dev/null
+++ b/crates/engine/tests/appends.rs
@@ -0,0 +1,168 @@
+//! What a node has to say to the log gets there: joins, leaves, through lost answers and outages.
+
+use bilberry_engine::Config;
+use bilberry_engine::Counter;
+use bilberry_engine::Engine;
+use bilberry_engine::Input;
+use bilberry_engine::Output;
+use bytes::Bytes;
+use journal::Record;
+use proto::Incarnation;
+use proto::Instance;
+use std::time::Duration;
+use stdx::Time;
+
+fn instance(n: u16) -> Instance {
+    Instance {
+        incarnation: Incarnation(u64::from(n)),
+        service: "press".into(),
+        failure_domain: "milano-1".into(),
+        region: "lombardia".into(),
+        addr: ([127, 0, 0, 1], 7000 + n).into(),
+    }
+}
+
+/// A node, and a log that does what the test says.
+struct Driver {
+    engine: Engine,
+    now: Time,
+    offset: u64,
+    appends: Vec<(u64, Record)>,
+    counted: Vec<Counter>,
+    stopped: bool,
+}
+
+impl Driver {
+    fn new() -> Self {
+        Self {
+            engine: Engine::new(Config::default(), instance(1)),
+            now: Time::ZERO,
+            offset: 0,
+            appends: Vec::new(),
+            counted: Vec::new(),
+            stopped: false,
+        }
+    }
+
+    fn feed(&mut self, input: Input) {
+        for output in self.engine.handle(self.now, input) {
+            match output {
+                Output::Append { number, record } => {
+                    self.appends.push((number, proto::decode(&record).unwrap()));
+                }
+                Output::Count(counter) => self.counted.push(counter),
+                Output::Stopped => self.stopped = true,
+                _ => {}
+            }
+        }
+    }
+
+    /// Lets time pass, timer by timer.
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(due) = self.engine.next_timer().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            self.feed(Input::Tick);
+        }
+        self.now = end;
+    }
+
+    /// The records that the node asked to append since the last call.
+    fn appended(&mut self) -> Vec<(u64, Record)> {
+        std::mem::take(&mut self.appends)
+    }
+
+    fn one_append(&mut self) -> (u64, Record) {
+        let mut appends = self.appended();
+        assert_eq!(appends.len(), 1, "{appends:?}");
+        appends.remove(0)
+    }
+
+    /// The stream shows a record.
+    fn show(&mut self, record: &Record) {
+        let record = Bytes::from(proto::encode(record));
+        let offset = self.offset;
+        self.offset += 1;
+        self.feed(Input::Records(vec![(offset, record)]));
+        self.feed(Input::LogRead);
+    }
+
+    fn count(&self, counter: Counter) -> usize {
+        self.counted.iter().filter(|c| **c == counter).count()
+    }
+}
+
+/// A node is stopped just after it started, while the answer to its `Join` is outstanding. Had it
+/// gone without a word, its service would go on naming it, and callers would wait on its share of
+/// the keys until it is evicted.
+#[test]
+fn leave_follows_a_join_in_flight() {
+    let mut d = Driver::new();
+    d.feed(Input::LogRead);
+    let (join, record) = d.one_append();
+    assert_eq!(record, Record::Join(instance(1)));
+
+    d.feed(Input::Stop);
+    assert!(!d.stopped);
+    d.feed(Input::AppendLost(join));
+    let (leave, record) = d.one_append();
+    assert_eq!(record, Record::Leave(Incarnation(1)));
+    assert!(!d.stopped);
+    d.feed(Input::Appended(leave));
+    assert!(d.stopped);
+}
+
+/// The log goes down and the node is stopped. The stop must not wait for the log's return; the
+/// operator would see a process that never ends and kill it.
+#[test]
+fn a_stop_in_an_outage_ends() {
+    let mut d = Driver::new();
+    d.show(&Record::Join(instance(1)));
+    d.feed(Input::Stop);
+    let end = d.now + Config::default().leave_patience;
+    while d.now < end {
+        assert!(!d.stopped);
+        for (number, record) in d.appended() {
+            assert_eq!(record, Record::Leave(Incarnation(1)));
+            d.feed(Input::AppendLost(number));
+        }
+        d.pass(Duration::from_millis(500));
+    }
+    assert!(d.stopped);
+    assert_eq!(d.count(Counter::LeaveUnsaid), 1);
+    assert_eq!(d.engine.next_timer().filter(|due| *due <= d.now), None);
+}
+
+/// The answer to an append is lost, but the record stands in the stream. Appending it once more
+/// would spend the log's budget for nothing.
+#[test]
+fn a_lost_answer_is_settled_by_the_stream() {
+    let mut d = Driver::new();
+    d.feed(Input::LogRead);
+    let (number, record) = d.one_append();
+    d.feed(Input::AppendLost(number));
+    d.show(&record);
+    d.pass(Duration::from_secs(120));
+    assert_eq!(d.appended(), []);
+}
+
+/// All nodes lose the log together. If each tried again at a fixed interval, they would hit the
+/// log together when it returns, and take it down once more.
+#[test]
+fn lost_appends_are_tried_again_ever_more_slowly() {
+    let mut d = Driver::new();
+    d.feed(Input::LogRead);
+    let mut gaps = Vec::new();
+    for _ in 0..8 {
+        let (number, _) = d.one_append();
+        d.feed(Input::AppendLost(number));
+        let due = d.engine.next_timer().unwrap();
+        gaps.push(d.now.until(due));
+        d.pass(d.now.until(due));
+    }
+    for (gap, base) in gaps.iter().zip([1, 2, 4, 8, 16, 30, 30, 30]) {
+        let base = Duration::from_secs(base);
+        assert!(base / 2 <= *gap && *gap <= base, "{gaps:?}");
+    }
+    assert_eq!(d.count(Counter::AppendLost), 8);
+}
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -128,6 +128,12 @@
         self.views.values().flat_map(|view| &view.members)
     }
 
+    /// Whether a view names this incarnation.
+    pub fn is_listed(&self, incarnation: Incarnation) -> bool {
+        self.instances()
+            .any(|instance| instance.incarnation == incarnation)
+    }
+
     /// The current view of a service.
     pub fn view(&self, service: &str) -> Option<&View> {
         self.views.get(service)
