Server: adaptive limit, class order, deadlines, admission level

Ruled out: a plain gradient limit (it takes a slower server for a queue inside it and goes down to its minimum); AIMD on failures alone (a server that queues inside never refuses).

Change: a limit from the server's own time (waits for child calls left out), with a test whether a longer time is a queue or a slower server; a queue by class, bounded by time, newest first under a standing delay; refusals at once, with a time to come back from the backlog, spread by the dice; a level in two halves, as in DAGOR; an unreachable server is tried by one call at a time. A call carries the class of its action, so a lookup that an order needs is part of the order.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -10,6 +10,7 @@
 use proto::Answer;
 use proto::Call;
 use proto::CallId;
+use proto::Class;
 use proto::Fingerprint;
 use proto::Frame;
 use proto::Incarnation;
@@ -34,6 +35,7 @@
     pub(crate) target: Instance,
     action: ActionId,
     dice: u16,
+    class: Class,
     depth: u8,
     deadline: Time,
     idempotent: bool,
@@ -57,6 +59,7 @@
             target: self.me.clone(),
             action: draft.action,
             dice: draft.dice,
+            class: draft.class,
             depth: draft.depth,
             deadline: draft.deadline,
             idempotent: draft.operation.idempotent,
@@ -79,10 +82,10 @@
             None => self.choose_server(&call),
         };
         let Some(target) = target else {
-            return self.conclude(call, Outcome::NotRun(self.refusal(Reason::NoInstance)));
+            return self.conclude(now, call, Outcome::NotRun(self.refusal(Reason::NoInstance)));
         };
         if now >= call.deadline {
-            return self.conclude(call, Outcome::NotRun(self.refusal(Reason::Deadline)));
+            return self.conclude(now, call, Outcome::NotRun(self.refusal(Reason::Deadline)));
         }
         call.target = target;
         call.lent = call.account.lend_all();
@@ -108,6 +111,7 @@
             id,
             action: call.action,
             dice: call.dice,
+            class: call.class,
             leg,
             remaining_ms: u32::try_from(now.until(call.deadline).as_millis()).unwrap_or(u32::MAX),
             allowance: call.lent,
@@ -128,7 +132,7 @@
         call.account.give_back(call.lent, answer.unspent);
         match answer.outcome {
             Outcome::NotRun(refusal) => self.after_not_run(now, call, refusal),
-            outcome => self.conclude(call, outcome),
+            outcome => self.conclude(now, call, outcome),
         }
     }
 
@@ -151,7 +155,7 @@
             call.avoid.push(call.target.incarnation);
             return self.route(now, call);
         }
-        self.conclude(call, Outcome::NotRun(refusal));
+        self.conclude(now, call, Outcome::NotRun(refusal));
     }
 
     /// The connection is gone: calls go out again under the same id, which makes the other end
@@ -200,27 +204,27 @@
             call.avoid.push(call.target.incarnation);
             return self.route(now, call);
         }
-        self.conclude(call, Outcome::Unknown(Reason::PeerLost));
+        self.conclude(now, call, Outcome::Unknown(Reason::PeerLost));
     }
 
-    pub(crate) fn on_deadline(&mut self, _now: Time, id: CallId) {
+    pub(crate) fn on_deadline(&mut self, now: Time, id: CallId) {
         let Some(call) = self.take_call(id) else {
             return;
         };
         self.send(&call.target.clone(), Frame::Cancel(id));
-        self.conclude(call, Outcome::Unknown(Reason::Deadline));
+        self.conclude(now, call, Outcome::Unknown(Reason::Deadline));
     }
 
-    pub(crate) fn abandon_call(&mut self, _now: Time, id: CallId) {
+    pub(crate) fn abandon_call(&mut self, now: Time, id: CallId) {
         let Some(call) = self.take_call(id) else {
             return;
         };
         self.send(&call.target.clone(), Frame::Cancel(id));
-        self.conclude(call, Outcome::Unknown(Reason::CallerGone));
+        self.conclude(now, call, Outcome::Unknown(Reason::CallerGone));
     }
 
-    fn conclude(&mut self, call: Outgoing, outcome: Outcome) {
-        self.close_request(call.token, call.account.left(), outcome);
+    fn conclude(&mut self, now: Time, call: Outgoing, outcome: Outcome) {
+        self.close_request(now, call.token, call.account.left(), outcome);
     }
 
     fn take_call(&mut self, id: CallId) -> Option<Outgoing> {
--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -12,6 +12,8 @@
     pub contacts: Vec<SocketAddr>,
     /// Membership.
     pub membership: membership::Config,
+    /// Which mechanisms of the policy under load are on.
+    pub policy: policy::Switches,
     /// Records and leases.
     pub once: once::Config,
     /// The most requests that may be in flight from this node.
@@ -30,6 +32,7 @@
             seed: 0,
             contacts: Vec::new(),
             membership: membership::Config::default(),
+            policy: policy::Switches::ALL,
             once: once::Config::default(),
             max_calls: 10_000,
             max_key: 255,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -98,7 +98,12 @@
             log: LogLink::default(),
             members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
             home: Home::new(cfg.once.clone(), incarnation),
-            server: Server::new(defaults.max_concurrency, defaults.queue),
+            server: Server::new(
+                cfg.policy,
+                defaults.min_concurrency,
+                defaults.max_concurrency,
+                defaults.queue,
+            ),
             open: IndexMap::new(),
             calls: IndexMap::new(),
             inbound: IndexMap::new(),
@@ -144,6 +149,9 @@
         }
         self.run_due(now);
         self.drain_loopback(now);
+        // What came from this node itself may have freed a place, or have to leave the queue.
+        self.pump_server(now);
+        self.drain_loopback(now);
         self.check_stopped();
         std::mem::take(&mut self.out)
     }
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -8,6 +8,7 @@
 use policy::Account;
 use proto::ActionId;
 use proto::CallId;
+use proto::Class;
 use proto::Fingerprint;
 use proto::IdempotencyKey;
 use proto::KeyHash;
@@ -43,6 +44,8 @@
     pub(crate) operation: Operation,
     pub(crate) action: ActionId,
     pub(crate) dice: u16,
+    /// What the whole action is for.
+    pub(crate) class: Class,
     pub(crate) depth: u8,
     pub(crate) deadline: Time,
     pub(crate) account: Account,
@@ -114,6 +117,7 @@
             token,
             action: job.action,
             dice: job.dice,
+            class: job.class_of_child(operation.class),
             depth: job.depth + 1,
             deadline: job.deadline.min(now + operation.deadline),
             account: Account::new(lent),
@@ -142,6 +146,7 @@
             token,
             action: ActionId(self.rng.random()),
             dice: self.rng.random(),
+            class: operation.class,
             depth: 0,
             deadline: now + operation.deadline,
             account: Account::new(operation.retries),
@@ -245,16 +250,26 @@
             operation: draft.operation.clone(),
         };
         self.open.insert(token, open);
+        if let Some(job) = draft.parent.and_then(|run| self.jobs.get_mut(&run)) {
+            job.child_began(now);
+        }
         self.route_first(now, draft);
     }
 
     /// Ends a request: one answer, at once, and the unspent retries go back to the parent.
-    pub(crate) fn close_request(&mut self, token: Token, unspent: u16, outcome: Outcome) {
+    pub(crate) fn close_request(
+        &mut self,
+        now: Time,
+        token: Token,
+        unspent: u16,
+        outcome: Outcome,
+    ) {
         let Some(open) = self.open.swap_remove(&token) else {
             return;
         };
         if let Some(job) = open.parent.and_then(|run| self.jobs.get_mut(&run)) {
             job.account.give_back(open.lent, unspent);
+            job.child_ended(now);
         }
         self.count(match &outcome {
             Outcome::Whole(_) => Counter::Whole(open.operation.class),
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::RunEnd;
 use indexmap::IndexMap;
 use policy::Account;
+use policy::Ended;
 use policy::Offer;
 use policy::Ticket;
 use proto::ActionId;
@@ -56,8 +57,13 @@
     pub(crate) path: Arc<str>,
     /// Child calls of each kind so far.
     pub(crate) children: IndexMap<(Arc<str>, Fingerprint), u32>,
+    /// What the whole action is for.
     class: Class,
     started: Option<Time>,
+    /// Child calls in flight, since when there are any, and how long there were some.
+    waiting: u32,
+    waiting_since: Time,
+    waited: Duration,
     request: Request,
 }
 
@@ -70,6 +76,47 @@
     Key(KeyHash),
 }
 
+impl Job {
+    /// What a child call is for: a lookup that an order makes is part of the order.
+    pub(crate) fn class_of_child(&self, own: Class) -> Class {
+        if own.is_protected() {
+            own
+        } else {
+            self.class
+        }
+    }
+
+    pub(crate) fn child_began(&mut self, now: Time) {
+        if self.waiting == 0 {
+            self.waiting_since = now;
+        }
+        self.waiting += 1;
+    }
+
+    pub(crate) fn child_ended(&mut self, now: Time) {
+        self.waiting = self.waiting.saturating_sub(1);
+        if self.waiting == 0 {
+            self.waited += now.since(self.waiting_since);
+        }
+    }
+
+    /// What the end of the run says about the backend server. The time of an answer that reports a
+    /// failure is left out: it is often quick, and would make the limit rise.
+    fn ended(&self, now: Time, end: &RunEnd) -> Ended {
+        let took = self.started.map_or(Duration::ZERO, |at| now.since(at));
+        match end {
+            RunEnd::Response(response) if response.status >= 500 => Ended::Failed,
+            RunEnd::Response(_) => Ended::Whole {
+                took,
+                own: took.saturating_sub(self.waited),
+            },
+            RunEnd::Refused { .. } => Ended::Refused,
+            RunEnd::NeverSent => Ended::NeverSent,
+            RunEnd::Lost => Ended::Lost,
+        }
+    }
+}
+
 impl Engine {
     pub(crate) fn on_call(&mut self, now: Time, from: Incarnation, call: Call) {
         // The id is known: the call came over a connection that was lost, or the frame came twice.
@@ -109,9 +156,6 @@
             number: self.number(),
         };
         let request = call.request;
-        let rules = &self.journal.rules;
-        let operation = rules.operation(&request.service, &request.method, &request.path);
-        let class = operation.map_or(Class::Lookup, |operation| operation.class);
         let job = Job {
             owner,
             action: call.action,
@@ -121,8 +165,11 @@
             account: Account::new(call.allowance),
             path: child_scope(call.action, call.key.map(|(key, _)| key)),
             children: IndexMap::new(),
-            class,
+            class: call.class,
             started: None,
+            waiting: 0,
+            waiting_since: now,
+            waited: Duration::ZERO,
             request,
         };
         self.jobs.insert(run, job);
@@ -183,9 +230,9 @@
         let Some(job) = self.jobs.get(&run) else {
             return self.count(Counter::Unexpected);
         };
-        let took = job.started.map(|started| now.since(started));
-        let whole = matches!(end, RunEnd::Response(_));
-        self.server.finished(now, took.filter(|_| whole));
+        let class = job.class;
+        let ended = job.ended(now, &end);
+        self.server.finished(now, class, ended);
         let outcome = match end {
             RunEnd::Response(response) => Outcome::Whole(response),
             RunEnd::Refused { retry_after } => {
--- /dev/null
+++ b/crates/policy/src/level.rs
@@ -0,0 +1,187 @@
+//! Admission levels, as in DAGOR (Zhou et al., "Overload Control for Scaling WeChat
+//! Microservices", SoCC 2018).
+//!
+//! Each action has one value, the same at every hop, so that all hops shed the same actions and no
+//! work is done for an action that a deeper service then sheds. Lookups have values in the lower
+//! half of the range and all else in the upper half, so every lookup goes before any order does.
+
+use proto::Class;
+use std::time::Duration;
+use stdx::Time;
+
+/// Where the values of protected classes begin.
+const PROTECTED: u16 = 0x8000;
+
+/// The shortest time between two decisions.
+const WINDOW: Duration = Duration::from_millis(100);
+
+/// The fewest offers that a decision rests on, unless `MAX_WINDOW` has passed.
+const MIN_OFFERS: u32 = 20;
+
+/// The longest time between two decisions.
+const MAX_WINDOW: Duration = Duration::from_secs(1);
+
+/// The share of lookups, and of protected work, that always passes. Without it nobody would learn
+/// that there is room again.
+const PROBES: f64 = 1.0 / 64.0;
+
+/// An action's admission value.
+///
+/// # Examples
+///
+/// ```
+/// use proto::Class;
+///
+/// let order = bilberry_policy::admission_value(Class::Order, 0);
+/// let lookup = bilberry_policy::admission_value(Class::Lookup, u16::MAX);
+/// assert!(order > lookup);
+/// ```
+pub fn admission_value(class: Class, dice: u16) -> u16 {
+    let half = dice >> 1;
+    if class.is_protected() {
+        PROTECTED | half
+    } else {
+        half
+    }
+}
+
+/// What one class group did in a window.
+#[derive(Debug, Default, Clone, Copy)]
+struct Flow {
+    passed: u32,
+    started: u32,
+    refused: u32,
+    delay: f64,
+}
+
+impl Flow {
+    fn overloaded(&self, target: f64) -> bool {
+        let left = self.started + self.refused;
+        self.refused > 0 || (left > 0 && self.delay / f64::from(left) > target)
+    }
+}
+
+/// The level of one service at one node, from the delay in its queue.
+#[derive(Debug)]
+pub(crate) struct Level {
+    since: Time,
+    lookups: Flow,
+    protected: Flow,
+    shed: u32,
+    /// The shares that pass.
+    lookup_share: f64,
+    protected_share: f64,
+    /// Offers per start, in the last window.
+    pressure: f64,
+}
+
+impl Level {
+    pub(crate) fn new() -> Self {
+        Self {
+            since: Time::ZERO,
+            lookups: Flow::default(),
+            protected: Flow::default(),
+            shed: 0,
+            lookup_share: 1.0,
+            protected_share: 1.0,
+            pressure: 1.0,
+        }
+    }
+
+    /// An action passes when its value is at or above this.
+    pub(crate) fn get(&self) -> u16 {
+        let half = f64::from(PROTECTED);
+        if self.protected_share < 1.0 {
+            PROTECTED + ((1.0 - self.protected_share) * (half - 1.0)) as u16
+        } else {
+            ((1.0 - self.lookup_share) * half) as u16
+        }
+    }
+
+    /// How many times as much is offered as can be started; at least 1.
+    pub(crate) fn pressure(&self) -> f64 {
+        self.pressure
+    }
+
+    pub(crate) fn shed(&mut self) {
+        self.shed += 1;
+    }
+
+    pub(crate) fn passed(&mut self, class: Class) {
+        self.flow(class).passed += 1;
+    }
+
+    pub(crate) fn started(&mut self, class: Class, delay: Duration) {
+        let flow = self.flow(class);
+        flow.started += 1;
+        flow.delay += delay.as_secs_f64();
+    }
+
+    /// The queue refused work for load.
+    pub(crate) fn refused(&mut self, class: Class, delay: Duration) {
+        let flow = self.flow(class);
+        flow.refused += 1;
+        flow.delay += delay.as_secs_f64();
+    }
+
+    /// Decides anew if a window is over. `target` is the queueing delay that is still good.
+    pub(crate) fn tick(&mut self, now: Time, target: Duration) {
+        let elapsed = now.since(self.since);
+        let offers = self.lookups.passed + self.protected.passed + self.shed;
+        if elapsed < WINDOW || (offers < MIN_OFFERS && elapsed < MAX_WINDOW) {
+            return;
+        }
+        let (lookups, protected) = (self.lookups, self.protected);
+        let started = (lookups.started + protected.started).max(1);
+        self.pressure = (f64::from(offers) / f64::from(started)).max(1.0);
+        let target = target.as_secs_f64();
+        if protected.overloaded(target) && self.lookup_share <= PROBES {
+            self.protected_share = (self.protected_share * cut(protected)).max(PROBES);
+        } else if lookups.overloaded(target) || protected.overloaded(target) {
+            self.cut_lookups(lookups, protected);
+        } else {
+            self.fall(elapsed);
+        }
+        self.since = now;
+        self.lookups = Flow::default();
+        self.protected = Flow::default();
+        self.shed = 0;
+    }
+
+    /// Takes out of the lookups alone what both together are too much.
+    fn cut_lookups(&mut self, lookups: Flow, protected: Flow) {
+        let passed = f64::from(lookups.passed + protected.passed);
+        let both = Flow {
+            passed: lookups.passed + protected.passed,
+            started: lookups.started + protected.started,
+            ..Flow::default()
+        };
+        let wanted = passed * cut(both) - f64::from(protected.passed);
+        let factor = wanted / f64::from(lookups.passed.max(1));
+        self.lookup_share = (self.lookup_share * factor.clamp(0.3, 0.98)).max(PROBES);
+    }
+
+    /// Falls slowly, the protected half first.
+    fn fall(&mut self, elapsed: Duration) {
+        let steps = elapsed.as_secs_f64() / WINDOW.as_secs_f64();
+        let share = if self.protected_share < 1.0 {
+            &mut self.protected_share
+        } else {
+            &mut self.lookup_share
+        };
+        *share = (*share * 1.05_f64.powf(steps) + 0.01 * steps).min(1.0);
+    }
+
+    fn flow(&mut self, class: Class) -> &mut Flow {
+        if class.is_protected() {
+            &mut self.protected
+        } else {
+            &mut self.lookups
+        }
+    }
+}
+
+/// What passed and was started, as a share of what passed.
+fn cut(flow: Flow) -> f64 {
+    (f64::from(flow.started) / f64::from(flow.passed.max(1))).clamp(0.5, 0.97)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,13 +4,22 @@
 //! This package does no I/O and reads no clock. It knows nothing about frames, keys or views.
 
 mod account;
+mod budget;
 mod choose;
+mod level;
+mod limit;
+mod queue;
 mod server;
+mod switches;
 
 pub use account::Account;
+pub use budget::Budget;
 pub use choose::choose;
 pub use choose::Candidate;
 pub use choose::Place;
+pub use level::admission_value;
+pub use server::Ended;
 pub use server::Offer;
 pub use server::Server;
 pub use server::Ticket;
+pub use switches::Switches;
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -1,14 +1,36 @@
-//! The limit and the queue in front of one backend server.
+//! The limit, the queue and the admission level in front of one backend server.
 
+use crate::admission_value;
+use crate::level::Level;
+use crate::limit::Limit;
+use crate::queue::Order;
+use crate::queue::Queue;
+use crate::Switches;
 use proto::Class;
 use proto::LoadReport;
 use proto::Reason;
 use proto::Refusal;
-use std::collections::VecDeque;
 use std::time::Duration;
 use stdx::plain;
 use stdx::Time;
 
+/// How long a server that could not be reached is left alone before it is tried again.
+const DOWN_PAUSE: Duration = Duration::from_millis(200);
+
+/// The bounds of what a refused caller is told to wait.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+
+/// Of work that would hardly ever be done in time, one piece in this many runs all the same: if
+/// none did, nobody would notice that runs have become quicker.
+const LATE_PROBES: u16 = 16;
+
+/// The classes, each with an estimate of its own.
+const CLASSES: usize = 5;
+
+/// How long lookups are held back after a protected call was refused for load.
+const HOLD: Duration = Duration::from_millis(100);
+
 plain! {
     /// A piece of work that asks for the backend server. `id` is the asker's own.
     pub struct Ticket {
@@ -36,90 +58,353 @@
     Refused(Refusal),
 }
 
-/// The limit and the queue in front of one backend server.
+plain! {
+    /// How work on the backend server ended.
+    pub enum Ended {
+        /// With a whole answer.
+        Whole {
+            /// From start to end: how long the work took up one unit of the limit.
+            took: Duration,
+            /// The same without the waits for child calls.
+            own: Duration,
+        },
+        /// The server refused it by its documented refusal.
+        Refused,
+        /// The server could not be reached.
+        NeverSent,
+        /// The connection broke. A crash is no sign of congestion.
+        Lost,
+        /// With an answer that says the work failed, or by a cancel: its time says nothing.
+        Failed,
+    }
+}
+
+/// A moving mean and mean deviation, in seconds; `None` before the first measurement.
+#[derive(Debug, Default, Clone, Copy)]
+struct Estimate(Option<(f64, f64)>);
+
+impl Estimate {
+    fn learn(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        let (mean, deviation) = self.0.unwrap_or((took, took / 2.0));
+        let error = took - mean;
+        self.0 = Some((
+            mean + error / 32.0,
+            deviation + (error.abs() - deviation) / 32.0,
+        ));
+    }
+
+    /// What a quick run takes: the mean less the mean deviation.
+    fn least(self) -> Duration {
+        let (mean, deviation) = self.0.unwrap_or((0.0, 0.0));
+        Duration::from_secs_f64((mean - deviation).clamp(0.0, 3600.0))
+    }
+}
+
+/// The limit, the queue and the admission level in front of one backend server.
 #[derive(Debug)]
 pub struct Server {
-    limit: u16,
+    switches: Switches,
+    limit: Limit,
+    level: Level,
+    queue: Queue,
     max_wait: Duration,
     running: u16,
-    queue: VecDeque<Ticket>,
+    /// How long a unit of the limit is taken up.
+    took: Estimate,
+    /// The same by class.
+    took_by_class: [Estimate; CLASSES],
+    /// The server could not be reached; not tried again before this.
+    down_until: Option<Time>,
+    /// Lookups are held back until then, because a protected call was refused for load.
+    held_until: Option<Time>,
 }
 
 impl Server {
-    /// A server whose concurrency limit starts at `limit`, with a queue no longer than `max_wait`.
-    pub fn new(limit: u16, max_wait: Duration) -> Self {
-        Self {
-            limit,
+    /// A server with concurrency bounds and a queue no longer than `max_wait`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_policy::{Offer, Server, Switches, Ticket};
+    /// use std::time::Duration;
+    /// use stdx::Time;
+    ///
+    /// let mut server = Server::new(Switches::ALL, 1, 100, Duration::from_millis(100));
+    /// let ticket = Ticket {
+    ///     id: 1,
+    ///     class: proto::Class::Order,
+    ///     dice: 7,
+    ///     deadline: Time::from_micros(1_000_000),
+    ///     arrived: Time::ZERO,
+    /// };
+    /// assert_eq!(server.offer(Time::ZERO, ticket), Offer::Start);
+    /// ```
+    pub fn new(switches: Switches, min: u16, max: u16, max_wait: Duration) -> Self {
+        let mut server = Self {
+            switches,
+            limit: Limit::new(min, max),
+            level: Level::new(),
+            queue: Queue::default(),
             max_wait,
             running: 0,
-            queue: VecDeque::new(),
-        }
+            took: Estimate::default(),
+            took_by_class: [Estimate::default(); CLASSES],
+            down_until: None,
+            held_until: None,
+        };
+        server.skip_ramp();
+        server
     }
 
     /// Takes new bounds from the rules.
-    pub fn set_bounds(&mut self, _min: u16, max: u16, max_wait: Duration) {
-        self.limit = max;
+    pub fn set_bounds(&mut self, min: u16, max: u16, max_wait: Duration) {
+        self.limit.set_bounds(min, max);
         self.max_wait = max_wait;
+        self.skip_ramp();
+    }
+
+    fn skip_ramp(&mut self) {
+        if !self.switches.slow_start || !self.switches.adaptive_limit {
+            self.limit.set_to_max();
+        }
     }
 
     /// Offers work.
-    pub fn offer(&mut self, _now: Time, ticket: Ticket) -> Offer {
-        if self.running < self.limit {
-            self.running += 1;
+    pub fn offer(&mut self, now: Time, ticket: Ticket) -> Offer {
+        self.tick(now);
+        let value = admission_value(ticket.class, ticket.dice);
+        if self.switches.levels && value < self.level.get() {
+            self.level.shed();
+            return self.refuse(Reason::Shed, ticket);
+        }
+        if self.down_until.is_some_and(|until| now < until) {
+            return self.refuse(Reason::ServerLost, ticket);
+        }
+        self.level.passed(ticket.class);
+        if self.is_held(now, ticket.class) {
+            return self.refuse_for_load(now, ticket);
+        }
+        if self.is_too_late(now, &ticket, Duration::ZERO) {
+            return self.refuse(Reason::Deadline, ticket);
+        }
+        if self.has_room(ticket.class) && self.queue.is_empty() {
+            self.begin(now, &ticket);
             return Offer::Start;
         }
-        if self.queue.len() >= usize::from(self.limit) {
-            return Offer::Refused(Refusal::new(Reason::QueueFull, Duration::from_secs(1)));
+        self.enqueue(now, ticket)
+    }
+
+    fn enqueue(&mut self, now: Time, ticket: Ticket) -> Offer {
+        let by_class = self.switches.class_order && ticket.class.is_protected();
+        let ahead = if by_class {
+            self.queue.protected_len()
+        } else {
+            self.queue.len()
+        };
+        let wait = self.drain_time(ahead + 1);
+        let hopeless = self.switches.deadline_queue && self.is_too_late(now, &ticket, wait);
+        // Under a standing delay the newest goes first, so it is the oldest that has to make room.
+        let newest = self.switches.newest_first && self.queue.is_standing();
+        if hopeless || (ahead >= self.capacity() && !newest) {
+            return self.refuse_for_load(now, ticket);
         }
-        self.queue.push_back(ticket);
+        self.queue.push(ticket);
         Offer::Queued
     }
 
-    /// Takes back work that started, with how long the backend server took for it; `None` if it
-    /// gave no whole answer.
-    pub fn finished(&mut self, _now: Time, _took: Option<Duration>) {
-        self.running -= 1;
+    /// Takes back work that started.
+    pub fn finished(&mut self, now: Time, class: Class, ended: Ended) {
+        // While the level sheds, more would run if the limit let it, though it is seldom reached.
+        let full = self.running >= self.limit.get() || self.level() > 0;
+        self.running = self.running.saturating_sub(1);
+        match ended {
+            Ended::Whole { took, own } => {
+                self.down_until = None;
+                self.took.learn(took);
+                self.took_by_class[class as usize].learn(took);
+                if self.switches.adaptive_limit {
+                    self.limit.sample(now, class, own, full);
+                }
+            }
+            Ended::Refused if self.switches.adaptive_limit => self.limit.refused(),
+            Ended::NeverSent => self.went_down(now),
+            Ended::Refused | Ended::Lost | Ended::Failed => {}
+        }
+        self.tick(now);
+    }
+
+    /// An unreachable server answers quickly, and would draw all work to itself. So it is tried
+    /// with one piece of work at a time, and starts cold when it is back.
+    fn went_down(&mut self, now: Time) {
+        self.down_until = Some(now + DOWN_PAUSE);
+        if self.switches.slow_start && self.switches.adaptive_limit {
+            self.limit.restart(now);
+        }
     }
 
     /// Takes a ticket out of the queue; `false` if it is not there.
     pub fn withdraw(&mut self, id: u64) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(|ticket| ticket.id != id);
-        self.queue.len() < before
+        self.queue.withdraw(id)
     }
 
     /// The next ticket that leaves the queue: to start, or refused. Call until `None`.
     pub fn next(&mut self, now: Time) -> Option<(Ticket, Offer)> {
-        let front = self.queue.front()?;
-        let waited = now.since(front.arrived);
-        if waited >= self.max_wait || now >= front.deadline {
-            let ticket = self.queue.pop_front()?;
-            let refusal = Refusal::new(Reason::Deadline, Duration::from_secs(1));
-            return Some((ticket, Offer::Refused(refusal)));
+        if let Some(ticket) = self.pop_hopeless(now) {
+            return Some((ticket, self.refuse_for_load(now, ticket)));
+        }
+        if self.queue.len() > self.capacity() {
+            if let Some(ticket) = self.queue.displace() {
+                return Some((ticket, self.refuse_for_load(now, ticket)));
+            }
         }
-        if self.running < self.limit {
-            self.running += 1;
-            return Some((self.queue.pop_front()?, Offer::Start));
+        let next = if self.queue.protected_len() > 0 {
+            Class::Order
+        } else {
+            Class::Lookup
+        };
+        if !self.has_room(next) {
+            return None;
         }
-        None
+        let order = Order {
+            by_class: self.switches.class_order,
+            newest_first: self.switches.newest_first,
+            target: self.target(),
+        };
+        let ticket = self.queue.pop(now, order)?;
+        self.begin(now, &ticket);
+        Some((ticket, Offer::Start))
+    }
+
+    fn pop_hopeless(&mut self, now: Time) -> Option<Ticket> {
+        let (max_wait, took) = (self.max_wait, self.took_by_class);
+        let by_deadline = self.switches.deadline_queue;
+        self.queue.pop_hopeless(|ticket| {
+            let probe = !by_deadline || ticket.dice % LATE_PROBES == 0;
+            let least = if probe {
+                Duration::ZERO
+            } else {
+                took[ticket.class as usize].least()
+            };
+            now.since(ticket.arrived) >= max_wait || now + least >= ticket.deadline
+        })
     }
 
     /// When [`Server::next`] has to be called again even if nothing finishes.
     pub fn next_timer(&self) -> Option<Time> {
-        self.queue
-            .front()
-            .map(|front| (front.arrived + self.max_wait).min(front.deadline))
+        self.queue.next_timer(self.max_wait)
     }
 
     /// What to tell others.
     pub fn report(&self) -> LoadReport {
         let load = u32::from(self.running) + self.queue.len() as u32;
-        let utilisation = load * 1000 / u32::from(self.limit.max(1));
+        let mut utilisation = load * 1000 / u32::from(self.limit.get().max(1));
+        if self.down_until.is_some() {
+            utilisation = u32::from(u16::MAX);
+        }
         LoadReport {
             utilisation: utilisation.min(u32::from(u16::MAX)) as u16,
-            level: 0,
-            limit: self.limit,
+            level: self.level(),
+            limit: self.limit.get(),
             draining: false,
         }
     }
+
+    /// The present admission level.
+    pub fn level(&self) -> u16 {
+        if self.switches.levels {
+            self.level.get()
+        } else {
+            0
+        }
+    }
+
+    /// Lets the level fall while nothing comes.
+    pub fn tick(&mut self, now: Time) {
+        self.level.tick(now, self.target());
+    }
+
+    fn begin(&mut self, now: Time, ticket: &Ticket) {
+        self.running += 1;
+        self.level.started(ticket.class, now.since(ticket.arrived));
+    }
+
+    fn has_room(&self, class: Class) -> bool {
+        let limit = match self.down_until {
+            Some(_) => 1,
+            None if class.is_protected() => self.limit.for_protected(),
+            None => self.limit.get(),
+        };
+        self.running < limit
+    }
+
+    /// After a protected call was refused for load, a lookup that came later must not run before
+    /// there is room for such calls again: it would have taken the place that the other lacked.
+    fn is_held(&mut self, now: Time, class: Class) -> bool {
+        let Some(until) = self.held_until else {
+            return false;
+        };
+        if now >= until && self.has_room(Class::Lookup) && self.queue.protected_len() == 0 {
+            self.held_until = None;
+        }
+        self.held_until.is_some() && !class.is_protected()
+    }
+
+    /// Whether not even a quick run would end before the deadline, after waiting for `wait`.
+    fn is_too_late(&self, now: Time, ticket: &Ticket, wait: Duration) -> bool {
+        if !self.switches.deadline_queue {
+            return now >= ticket.deadline;
+        }
+        if now + wait >= ticket.deadline {
+            return true;
+        }
+        let least = self.took_by_class[ticket.class as usize].least();
+        now + wait + least >= ticket.deadline && ticket.dice % LATE_PROBES != 0
+    }
+
+    fn refuse_for_load(&mut self, now: Time, ticket: Ticket) -> Offer {
+        self.level.refused(ticket.class, now.since(ticket.arrived));
+        if ticket.class.is_protected() && self.switches.class_order {
+            self.held_until = Some(now + HOLD);
+        }
+        self.refuse(Reason::QueueFull, ticket)
+    }
+
+    /// Tells when the backlog will be gone, stretched by how much more is offered than can be
+    /// done. All who are refused together would come back together, so the dice spread them.
+    fn refuse(&self, reason: Reason, ticket: Ticket) -> Offer {
+        let backlog = self.drain_time(self.queue.len() + usize::from(self.running));
+        let wait = (backlog + MIN_RETRY_AFTER).mul_f64(self.level.pressure().min(100.0));
+        let spread = if self.switches.spread {
+            0.5 + f64::from(ticket.dice) / f64::from(u16::MAX)
+        } else {
+            1.0
+        };
+        let wait = wait.mul_f64(spread).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        Offer::Refused(Refusal::new(reason, wait))
+    }
+
+    /// The most tickets that the queue can hand on within its longest wait.
+    fn capacity(&self) -> usize {
+        let limit = f64::from(self.limit.get());
+        let most = match self.took.0 {
+            Some((mean, _)) => limit * self.max_wait.as_secs_f64() / mean.max(1e-6),
+            None => limit,
+        };
+        (most as usize).clamp(1, 10_000)
+    }
+
+    /// How long it takes until `tickets` have left the queue.
+    fn drain_time(&self, tickets: usize) -> Duration {
+        let Some((mean, _)) = self.took.0 else {
+            return Duration::ZERO;
+        };
+        let secs = tickets as f64 * mean / f64::from(self.limit.get().max(1));
+        Duration::from_secs_f64(secs.min(3600.0))
+    }
+
+    /// The queueing delay that is still good: a fifth of the longest wait.
+    fn target(&self) -> Duration {
+        self.max_wait / 5
+    }
 }
--- /dev/null
+++ b/crates/policy/src/switches.rs
@@ -0,0 +1,65 @@
+//! Which mechanisms are on. Production runs with all of them; experiments turn one off at a time.
+
+use stdx::plain;
+
+plain! {
+    /// Which mechanisms are on.
+    pub struct Switches {
+        /// The concurrency limit follows the measured latency; off, it is the rules' maximum.
+        pub adaptive_limit: bool,
+        /// A server that is new or was down starts with a small limit.
+        pub slow_start: bool,
+        /// Work that cannot meet its deadline is refused before it waits.
+        pub deadline_queue: bool,
+        /// The newest work leaves the queue first while there is a standing delay.
+        pub newest_first: bool,
+        /// Protected classes leave the queue before lookups.
+        pub class_order: bool,
+        /// Admission levels, at the server and at the first hop.
+        pub levels: bool,
+        /// A ratio of retries to calls, per node, on top of the actions' allowances.
+        pub retry_budget: bool,
+        /// Callers' re-sends attach to the work in flight or draw on a ratio.
+        pub resend_limit: bool,
+        /// Refused callers are told to come back at different times.
+        pub spread: bool,
+        /// Requests that crash backend servers are refused.
+        pub quarantine: bool,
+    }
+}
+
+impl Switches {
+    /// Everything on.
+    pub const ALL: Switches = Switches {
+        adaptive_limit: true,
+        slow_start: true,
+        deadline_queue: true,
+        newest_first: true,
+        class_order: true,
+        levels: true,
+        retry_budget: true,
+        resend_limit: true,
+        spread: true,
+        quarantine: true,
+    };
+
+    /// Everything off: a fixed limit and a queue in order of arrival.
+    pub const NONE: Switches = Switches {
+        adaptive_limit: false,
+        slow_start: false,
+        deadline_queue: false,
+        newest_first: false,
+        class_order: false,
+        levels: false,
+        retry_budget: false,
+        resend_limit: false,
+        spread: false,
+        quarantine: false,
+    };
+}
+
+impl Default for Switches {
+    fn default() -> Self {
+        Self::ALL
+    }
+}
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -3,6 +3,7 @@
 use crate::ActionId;
 use crate::Answer;
 use crate::CallId;
+use crate::Class;
 use crate::Fingerprint;
 use crate::Incarnation;
 use crate::KeyHash;
@@ -84,6 +85,9 @@
         pub dice: u16,
         /// What the receiver is asked to be.
         pub leg: Leg,
+        /// What the action is for: that of the first call of the tree that is protected, so that a
+        /// lookup that an order needs is not shed with other lookups.
+        pub class: Class,
         /// Milliseconds that are left for the answer.
         pub remaining_ms: u32,
         /// Retries lent to this call and all below it.
