--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -39,6 +39,21 @@
 /// When a caller may come back after a refusal that says nothing more exact.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// How many entries the tables of what is in flight have.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tables {
+    /// Requests of callers and of the own backend server.
+    pub requests: usize,
+    /// Calls to nodes.
+    pub calls: usize,
+    /// Calls from nodes.
+    pub inbound: usize,
+    /// Work for the own backend server, queued or running.
+    pub jobs: usize,
+    /// Runs of keys that somebody waits for.
+    pub keys: usize,
+}
+
 /// A node's decisions and state.
 #[derive(Debug)]
 pub struct Engine {
@@ -175,6 +190,17 @@
         &self.journal
     }
 
+    /// How much is in flight.
+    pub fn tables(&self) -> Tables {
+        Tables {
+            requests: self.open.len(),
+            calls: self.calls.len(),
+            inbound: self.inbound.len(),
+            jobs: self.jobs.len(),
+            keys: self.keys.len(),
+        }
+    }
+
     fn run_due(&mut self, now: Time) {
         while let Some(timer) = self.timers.pop(now) {
             match timer {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -20,6 +20,7 @@
 pub use config::Config;
 pub use counter::Counter;
 pub use engine::Engine;
+pub use engine::Tables;
 pub use io::Input;
 pub use io::Output;
 pub use io::RunEnd;
--- /dev/null
+++ b/crates/trial/src/caller.rs
@@ -0,0 +1,350 @@
+//! Callers: what they send, how long they wait, and when they send again.
+
+use crate::Layout;
+use crate::World;
+use bytes::Bytes;
+use engine::Input;
+use engine::Token;
+use proto::Incarnation;
+use proto::Outcome;
+use proto::Reason;
+use proto::Request;
+use proto::RunId;
+use rand::RngExt;
+use std::sync::Arc;
+use std::time::Duration;
+use stdx::Time;
+
+/// How late an answer may be after its deadline.
+const LATE: Duration = Duration::from_millis(100);
+
+/// Something that a caller wants done.
+#[derive(Debug, Clone)]
+pub struct Action {
+    /// What: an index into [`Layout::operations`].
+    pub operation: usize,
+    /// Its identity, which is also the body.
+    pub body: String,
+    /// Who asks.
+    pub caller: Arc<str>,
+    /// The key; `None` leaves it to the node, which makes one.
+    pub key: Option<Arc<str>>,
+    /// How long the caller waits for one attempt before it hangs up.
+    pub patience: Duration,
+    /// How often it sends again at most.
+    pub resends: u32,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// When it was first sent.
+    pub began: Time,
+    /// How it ended, and when.
+    pub end: Option<(Time, End)>,
+}
+
+/// How an action ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// With the whole answer.
+    Whole,
+    /// With the backend server's own failure, whole.
+    Failed,
+    /// The last attempt was told not to have run.
+    NotRun(Reason),
+    /// The last attempt's end is unknown.
+    Unknown(Reason),
+    /// The caller hung up, or its node went away, and it did not send again.
+    GaveUp,
+}
+
+/// Who waits for an answer.
+#[derive(Debug, Clone)]
+pub enum Waiter {
+    /// A caller: the action, and which attempt.
+    Caller {
+        /// The action's index.
+        action: usize,
+        /// Which attempt, from 1.
+        attempt: u32,
+    },
+    /// A backend server, for a child call.
+    Child {
+        /// The server's node.
+        node: usize,
+        /// The parent's work there.
+        work: u64,
+        /// Which child of it.
+        nth: usize,
+        /// What is asked.
+        operation: usize,
+        /// The child's body.
+        body: Bytes,
+    },
+}
+
+impl Action {
+    /// An action with its body as key, one second of patience and three re-sends.
+    pub fn new(operation: usize, body: &str) -> Self {
+        Self {
+            operation,
+            body: body.to_owned(),
+            caller: "shop".into(),
+            key: Some(body.into()),
+            patience: Duration::from_secs(5),
+            resends: 3,
+            attempts: 0,
+            began: Time::ZERO,
+            end: None,
+        }
+    }
+}
+
+impl World {
+    /// Has a caller send an action; `node` is where the first attempt goes, any node if `None`.
+    pub fn submit(&mut self, at: Time, action: Action, node: Option<usize>) -> usize {
+        let index = self.actions.len();
+        self.actions.push(action);
+        self.at(at, move |world| world.on_send(index, node));
+        index
+    }
+
+    pub(crate) fn on_send(&mut self, index: usize, node: Option<usize>) {
+        if self.actions[index]
+            .end
+            .is_some_and(|(_, end)| end != End::GaveUp)
+        {
+            return;
+        }
+        let any = self.rng.random_range(0..self.nodes.len());
+        let node = node.unwrap_or(any);
+        let action = &mut self.actions[index];
+        action.end = None;
+        action.attempts += 1;
+        if action.attempts == 1 {
+            action.began = self.now;
+        }
+        let attempt = action.attempts;
+        let (operation, patience) = (action.operation, action.patience);
+        let (caller, key) = (action.caller.clone(), action.key.clone());
+        let body = Bytes::from(action.body.clone());
+        if self.nodes[node].engine.is_none() {
+            return self.resend(index, Duration::from_millis(50), End::GaveUp);
+        }
+        let waiter = Waiter::Caller {
+            action: index,
+            attempt,
+        };
+        let travel = self.layout.caller_latency;
+        self.request(node, waiter, operation, body, caller, None, key, travel);
+        self.after(patience, move |world| world.on_impatient(index, attempt));
+    }
+
+    /// A backend server's call to another service, through its own node.
+    pub(crate) fn request_child(
+        &mut self,
+        node: usize,
+        work: u64,
+        nth: usize,
+        run: RunId,
+        operation: usize,
+        body: Bytes,
+    ) {
+        let waiter = Waiter::Child {
+            node,
+            work,
+            nth,
+            operation,
+            body: body.clone(),
+        };
+        if self.nodes[node].engine.is_none() {
+            return self.on_child_answer(waiter, None);
+        }
+        let context = Some(run.to_string().into());
+        let travel = Duration::from_micros(100);
+        self.request(
+            node,
+            waiter,
+            operation,
+            body,
+            "".into(),
+            context,
+            None,
+            travel,
+        );
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "they are the input's own fields")]
+    fn request(
+        &mut self,
+        node: usize,
+        waiter: Waiter,
+        operation: usize,
+        body: Bytes,
+        caller: Arc<str>,
+        context: Option<Arc<str>>,
+        key: Option<Arc<str>>,
+        travel: Duration,
+    ) {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        let from = self.nodes[node].incarnation;
+        self.nodes[node].waiting.insert(token, waiter.clone());
+        let asked = &self.layout.operations[operation];
+        let is_root = matches!(waiter, Waiter::Caller { .. });
+        self.judge.on_attempt(asked, &body, is_root);
+        let due = asked.deadline + LATE;
+        let request = Request::new(&asked.service, &asked.method, &asked.path, body);
+        let patience = match waiter {
+            Waiter::Caller { action, .. } => Some(self.actions[action].patience),
+            Waiter::Child { .. } => None,
+        };
+        let input = Input::Request {
+            token,
+            caller,
+            context,
+            key,
+            patience,
+            request,
+        };
+        // The deadline counts from when the node takes the request, which may be frozen now.
+        self.after_in(node, travel, move |world| {
+            world.after_in(node, due, move |world| world.on_due(node, from, token));
+            world.feed(node, from, input);
+        });
+    }
+
+    /// The engine's answer to a request.
+    pub(crate) fn on_answer(
+        &mut self,
+        node: usize,
+        token: Token,
+        outcome: Outcome,
+        made_key: Option<Arc<str>>,
+    ) {
+        let Some(waiter) = self.nodes[node].waiting.swap_remove(&token) else {
+            return self.violation(&format!("a second answer to {token:?}: {outcome:?}"));
+        };
+        let (operation, body) = self.asked(&waiter);
+        let verdict = self
+            .judge
+            .on_outcome(&self.layout, operation, &body, &outcome);
+        self.check(verdict);
+        let travel = match waiter {
+            Waiter::Caller { .. } => self.layout.caller_latency,
+            Waiter::Child { .. } => Duration::from_micros(100),
+        };
+        self.after(travel, move |world| {
+            world.on_reply(waiter, outcome, made_key)
+        });
+    }
+
+    fn asked(&self, waiter: &Waiter) -> (usize, Bytes) {
+        match waiter {
+            Waiter::Caller { action, .. } => {
+                let action = &self.actions[*action];
+                (action.operation, Bytes::from(action.body.clone()))
+            }
+            Waiter::Child {
+                operation, body, ..
+            } => (*operation, body.clone()),
+        }
+    }
+
+    pub(crate) fn on_reply(&mut self, waiter: Waiter, outcome: Outcome, made: Option<Arc<str>>) {
+        let Waiter::Caller {
+            action: index,
+            attempt,
+        } = waiter
+        else {
+            return self.on_child_answer(waiter, Some(outcome));
+        };
+        let action = &mut self.actions[index];
+        if attempt != action.attempts || action.end.is_some() {
+            return;
+        }
+        if made.is_some() {
+            action.key = made;
+        }
+        match outcome {
+            Outcome::Whole(response) if response.status == 200 => self.end(index, End::Whole),
+            Outcome::Whole(_) => self.end(index, End::Failed),
+            Outcome::NotRun(refusal) => {
+                let wait = Duration::from_millis(u64::from(refusal.retry_after_ms));
+                self.resend(index, wait, End::NotRun(refusal.reason));
+            }
+            Outcome::Unknown(reason) => {
+                self.resend(index, Duration::from_millis(100), End::Unknown(reason));
+            }
+        }
+    }
+
+    pub(crate) fn on_impatient(&mut self, index: usize, attempt: u32) {
+        if self.actions[index].attempts != attempt || self.actions[index].end.is_some() {
+            return;
+        }
+        let nodes = self.nodes.iter().enumerate();
+        let mut waiting = nodes.flat_map(|(at, node)| node.waiting.iter().map(move |w| (at, w)));
+        let mine = waiting.find(|(_, (_, waiter))| {
+            matches!(waiter, Waiter::Caller { action, attempt: n } if (*action, *n) == (index, attempt))
+        });
+        if let Some((node, (token, _))) = mine {
+            let input = Input::CallerGone(*token);
+            self.input(node, self.layout.caller_latency, input);
+        }
+        self.resend(index, Duration::ZERO, End::GaveUp);
+    }
+
+    /// Sends again if the caller still wants to and has a key to send again with.
+    fn resend(&mut self, index: usize, wait: Duration, end: End) {
+        let action = &self.actions[index];
+        let idempotent = self.layout.operations[action.operation].idempotent;
+        let can = idempotent || action.key.is_some();
+        self.end(index, end);
+        let action = &mut self.actions[index];
+        if can && action.attempts <= action.resends {
+            action.end = None;
+            self.after(wait, move |world| world.on_send(index, None));
+        }
+    }
+
+    fn end(&mut self, index: usize, end: End) {
+        let at = self.now;
+        self.actions[index].end = Some((at, end));
+        let body = &self.actions[index].body;
+        self.note(format!("{body} ends {end:?}"));
+    }
+
+    /// The node that had the request is gone, and the connection with it.
+    pub(crate) fn on_node_gone(&mut self, _token: Token, waiter: Waiter) {
+        match waiter {
+            Waiter::Caller { action, attempt } if self.actions[action].attempts == attempt => {
+                if self.actions[action].end.is_none() {
+                    self.resend(action, Duration::from_millis(10), End::GaveUp);
+                }
+            }
+            Waiter::Caller { .. } => {}
+            Waiter::Child { .. } => self.on_child_answer(waiter, None),
+        }
+    }
+
+    pub(crate) fn on_due(&mut self, node: usize, from: Incarnation, token: Token) {
+        let place = &self.nodes[node];
+        if place.incarnation != from || !place.waiting.contains_key(&token) {
+            return;
+        }
+        if self.now.since(place.moved) < LATE {
+            return self.after_in(node, LATE, move |world| world.on_due(node, from, token));
+        }
+        let what = format!("no answer in time: {:?}", place.waiting[&token]);
+        self.violation(&what);
+    }
+}
+
+impl Layout {
+    /// The index of an operation by its method and `/SERVICE/PATH`.
+    pub fn operation(&self, method: &str, path: &str) -> Option<usize> {
+        self.operations.iter().position(|operation| {
+            &*operation.method == method
+                && format!("/{}{}", operation.service, operation.path) == path
+        })
+    }
+}
--- /dev/null
+++ b/crates/trial/src/layout.rs
@@ -0,0 +1,134 @@
+//! What a run starts with: services, their operations, and where their instances are.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a backend server does for one method and path.
+#[derive(Debug, Clone)]
+pub struct Operation {
+    /// The service.
+    pub service: Arc<str>,
+    /// The method.
+    pub method: Arc<str>,
+    /// The path.
+    pub path: Arc<str>,
+    /// How long the backend server works before it calls others.
+    pub takes: Duration,
+    /// What it calls: indices into [`Layout::operations`].
+    pub children: Vec<usize>,
+    /// Whether it calls them all at once.
+    pub parallel: bool,
+    /// Retries that a root call of this operation may spend.
+    pub retries: u64,
+    /// The longest a call may take.
+    pub deadline: Duration,
+    /// Whether running it twice is as good as once.
+    pub idempotent: bool,
+}
+
+/// Where one instance is.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Its service.
+    pub service: Arc<str>,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// Its region.
+    pub region: Arc<str>,
+}
+
+/// What a run starts with.
+#[derive(Debug, Clone)]
+pub struct Layout {
+    /// What the services do.
+    pub operations: Vec<Operation>,
+    /// One place for each instance.
+    pub places: Vec<Place>,
+    /// The rules file that is in force from the start.
+    pub rules: String,
+    /// Work that a backend server does at once.
+    pub slots: usize,
+    /// Work that waits in a backend server beyond its slots before it refuses.
+    pub backlog: usize,
+    /// One-way latency within a failure domain, within a region and between regions.
+    pub latency: [Duration; 3],
+    /// One-way latency between callers and nodes.
+    pub caller_latency: Duration,
+}
+
+impl Layout {
+    /// Three services, three deep, each with an instance in each of three failure domains, which
+    /// lie in two regions. Every service has a lookup and something that must not run twice.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(bilberry_trial::Layout::small().places.len(), 9);
+    /// ```
+    pub fn small() -> Self {
+        let services = ["order", "press", "royalty"];
+        let domains = [
+            ("milano-1", "lombardia"),
+            ("milano-2", "lombardia"),
+            ("padova-1", "veneto"),
+        ];
+        let mut places = Vec::new();
+        for service in services {
+            for (domain, region) in domains {
+                places.push(Place {
+                    service: service.into(),
+                    failure_domain: domain.into(),
+                    region: region.into(),
+                });
+            }
+        }
+        Self {
+            operations: vec![
+                operation("order", "GET", "/list", 3, &[2]),
+                operation("order", "POST", "/orders", 4, &[3]),
+                operation("press", "GET", "/days", 3, &[4]),
+                operation("press", "POST", "/slots", 4, &[5]),
+                operation("royalty", "GET", "/rates", 3, &[]),
+                operation("royalty", "POST", "/charges", 5, &[]),
+            ],
+            places,
+            rules: RULES.to_owned(),
+            slots: 10,
+            backlog: 40,
+            latency: [
+                Duration::from_micros(100),
+                Duration::from_micros(500),
+                Duration::from_millis(20),
+            ],
+            caller_latency: Duration::from_millis(4),
+        }
+    }
+}
+
+/// An operation with two retries and a deadline of four seconds; everything but `GET` must not run
+/// twice.
+fn operation(service: &str, method: &str, path: &str, takes: u64, children: &[usize]) -> Operation {
+    Operation {
+        service: service.into(),
+        method: method.into(),
+        path: path.into(),
+        takes: Duration::from_millis(takes),
+        children: children.to_vec(),
+        parallel: false,
+        retries: 2,
+        deadline: Duration::from_secs(4),
+        idempotent: method == "GET",
+    }
+}
+
+const RULES: &str = "\
+operation order GET /list class=lookup idempotent deadline=4s retries=2 # asked by Giulia
+operation order POST /orders class=order deadline=4s retries=2 # asked by Marco
+operation press GET /days class=lookup idempotent deadline=4s retries=2 # asked by Giulia
+operation press POST /slots class=booking deadline=4s retries=2 # asked by Marco
+operation royalty GET /rates class=lookup idempotent deadline=4s retries=2 # asked by Giulia
+operation royalty POST /charges class=payment deadline=4s retries=2 # asked by the board
+limit order concurrency=2..12 queue=100ms # asked by Marco
+limit press concurrency=2..12 queue=100ms # asked by Marco
+limit royalty concurrency=2..12 queue=100ms # asked by the board
+";
--- /dev/null
+++ b/crates/trial/src/log.rs
@@ -0,0 +1,134 @@
+//! The log service's fake: one stream, with the faults of the real one.
+
+use crate::World;
+use bytes::Bytes;
+use engine::Input;
+use std::time::Duration;
+
+/// How long a node waits for the log service's answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// How long one read waits for new records.
+const READ_WAIT: Duration = Duration::from_secs(5);
+
+/// How long a node waits after a read that failed.
+const READ_PAUSE: Duration = Duration::from_secs(1);
+
+/// How many records one read gives at most.
+const BATCH: usize = 100;
+
+/// The log service's fake.
+#[derive(Debug, Default)]
+pub struct Log {
+    /// The offset of the first record that is kept.
+    pub first: u64,
+    /// The records that are kept.
+    pub records: Vec<Bytes>,
+    /// Nothing is answered and nothing takes effect.
+    pub down: bool,
+    /// How long each answer takes longer.
+    pub slow: Duration,
+    /// The answers of this many appends are lost after they took effect.
+    pub lose_answers: u32,
+    /// Reads that wait for a record: node, which read.
+    waiting: Vec<(usize, u64)>,
+}
+
+impl Log {
+    /// The offset that the next append gets.
+    pub fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    /// Forgets all but the newest records, as the service does after its retention.
+    pub fn expire(&mut self, keep: usize) {
+        let gone = self.records.len().saturating_sub(keep);
+        self.records.drain(..gone);
+        self.first += gone as u64;
+    }
+
+    fn latency(&self) -> Duration {
+        Duration::from_millis(10) + self.slow
+    }
+}
+
+impl World {
+    /// Appends without a node, as an operator's tool does.
+    pub fn append(&mut self, record: Bytes) {
+        self.log.records.push(record);
+        for (node, number) in std::mem::take(&mut self.log.waiting) {
+            self.read(node, number);
+        }
+    }
+
+    /// An append of a node is on its way to the log service.
+    pub(crate) fn append_from(&mut self, node: usize, number: u64, record: Bytes) {
+        let from = self.nodes[node].incarnation;
+        self.after(self.log.latency(), move |world| {
+            let log = &mut world.log;
+            let lost = log.down || log.lose_answers > 0 || log.slow >= PATIENCE;
+            if !log.down {
+                log.lose_answers = log.lose_answers.saturating_sub(1);
+                world.append(record);
+            }
+            let (wait, input) = match lost {
+                true => (PATIENCE, Input::AppendLost(number)),
+                false => (world.log.latency(), Input::Appended(number)),
+            };
+            world.after_in(node, wait, move |world| world.feed(node, from, input));
+        });
+    }
+
+    /// The node drops its present read and reads at once, for ever.
+    pub(crate) fn read_now(&mut self, node: usize) {
+        let number = self.nodes[node].read + 1;
+        self.nodes[node].read = number;
+        self.read(node, number);
+    }
+
+    fn read(&mut self, node: usize, number: u64) {
+        self.after(self.log.latency(), move |world| world.on_read(node, number));
+    }
+
+    fn on_read(&mut self, node: usize, number: u64) {
+        let place = &mut self.nodes[node];
+        let Some(engine) = place.engine.as_ref().filter(|_| place.read == number) else {
+            return;
+        };
+        if self.log.down || self.log.slow >= PATIENCE {
+            self.input(node, PATIENCE, Input::LogUnreachable);
+            return self.after(PATIENCE + READ_PAUSE, move |world| world.read(node, number));
+        }
+        let next = engine.next_offset();
+        let skip = next.saturating_sub(self.log.first) as usize;
+        let numbered = (self.log.first..).zip(&self.log.records).skip(skip);
+        let batch: Vec<_> = numbered
+            .take(BATCH)
+            .map(|(at, r)| (at, r.clone()))
+            .collect();
+        let read_to_end = batch.last().map_or(next, |(at, _)| at + 1) >= self.log.end();
+        let latency = self.log.latency();
+        if batch.is_empty() && std::mem::replace(&mut place.read_to_end, true) {
+            self.log.waiting.push((node, number));
+            return self.after(READ_WAIT, move |world| world.on_read_timeout(node, number));
+        }
+        if !batch.is_empty() {
+            self.input(node, latency, Input::Records(batch));
+        }
+        if read_to_end {
+            self.input(node, latency, Input::LogRead);
+        }
+        self.after(latency * 2, move |world| world.read(node, number));
+    }
+
+    /// A read waited long enough and is answered with nothing.
+    fn on_read_timeout(&mut self, node: usize, number: u64) {
+        let before = self.log.waiting.len();
+        self.log
+            .waiting
+            .retain(|waiting| *waiting != (node, number));
+        if self.log.waiting.len() < before {
+            self.read(node, number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/trial/src/main.rs
@@ -0,0 +1,47 @@
+//! Runs many seeds, and prints the seed and the trace of those that fail.
+
+use gumdrop::Options;
+use std::process::ExitCode;
+
+/// Runs random calls and faults by seed.
+#[derive(Debug, Options)]
+struct Args {
+    /// Print this help.
+    #[options()]
+    help: bool,
+    /// The seeds, as `FIRST..END`, the end not included.
+    #[options(meta = "RANGE", default = "1..1000")]
+    seeds: String,
+    /// Go on after a failure, and print only the violations.
+    #[options()]
+    all: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    let range = args.seeds.split_once("..");
+    let Some((Ok(first), Ok(end))) = range.map(|(a, b)| (a.parse::<u64>(), b.parse::<u64>()))
+    else {
+        eprintln!("{}", Args::usage());
+        return ExitCode::from(2);
+    };
+    let mut failed = 0;
+    for seed in first..end {
+        let Err(report) = trial::check_seed(seed) else {
+            continue;
+        };
+        failed += 1;
+        if args.all {
+            println!("{}", report.lines().last().unwrap_or_default());
+        } else {
+            println!("{report}");
+            break;
+        }
+    }
+    println!("seeds {first}..{end}: {failed} failed");
+    if failed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/trial/src/plan.rs
@@ -0,0 +1,222 @@
+//! Random runs: a seed decides what is asked and what goes wrong.
+
+use crate::Action;
+use crate::End;
+use crate::Fault;
+use crate::Layout;
+use crate::World;
+use rand::rngs::StdRng;
+use rand::RngExt;
+use rand::SeedableRng;
+use std::time::Duration;
+use stdx::Time;
+
+/// Faults come in this time, after the nodes have found each other.
+const WARM: Duration = Duration::from_secs(5);
+
+/// How long faults go on.
+const FAULTS: Duration = Duration::from_secs(25);
+
+/// How long everything is given to settle when all faults are mended.
+const SETTLE: Duration = Duration::from_secs(60);
+
+/// What is asked and what goes wrong, and when.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Actions with the time at which they are sent.
+    pub actions: Vec<(Time, Action)>,
+    /// Faults with the time at which they happen.
+    pub faults: Vec<(Time, Fault)>,
+}
+
+impl Plan {
+    /// The plan of a seed. One in three has a single kind of fault, the others have all.
+    pub fn new(seed: u64, layout: &Layout) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed ^ 0x7472_6961_6c00);
+        let count = rng.random_range(100..400);
+        let actions = (0..count)
+            .map(|nth| random_action(&mut rng, layout, nth))
+            .collect();
+        let only = (seed % 3 == 0).then(|| rng.random_range(0..KINDS));
+        let count = rng.random_range(1..12);
+        let faults = (0..count)
+            .flat_map(|_| {
+                let kind = only.unwrap_or_else(|| rng.random_range(0..KINDS));
+                random_faults(&mut rng, layout, kind)
+            })
+            .collect();
+        Self { actions, faults }
+    }
+
+    /// A world in which the plan will happen.
+    pub fn world(&self, seed: u64, layout: Layout) -> World {
+        let mut world = World::new(seed, layout);
+        for (at, action) in &self.actions {
+            world.submit(*at, action.clone(), None);
+        }
+        for (at, fault) in &self.faults {
+            let fault = fault.clone();
+            world.at(*at, move |world| world.strike(fault));
+        }
+        world
+    }
+}
+
+fn random_action(rng: &mut StdRng, layout: &Layout, nth: u32) -> (Time, Action) {
+    let at = Time::ZERO + WARM.mul_f64(rng.random_range(0.6..1.0)) + FAULTS.mul_f64(rng.random());
+    let padding = "x".repeat(rng.random_range(0..100));
+    let body = format!("a{nth}-{padding}");
+    let mut action = Action::new(rng.random_range(0..layout.operations.len()), &body);
+    action.caller = format!("shop{}", rng.random_range(0..4)).into();
+    action.patience = Duration::from_millis(rng.random_range(300..6000));
+    action.resends = rng.random_range(0..6);
+    if rng.random_bool(0.1) {
+        action.key = None;
+    }
+    (at, action)
+}
+
+/// How many kinds of faults there are.
+const KINDS: u32 = 18;
+
+fn random_faults(rng: &mut StdRng, layout: &Layout, kind: u32) -> Vec<(Time, Fault)> {
+    let at = Time::ZERO + WARM + FAULTS.mul_f64(rng.random());
+    let a = rng.random_range(0..layout.places.len());
+    let b = (a + rng.random_range(1..layout.places.len())) % layout.places.len();
+    let long = Duration::from_millis(rng.random_range(100..12_000));
+    let service = layout.places[a].service.clone();
+    let for_a_while = |fault, mended| vec![(at, fault), (at + long, mended)];
+    match kind {
+        0 => for_a_while(Fault::Kill(a), Fault::Start(a)),
+        1 => vec![(at, Fault::Restart(a))],
+        2 => vec![(at, Fault::Replace(a))],
+        3 => vec![(at, Fault::Pause(a, long))],
+        4 => vec![
+            (at, Fault::Stop(a)),
+            (at + long + Duration::from_secs(5), Fault::Start(a)),
+        ],
+        5 => for_a_while(Fault::Cut(a, b), Fault::Heal),
+        6 => for_a_while(Fault::CutOneWay(a, b), Fault::Heal),
+        7 => for_a_while(
+            Fault::CutRegion(layout.places[a].region.clone()),
+            Fault::Heal,
+        ),
+        8 => vec![(at, Fault::Silent(a, b))],
+        9 => vec![(at, Fault::Reset(a, b))],
+        10 => for_a_while(Fault::Datagrams(300, 300), Fault::Datagrams(0, 0)),
+        11 => for_a_while(Fault::LogDown(true), Fault::LogDown(false)),
+        12 => {
+            let slow = Duration::from_millis(rng.random_range(100..8000));
+            for_a_while(Fault::LogSlow(slow), Fault::LogSlow(Duration::ZERO))
+        }
+        13 => vec![(at, Fault::LogLose(2)), (at, Fault::Restart(a))],
+        14 => vec![(at, Fault::Publish(rng.random_range(1..4)))],
+        15 => vec![(at, Fault::Crash(a))],
+        16 => for_a_while(Fault::Slow(service.clone(), 20), Fault::Slow(service, 1)),
+        _ => vec![(at, Fault::Surge(service, rng.random_range(100..1500)))],
+    }
+}
+
+impl World {
+    /// Mends everything that is still broken.
+    pub fn mend(&mut self) {
+        let services: Vec<_> = self
+            .nodes
+            .iter()
+            .map(|node| node.me.service.clone())
+            .collect();
+        let mut mended = vec![
+            Fault::Heal,
+            Fault::LogDown(false),
+            Fault::LogSlow(Duration::ZERO),
+            Fault::LogLose(0),
+            Fault::Datagrams(0, 0),
+        ];
+        mended.extend(services.into_iter().map(|service| Fault::Slow(service, 1)));
+        mended.extend((0..self.nodes.len()).map(Fault::Resume));
+        mended.extend((0..self.nodes.len()).map(Fault::Start));
+        self.judge.poison.clear();
+        for fault in mended {
+            self.strike(fault);
+        }
+    }
+
+    /// Mends everything, waits, and checks that nothing is left behind: no entry in any table, one
+    /// version everywhere, and new orders served at each node.
+    pub fn settle(&mut self) {
+        self.mend();
+        self.run_for(SETTLE);
+        // A process that was leaving has ended meanwhile, and its place is filled again.
+        self.mend();
+        self.run_for(SETTLE);
+        self.check_versions();
+        let first = self.actions.len();
+        for node in 0..self.nodes.len() {
+            let operation = node % self.layout.operations.len();
+            let mut action = Action::new(operation, &format!("new{node}"));
+            action.resends = 0;
+            self.submit(self.now, action, Some(node));
+        }
+        self.run_for(Duration::from_secs(20));
+        for action in &self.actions[first..] {
+            if !matches!(action.end, Some((_, End::Whole))) {
+                let what = format!("after everything was mended: {action:?}");
+                return self.violation(&what);
+            }
+        }
+        self.check_tables();
+    }
+
+    fn check_versions(&mut self) {
+        let versions = self
+            .nodes
+            .iter()
+            .map(|node| node.engine.as_ref().map(|e| e.rules_version()));
+        let versions: Vec<_> = versions.collect();
+        if versions
+            .iter()
+            .any(|version| *version != versions[0] || version.is_none())
+        {
+            self.violation(&format!("versions differ after quiet: {versions:?}"));
+        }
+    }
+
+    fn check_tables(&mut self) {
+        for node in 0..self.nodes.len() {
+            let tables = self.nodes[node]
+                .engine
+                .as_ref()
+                .map(|engine| engine.tables());
+            if tables.is_some_and(|tables| tables != engine::Tables::default()) {
+                let name = self.nodes[node].name.clone();
+                self.violation(&format!("{name} leaks: {tables:?}"));
+            }
+            let place = &self.nodes[node];
+            if !place.waiting.is_empty() || !place.runs.is_empty() {
+                let what = format!("{} holds {:?} {:?}", place.name, place.waiting, place.runs);
+                self.violation(&what);
+            }
+        }
+    }
+}
+
+/// Runs the plan of a seed.
+///
+/// # Errors
+///
+/// The report of the first violation and the trace that led to it.
+pub fn check_seed(seed: u64) -> Result<World, String> {
+    let layout = Layout::small();
+    let mut world = Plan::new(seed, &layout).world(seed, layout);
+    world.run_for(WARM + FAULTS + Duration::from_secs(15));
+    if world.judge.violations.is_empty() {
+        world.settle();
+    }
+    match world.judge.violations.first() {
+        None => Ok(world),
+        Some(violation) => {
+            let trace: Vec<_> = world.trace.iter().map(|line| line.as_str()).collect();
+            Err(format!("{}\n{violation}", trace.join("\n")))
+        }
+    }
+}
--- /dev/null
+++ b/crates/trial/src/trace.rs
@@ -0,0 +1,194 @@
+//! Recorded traces of calls and faults, with stated outcomes: one event a line.
+//!
+//! ```text
+//! 5s    call POST /order/orders a1 at order-1
+//! 5.5s  pause press-1 6s
+//! 30s   expect a1 whole
+//! 30s   expect-runs POST /order/orders a1 1
+//! ```
+
+use crate::Action;
+use crate::End;
+use crate::Fault;
+use crate::Layout;
+use crate::World;
+use std::time::Duration;
+use stdx::Time;
+
+/// Why a trace cannot be replayed, or did not end as it says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TraceError {
+    /// The line (from 1) makes no sense.
+    BadLine(usize),
+    /// The line's stated outcome is not what happened.
+    Unexpected(usize, String),
+    /// Something that must always hold did not.
+    Violation(String),
+}
+
+/// Replays a trace.
+///
+/// # Errors
+///
+/// [`TraceError`] for a line that makes no sense, or the first thing that is not as stated.
+///
+/// # Examples
+///
+/// ```
+/// let text = "\
+/// 5s  call POST /order/orders a1 at press-2
+/// 10s expect a1 whole
+/// 10s expect-runs POST /royalty/charges a1>0>0 1";
+/// assert!(bilberry_trial::replay(text).is_ok());
+/// assert!(bilberry_trial::replay("5s expect a1 whole").is_err());
+/// ```
+pub fn replay(text: &str) -> Result<World, TraceError> {
+    let mut world = World::new(1, Layout::small());
+    for (nth, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or_default();
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let Some((at, words)) = words.split_first() else {
+            continue;
+        };
+        let at = Time::ZERO + duration(at).ok_or(TraceError::BadLine(nth + 1))?;
+        world.run_until(at);
+        if let Some(violation) = world.judge.violations.first() {
+            return Err(TraceError::Violation(violation.clone()));
+        }
+        step(&mut world, words).map_err(|problem| match problem {
+            None => TraceError::BadLine(nth + 1),
+            Some(got) => TraceError::Unexpected(nth + 1, got),
+        })?;
+    }
+    match world.judge.violations.first() {
+        None => Ok(world),
+        Some(violation) => Err(TraceError::Violation(violation.clone())),
+    }
+}
+
+/// `None` as an error stands for a line that makes no sense, else it says what was found.
+fn step(world: &mut World, words: &[&str]) -> Result<(), Option<String>> {
+    match words {
+        ["call", method, path, body, options @ ..] => {
+            let operation = world.layout.operation(method, path).ok_or(None)?;
+            let mut action = Action::new(operation, body);
+            action.resends = 0;
+            let mut node = None;
+            for option in options.chunks(2) {
+                match option {
+                    ["at", name] => node = Some(world.node(name).ok_or(None)?),
+                    ["key", key] => action.key = Some((*key).into()),
+                    ["patience", time] => action.patience = duration(time).ok_or(None)?,
+                    ["resends", count] => action.resends = count.parse().map_err(|_| None)?,
+                    _ => return Err(None),
+                }
+            }
+            world.submit(world.now, action, node);
+            Ok(())
+        }
+        ["again", body, "at", name] => {
+            let node = world.node(name);
+            let action = find(world, body)?;
+            world.actions[action].end = None;
+            world.at(world.now, move |world| world.on_send(action, node));
+            Ok(())
+        }
+        ["settle"] => {
+            world.settle();
+            Ok(())
+        }
+        ["expect", body, ends @ ..] => {
+            let action = &world.actions[find(world, body)?];
+            let end = action
+                .end
+                .map_or("none".to_owned(), |(_, end)| end_name(end));
+            if ends.contains(&&*end) {
+                Ok(())
+            } else {
+                Err(Some(end))
+            }
+        }
+        ["expect-runs", method, path, body, counts @ ..] => {
+            let operation = world.layout.operation(method, path).ok_or(None)?;
+            let operation = &world.layout.operations[operation];
+            let runs = world.judge.runs(operation, body.as_bytes()).to_string();
+            if counts.contains(&&*runs) {
+                Ok(())
+            } else {
+                Err(Some(runs))
+            }
+        }
+        ["expect-version", version] => {
+            let engines = world.nodes.iter().filter_map(|node| node.engine.as_ref());
+            let versions: Vec<_> = engines.map(|e| e.rules_version().to_string()).collect();
+            if versions.iter().all(|v| v == version) {
+                Ok(())
+            } else {
+                Err(Some(format!("{versions:?}")))
+            }
+        }
+        _ => {
+            let fault = fault(world, words).ok_or(None)?;
+            world.strike(fault);
+            Ok(())
+        }
+    }
+}
+
+fn fault(world: &World, words: &[&str]) -> Option<Fault> {
+    let node = |name: &str| world.node(name);
+    Some(match words {
+        ["kill", a] => Fault::Kill(node(a)?),
+        ["restart", a] => Fault::Restart(node(a)?),
+        ["replace", a] => Fault::Replace(node(a)?),
+        ["pause", a, time] => Fault::Pause(node(a)?, duration(time)?),
+        ["stop", a] => Fault::Stop(node(a)?),
+        ["start", a] => Fault::Start(node(a)?),
+        ["cut", a, b] => Fault::Cut(node(a)?, node(b)?),
+        ["cut-one-way", a, b] => Fault::CutOneWay(node(a)?, node(b)?),
+        ["cut-region", region] => Fault::CutRegion((*region).into()),
+        ["heal"] => Fault::Heal,
+        ["silent", a, b] => Fault::Silent(node(a)?, node(b)?),
+        ["reset", a, b] => Fault::Reset(node(a)?, node(b)?),
+        ["datagrams", loss, twice] => Fault::Datagrams(loss.parse().ok()?, twice.parse().ok()?),
+        ["log", "down"] => Fault::LogDown(true),
+        ["log", "up"] => Fault::LogDown(false),
+        ["log", "slow", time] => Fault::LogSlow(duration(time)?),
+        ["log", "lose", count] => Fault::LogLose(count.parse().ok()?),
+        ["log", "expire", keep] => Fault::LogExpire(keep.parse().ok()?),
+        ["publish", operators] => Fault::Publish(operators.parse().ok()?),
+        ["crash", a] => Fault::Crash(node(a)?),
+        ["slow", service, times] => Fault::Slow((*service).into(), times.parse().ok()?),
+        ["poison", body] => Fault::Poison((*body).into()),
+        ["surge", service, count] => Fault::Surge((*service).into(), count.parse().ok()?),
+        _ => return None,
+    })
+}
+
+fn find(world: &World, body: &str) -> Result<usize, Option<String>> {
+    world
+        .actions
+        .iter()
+        .position(|action| action.body == body)
+        .ok_or(None)
+}
+
+fn end_name(end: End) -> String {
+    match end {
+        End::Whole => "whole".to_owned(),
+        End::Failed => "failed".to_owned(),
+        End::NotRun(reason) => format!("not-run:{}", reason.name()),
+        End::Unknown(reason) => format!("unknown:{}", reason.name()),
+        End::GaveUp => "gave-up".to_owned(),
+    }
+}
+
+fn duration(word: &str) -> Option<Duration> {
+    if let Some(millis) = word.strip_suffix("ms") {
+        return millis.parse().ok().map(Duration::from_millis);
+    }
+    word.strip_suffix('s')?
+        .parse()
+        .ok()
+        .map(Duration::from_secs_f64)
+}
