--- a/crates/trial/src/layout.rs
+++ b/crates/trial/src/layout.rs
@@ -63,7 +63,7 @@
     /// # Examples
     ///
     /// ```
-    /// assert_eq!(bilberry_trial::Layout::small().places.len(), 9);
+    /// assert_eq!(trial::Layout::small().places.len(), 9);
     /// ```
     pub fn small() -> Self {
         let services = ["order", "press", "royalty"];
--- a/crates/trial/src/server.rs
+++ b/crates/trial/src/server.rs
@@ -90,7 +90,7 @@
     /// # Examples
     ///
     /// ```
-    /// let layout = bilberry_trial::Layout::small();
+    /// let layout = trial::Layout::small();
     /// assert_eq!(layout.expected(4, b"a1"), "[royalty/rates a1]");
     /// ```
     pub fn expected(&self, operation: usize, body: &[u8]) -> Bytes {
--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -39,8 +39,8 @@
 /// 5s  call POST /order/orders a1 at press-2
 /// 10s expect a1 whole
 /// 10s expect-runs POST /royalty/charges a1>0>0 1";
-/// assert!(bilberry_trial::replay(text).is_ok());
-/// assert!(bilberry_trial::replay("5s expect a1 whole").is_err());
+/// assert!(trial::replay(text).is_ok());
+/// assert!(trial::replay("5s expect a1 whole").is_err());
 /// ```
 pub fn replay(text: &str) -> Result<World, TraceError> {
     let mut world = World::new(1, Layout::small());
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -118,7 +118,7 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// let mut world = bilberry_trial::World::new(1, bilberry_trial::Layout::small());
+    /// let mut world = trial::World::new(1, trial::Layout::small());
     /// world.run_for(Duration::from_secs(5));
     /// assert!(world.judge.violations.is_empty());
     /// ```
