Metrics: request times by outcome, gauges of tables and limits, control bytes

Cause: counters alone do not show latency, queues, limits or what control costs. Ruled out: measuring in the engine, which has no sockets to count on.

--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -29,6 +29,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 /// Says how a call ended: `whole`, `not-run` or `unknown`.
 const OUTCOME_HEADER: &str = "bilberry-outcome";
@@ -115,6 +116,7 @@
         patience,
         request,
     };
+    let began = Instant::now();
     let (token, rx) = shell.request(input);
     let mut waiting = Waiting {
         shell: shell.clone(),
@@ -122,7 +124,9 @@
     };
     let reply = rx.await;
     waiting.token = None;
-    respond(reply.unwrap_or((Outcome::Unknown(Reason::PeerLost), None)))
+    let reply = reply.unwrap_or((Outcome::Unknown(Reason::PeerLost), None));
+    shell.metrics.time(reply.0.name(), began.elapsed());
+    respond(reply)
 }
 
 /// `/SERVICE/REST` becomes a request for `/REST` to `SERVICE`.
--- a/crates/node/src/log_reader.rs
+++ b/crates/node/src/log_reader.rs
@@ -1,5 +1,6 @@
 //! Reads the log's stream for ever.
 
+use crate::metrics::add;
 use crate::shell::Shell;
 use engine::Input;
 use std::rc::Rc;
@@ -25,6 +26,9 @@
         match read {
             Ok(batch) => {
                 let read_to_end = batch.records.last().map_or(next, |(offset, _)| offset + 1);
+                for (_, record) in &batch.records {
+                    add(&shell.metrics.bytes.log_in, record.len());
+                }
                 shell.feed(Input::Records(batch.records));
                 if read_to_end >= batch.end {
                     shell.feed(Input::LogRead);
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -3,6 +3,7 @@
 use crate::backend::Backend;
 use crate::caller;
 use crate::log_reader;
+use crate::metrics::add;
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::peers::Peers;
@@ -25,6 +26,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use stdx::Time;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -35,6 +37,9 @@
 /// How often a pair of free ports for TCP and UDP is looked for.
 const BIND_ATTEMPTS: u32 = 20;
 
+/// How often gauges go to the metrics service.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(10);
+
 /// What a waiting request is answered with: the outcome and a key that was made for it.
 pub(crate) type Reply = (Outcome, Option<Arc<str>>);
 
@@ -96,7 +101,7 @@
     next_token: Cell<u64>,
     peers: Peers,
     backend: Backend,
-    socket: Rc<UdpSocket>,
+    pub(crate) socket: Rc<UdpSocket>,
     timer: Notify,
     stopped: Notify,
 }
@@ -155,6 +160,7 @@
     actix_rt::spawn(udp::receive(shell.clone(), socket));
     actix_rt::spawn(log_reader::run(shell.clone()));
     actix_rt::spawn(run_timers(shell.clone()));
+    actix_rt::spawn(send_gauges(shell.clone()));
     Ok(Node {
         http_addr,
         peer_addr,
@@ -181,7 +187,7 @@
 async fn run_timers(shell: Rc<Shell>) {
     loop {
         let due = shell.engine.borrow().next_timer();
-        let due = due.map(|due| shell.origin + std::time::Duration::from_micros(due.as_micros()));
+        let due = due.map(|due| shell.origin + Duration::from_micros(due.as_micros()));
         let sleep = async {
             match due {
                 Some(due) => tokio::time::sleep_until(due).await,
@@ -195,6 +201,14 @@
     }
 }
 
+async fn send_gauges(shell: Rc<Shell>) {
+    loop {
+        tokio::time::sleep(GAUGE_INTERVAL).await;
+        let gauges = shell.engine.borrow().gauges();
+        shell.metrics.gauge(&gauges);
+    }
+}
+
 impl Shell {
     pub(crate) fn now(&self) -> Time {
         Time::ZERO + self.origin.elapsed()
@@ -251,7 +265,7 @@
                 }
             }
             Output::Send { to, frame } => self.peers.send(self, to, frame),
-            Output::Datagram { to, datagram } => udp::send(&self.socket, to, &datagram),
+            Output::Datagram { to, datagram } => udp::send(self, to, &datagram),
             Output::Run {
                 run,
                 request,
@@ -271,6 +285,7 @@
 
     fn append(self: &Rc<Self>, number: u64, record: Bytes) {
         let shell = self.clone();
+        add(&self.metrics.bytes.log_out, record.len());
         actix_rt::spawn(async move {
             match shell.log.append(record).await {
                 Ok(_) => shell.feed(Input::Appended(number)),
--- a/crates/node/src/udp.rs
+++ b/crates/node/src/udp.rs
@@ -1,5 +1,6 @@
 //! Datagrams.
 
+use crate::metrics::add;
 use crate::shell::Shell;
 use engine::Input;
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
         let Ok((len, from)) = socket.recv_from(&mut buf).await else {
             continue;
         };
+        add(&shell.metrics.bytes.datagrams_in, len);
         match proto::decode(&buf[..len]) {
             Ok(datagram) => shell.feed(Input::Datagram { from, datagram }),
             Err(_) => shell.count_broken(),
@@ -23,7 +25,9 @@
     }
 }
 
-pub(crate) fn send(socket: &UdpSocket, to: SocketAddr, datagram: &proto::Datagram) {
+pub(crate) fn send(shell: &Shell, to: SocketAddr, datagram: &proto::Datagram) {
+    let bytes = proto::encode(datagram);
+    add(&shell.metrics.bytes.datagrams_out, bytes.len());
     // Loss is allowed: a full socket buffer drops the datagram.
-    let _ = socket.try_send_to(&proto::encode(datagram), to);
+    let _ = shell.socket.try_send_to(&bytes, to);
 }
--- a/crates/proto/src/answer.rs
+++ b/crates/proto/src/answer.rs
@@ -18,6 +18,25 @@
     }
 }
 
+impl Outcome {
+    /// The name in headers and metrics.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_proto::{Outcome, Reason};
+    ///
+    /// assert_eq!(Outcome::Unknown(Reason::PeerLost).name(), "unknown");
+    /// ```
+    pub fn name(&self) -> &'static str {
+        match self {
+            Outcome::Whole(_) => "whole",
+            Outcome::NotRun(_) => "not-run",
+            Outcome::Unknown(_) => "unknown",
+        }
+    }
+}
+
 plain! {
     /// Why a call was not run, and when it is worth coming back.
     pub struct Refusal {
