The fold outlives retention; state from peers while the log is down

A node worked by the first version that it read, however old, and a node started in an outage of the log had no way to any rules.

A node judges calls only after it has read the log to its end once, or has a peer's state, which it asks of contacts when the log is down at its start, and of whoever names a newer offset in a membership datagram.

--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -22,6 +22,8 @@
     pub max_depth: u8,
     /// How long to wait before a lost append is tried again.
     pub append_retry: Duration,
+    /// How long the log keeps records.
+    pub log_retention: Duration,
     /// How long a stop waits until the log has taken its `Leave`.
     pub leave_patience: Duration,
 }
@@ -37,6 +39,7 @@
             max_key: 255,
             max_depth: 32,
             append_retry: Duration::from_secs(1),
+            log_retention: Duration::from_secs(24 * 3600),
             leave_patience: Duration::from_secs(10),
         }
     }
--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -34,6 +34,12 @@
         BrokenRecord,
         /// A publication was rejected.
         RejectedPublication,
+        /// The whole state was taken from a snapshot or from a peer.
+        Restored,
+        /// The log lacks older records, and has no snapshot of them.
+        NoSnapshot,
+        /// A peer was asked for the log's state.
+        StateFetch,
         /// A rules file came in force.
         RulesInForce,
         /// An append got no answer; it is tried again unless the stream shows it.
@@ -78,6 +84,9 @@
             Counter::RunLost => "run_lost".to_owned(),
             Counter::BrokenRecord => "broken_record".to_owned(),
             Counter::RejectedPublication => "rejected_publication".to_owned(),
+            Counter::Restored => "restored".to_owned(),
+            Counter::NoSnapshot => "no_snapshot".to_owned(),
+            Counter::StateFetch => "state_fetch".to_owned(),
             Counter::RulesInForce => "rules_in_force".to_owned(),
             Counter::AppendLost => "append_lost".to_owned(),
             Counter::AppendLeftOut => "append_left_out".to_owned(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::Outgoing;
 use crate::entry::OpenRequest;
+use crate::fetch::FetchLink;
 use crate::homes::KeyWork;
 use crate::log::LogLink;
 use crate::serve::Inbound;
@@ -48,6 +49,7 @@
     /// What the log's stream says.
     pub(crate) journal: State,
     pub(crate) log: LogLink,
+    pub(crate) fetch: FetchLink,
     pub(crate) members: Membership,
     pub(crate) home: Home,
     pub(crate) server: Server,
@@ -96,6 +98,7 @@
             rng: StdRng::seed_from_u64(cfg.seed),
             journal: State::default(),
             log: LogLink::default(),
+            fetch: FetchLink::default(),
             members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
             home: Home::new(cfg.once.clone(), incarnation),
             server: Server::new(defaults.max_concurrency, defaults.queue),
@@ -135,8 +138,10 @@
             Input::Datagram { from, datagram } => self.on_datagram(now, from, datagram),
             Input::RunEnded { run, end } => self.on_run_ended(now, run, end),
             Input::Records(records) => self.on_records(now, records),
+            Input::LogStart(first) => self.on_log_start(first),
             Input::LogRead => self.on_log_read(now),
-            Input::LogUnreachable => self.log.reachable = false,
+            Input::LogUnreachable => self.on_log_unreachable(now),
+            Input::PeerState(state) => self.on_peer_state(now, &state),
             Input::Appended(number) => self.on_appended(now, number),
             Input::AppendLost(number) => self.on_append_lost(now, number),
             Input::Stop => self.on_stop(now),
@@ -144,6 +149,7 @@
         }
         self.run_due(now);
         self.drain_loopback(now);
+        self.run_fetch(now);
         self.pump_appends(now);
         self.check_stopped();
         std::mem::take(&mut self.out)
@@ -156,6 +162,7 @@
             self.members.next_timer(),
             self.server.next_timer(),
             self.log.next_timer(),
+            self.fetch.due,
         ]
         .into_iter()
         .flatten()
@@ -167,9 +174,9 @@
         self.journal.version
     }
 
-    /// The offset of the next record that this node lacks.
+    /// Where the log has to be read from.
     pub fn next_offset(&self) -> u64 {
-        self.journal.next
+        self.journal.read_from()
     }
 
     /// What the log's stream says, as far as it was read.
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -79,7 +79,7 @@
 
     /// Refuses what this node cannot judge or no rule allows.
     fn filter_state(&mut self, request: &Request) -> Result<Operation, Reason> {
-        if self.journal.version == 0 {
+        if !self.has_rules() {
             return Err(Reason::NoRules);
         }
         if self.open.len() >= self.cfg.max_calls {
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -72,8 +72,12 @@
     },
     /// Records of the log's stream, by offset.
     Records(Vec<(u64, Bytes)>),
+    /// The oldest record that the log still has; comes before the records of the same read.
+    LogStart(u64),
     /// The log was read to its end.
     LogRead,
+    /// The log's state, from a peer; answers [`Output::FetchState`].
+    PeerState(Bytes),
     /// The log did not answer.
     LogUnreachable,
     /// The append with this number was answered.
@@ -148,6 +152,14 @@
         /// The record.
         record: Bytes,
     },
+    /// Ask a node for [`crate::Engine::state_after`]; ends with an [`Input::PeerState`] if it has
+    /// any. No answer is no fault.
+    FetchState {
+        /// Its address.
+        from: SocketAddr,
+        /// The next offset that this node lacks.
+        next: u64,
+    },
     /// Read the log at once, because something is missing.
     ReadLog,
     /// Count something.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,12 +10,14 @@
 mod counter;
 mod engine;
 mod entry;
+mod fetch;
 mod homes;
 mod io;
 mod log;
 mod members;
 mod routing;
 mod serve;
+mod snapshots;
 mod timers;
 
 pub use config::Config;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -2,6 +2,7 @@
 
 use crate::appends::AppendKey;
 use crate::appends::AppendQueue;
+use crate::snapshots::SnapshotClock;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
@@ -23,7 +24,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct LogLink {
     pub(crate) reachable: bool,
-    caught_up: bool,
+    /// The log was read to its end once, or its state came from a peer. Before that the rules and
+    /// views may be older than what this address had in force when it was last up.
+    pub(crate) ready: bool,
+    pub(crate) snapshots: SnapshotClock,
+    /// The oldest record that the log still has.
+    pub(crate) first: u64,
+    /// The number of the view of the own service that was taken last.
+    view: Option<u64>,
     pub(crate) appends: AppendQueue,
     /// A `Join` may stand in the stream, now or later.
     join_sent: bool,
@@ -55,8 +63,13 @@
                     self.count(Counter::RulesInForce);
                     self.on_rules(now);
                 }
-                Change::View(service) => self.on_view_change(now, &service),
-                Change::Gap => self.out.push(Output::ReadLog),
+                Change::View(_) => self.on_view_change(now),
+                Change::Restored => {
+                    self.on_restored(now);
+                    // What follows here comes after records that the snapshot does not cover.
+                    return self.out.push(Output::ReadLog);
+                }
+                Change::Gap => return self.out.push(Output::ReadLog),
             }
         }
     }
@@ -68,20 +81,39 @@
         self.update_roster(now);
     }
 
-    fn on_view_change(&mut self, now: Time, service: &str) {
+    pub(crate) fn on_restored(&mut self, now: Time) {
+        self.count(Counter::Restored);
+        self.on_rules(now);
+        self.on_view_change(now);
+    }
+
+    fn on_view_change(&mut self, now: Time) {
         self.update_roster(now);
-        if *service != *self.me.service {
+        let Some(view) = self.journal.view(&self.me.service) else {
+            return;
+        };
+        if self.log.view == Some(view.number) {
             return;
         }
-        if let Some(view) = self.journal.view(service) {
-            self.home.on_view(now, view.number, &view.members);
-            self.count(Counter::ViewTaken);
-        }
+        self.log.view = Some(view.number);
+        self.home.on_view(now, view.number, &view.members);
+        self.count(Counter::ViewTaken);
     }
 
-    pub(crate) fn on_log_read(&mut self, _now: Time) {
+    pub(crate) fn on_log_start(&mut self, first: u64) {
+        self.log.first = first;
+        self.journal.expired_before(first);
+    }
+
+    pub(crate) fn on_log_read(&mut self, now: Time) {
         self.log.reachable = true;
-        self.log.caught_up = true;
+        if self.journal.is_scanning() {
+            // The records that this node lacks have expired, and no snapshot stands in for them.
+            self.count(Counter::NoSnapshot);
+            return self.schedule_fetch(now, Duration::ZERO);
+        }
+        self.log.ready = true;
+        self.check_snapshot(now);
         if !self.stopping && !self.is_listed() {
             self.append(&Record::Join(self.me.clone()));
         }
@@ -112,11 +144,12 @@
     pub(crate) fn pump_appends(&mut self, now: Time) {
         let mine = self.me.incarnation;
         let journal = &self.journal;
+        let snapshot_missing = self.log.snapshots.is_missing(journal.snapshot);
         self.log.appends.retain(|key| match key {
             AppendKey::Join => !journal.is_listed(mine),
             AppendKey::Leave => true,
             AppendKey::Evict(other) => journal.is_listed(other),
-            AppendKey::Snapshot => true,
+            AppendKey::Snapshot => snapshot_missing,
         });
         if self.log.give_up.is_some_and(|give_up| give_up <= now) {
             self.log.give_up = None;
@@ -176,6 +209,11 @@
         }
     }
 
+    /// Whether rules are in force here that are as new as the log's, or as a peer's.
+    pub(crate) fn has_rules(&self) -> bool {
+        self.log.ready && self.journal.version > 0
+    }
+
     /// Whether the log's views name this incarnation.
     pub fn is_listed(&self) -> bool {
         let mine: Incarnation = self.me.incarnation;
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -17,8 +17,10 @@
         match datagram {
             Datagram::Member {
                 version: PROTOCOL_VERSION,
+                log_next,
                 message,
             } => {
+                self.on_peer_offset(now, from, log_next);
                 let effects = self.members.on_message(now, from, message);
                 self.apply_members(effects);
             }
@@ -72,6 +74,7 @@
                 Effect::Send { to, message } => {
                     let datagram = Datagram::Member {
                         version: PROTOCOL_VERSION,
+                        log_next: self.journal.next,
                         message,
                     };
                     self.out.push(Output::Datagram { to, datagram });
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -91,6 +91,9 @@
         if self.stopping {
             return self.answer_call(call.id, call.allowance, self.not_run(Reason::Draining));
         }
+        if !self.has_rules() {
+            return self.answer_call(call.id, call.allowance, self.not_run(Reason::NoRules));
+        }
         let id = call.id;
         let run = self.new_job(now, JobOwner::Call(id), call);
         self.inbound.insert(
--- a/crates/engine/tests/appends.rs
+++ b/crates/engine/tests/log/appends.rs
@@ -1,96 +1,13 @@
 //! What a node has to say to the log gets there: joins, leaves, through lost answers and outages.
 
+use crate::driver::instance;
+use crate::driver::Driver;
 use bilberry_engine::Config;
 use bilberry_engine::Counter;
-use bilberry_engine::Engine;
 use bilberry_engine::Input;
-use bilberry_engine::Output;
-use bytes::Bytes;
 use journal::Record;
 use proto::Incarnation;
-use proto::Instance;
 use std::time::Duration;
-use stdx::Time;
-
-fn instance(n: u16) -> Instance {
-    Instance {
-        incarnation: Incarnation(u64::from(n)),
-        service: "press".into(),
-        failure_domain: "milano-1".into(),
-        region: "lombardia".into(),
-        addr: ([127, 0, 0, 1], 7000 + n).into(),
-    }
-}
-
-/// A node, and a log that does what the test says.
-struct Driver {
-    engine: Engine,
-    now: Time,
-    offset: u64,
-    appends: Vec<(u64, Record)>,
-    counted: Vec<Counter>,
-    stopped: bool,
-}
-
-impl Driver {
-    fn new() -> Self {
-        Self {
-            engine: Engine::new(Config::default(), instance(1)),
-            now: Time::ZERO,
-            offset: 0,
-            appends: Vec::new(),
-            counted: Vec::new(),
-            stopped: false,
-        }
-    }
-
-    fn feed(&mut self, input: Input) {
-        for output in self.engine.handle(self.now, input) {
-            match output {
-                Output::Append { number, record } => {
-                    self.appends.push((number, proto::decode(&record).unwrap()));
-                }
-                Output::Count(counter) => self.counted.push(counter),
-                Output::Stopped => self.stopped = true,
-                _ => {}
-            }
-        }
-    }
-
-    /// Lets time pass, timer by timer.
-    fn pass(&mut self, time: Duration) {
-        let end = self.now + time;
-        while let Some(due) = self.engine.next_timer().filter(|due| *due <= end) {
-            self.now = self.now.max(due);
-            self.feed(Input::Tick);
-        }
-        self.now = end;
-    }
-
-    /// The records that the node asked to append since the last call.
-    fn appended(&mut self) -> Vec<(u64, Record)> {
-        std::mem::take(&mut self.appends)
-    }
-
-    fn one_append(&mut self) -> (u64, Record) {
-        let mut appends = self.appended();
-        assert_eq!(appends.len(), 1, "{appends:?}");
-        appends.remove(0)
-    }
-
-    /// The stream shows a record.
-    fn show(&mut self, record: &Record) {
-        let record = Bytes::from(proto::encode(record));
-        let offset = self.offset;
-        self.offset += 1;
-        self.feed(Input::Records(vec![(offset, record)]));
-        self.feed(Input::LogRead);
-    }
-
-    fn count(&self, counter: Counter) -> usize {
-        self.counted.iter().filter(|c| **c == counter).count()
-    }
-}
 
 /// A node is stopped just after it started, while the answer to its `Join` is outstanding. Had it
 /// gone without a word, its service would go on naming it, and callers would wait on its share of
--- /dev/null
+++ b/crates/engine/tests/log/driver.rs
@@ -0,0 +1,106 @@
+//! Drives one node's engine by a clock and a log of the test's own.
+
+use bilberry_engine::Config;
+use bilberry_engine::Counter;
+use bilberry_engine::Engine;
+use bilberry_engine::Input;
+use bilberry_engine::Output;
+use bytes::Bytes;
+use journal::Record;
+use proto::Incarnation;
+use proto::Instance;
+use proto::Outcome;
+use std::net::SocketAddr;
+use std::time::Duration;
+use stdx::Time;
+
+pub fn instance(n: u16) -> Instance {
+    Instance {
+        incarnation: Incarnation(u64::from(n)),
+        service: "press".into(),
+        failure_domain: "milano-1".into(),
+        region: "lombardia".into(),
+        addr: ([127, 0, 0, 1], 7000 + n).into(),
+    }
+}
+
+/// A node, and a log that does what the test says.
+pub struct Driver {
+    pub engine: Engine,
+    pub now: Time,
+    pub offset: u64,
+    pub appends: Vec<(u64, Record)>,
+    pub counted: Vec<Counter>,
+    pub stopped: bool,
+    /// Addresses that were asked for the state.
+    pub fetches: Vec<(SocketAddr, u64)>,
+    pub answers: Vec<Outcome>,
+}
+
+impl Driver {
+    pub fn new() -> Self {
+        Self::with_config(1, Config::default())
+    }
+
+    pub fn with_config(n: u16, cfg: Config) -> Self {
+        Self {
+            engine: Engine::new(cfg, instance(n)),
+            now: Time::ZERO,
+            offset: 0,
+            appends: Vec::new(),
+            counted: Vec::new(),
+            stopped: false,
+            fetches: Vec::new(),
+            answers: Vec::new(),
+        }
+    }
+
+    pub fn feed(&mut self, input: Input) {
+        for output in self.engine.handle(self.now, input) {
+            match output {
+                Output::Append { number, record } => {
+                    self.appends.push((number, proto::decode(&record).unwrap()));
+                }
+                Output::Count(counter) => self.counted.push(counter),
+                Output::FetchState { from, next } => self.fetches.push((from, next)),
+                Output::Answer { outcome, .. } => self.answers.push(outcome),
+                Output::Stopped => self.stopped = true,
+                _ => {}
+            }
+        }
+    }
+
+    /// Lets time pass, timer by timer.
+    pub fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(due) = self.engine.next_timer().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            self.feed(Input::Tick);
+        }
+        self.now = end;
+    }
+
+    /// The records that the node asked to append since the last call.
+    pub fn appended(&mut self) -> Vec<(u64, Record)> {
+        std::mem::take(&mut self.appends)
+    }
+
+    pub fn one_append(&mut self) -> (u64, Record) {
+        let mut appends = self.appended();
+        assert_eq!(appends.len(), 1, "{appends:?}");
+        appends.remove(0)
+    }
+
+    /// The stream shows a record.
+    pub fn show(&mut self, record: &Record) {
+        let record = Bytes::from(proto::encode(record));
+        let offset = self.offset;
+        self.offset += 1;
+        self.feed(Input::Records(vec![(offset, record)]));
+        self.feed(Input::LogRead);
+    }
+
+    pub fn count(&self, counter: Counter) -> usize {
+        self.counted.iter().filter(|c| **c == counter).count()
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/log/main.rs
@@ -0,0 +1,6 @@
+//! The log controller of one node.
+
+mod appends;
+mod driver;
+mod outage;
+mod snapshots;
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -2,13 +2,18 @@
 //!
 //! This package does no I/O. It knows nothing about how records reach it, about calls or leases.
 
+mod fold;
 mod record;
+mod restore;
 mod state;
 
+pub use fold::MAX_NAME;
+pub use fold::MAX_RECORD;
 pub use record::Record;
 pub use state::Change;
 pub use state::Departure;
 pub use state::Rejection;
+pub use state::SnapshotMark;
 pub use state::State;
 pub use state::Verdict;
 pub use state::View;
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -1,6 +1,5 @@
-//! The fold.
+//! What the stream says, and the questions that it answers.
 
-use crate::Record;
 use indexmap::IndexMap;
 use proto::Incarnation;
 use proto::Instance;
@@ -9,9 +8,6 @@
 use stdx::data;
 use stdx::plain;
 
-/// How many verdicts on publications are kept for `bilberryctl`.
-const MAX_VERDICTS: usize = 256;
-
 data! {
     /// The order in which a service's instances came and went. The number only rises.
     pub struct View {
@@ -56,25 +52,47 @@
     }
 }
 
+plain! {
+    /// The newest snapshot in the stream.
+    pub struct SnapshotMark {
+        /// Where it stands.
+        pub offset: u64,
+        /// The first record that it does not cover; a reader needs the records from there on.
+        pub base: u64,
+    }
+}
+
 /// What a record changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
     /// Nothing.
     Nothing,
-    /// The record could not be read and was passed over.
+    /// The record could not be read, or breaks a bound, and was passed over.
     Broken,
     /// A rules file is in force.
     Rules,
     /// A publication was rejected.
     Rejected,
-    /// This service has a new view.
+    /// This service has a new view; perhaps others too.
     View(Arc<str>),
+    /// The whole state was taken from a snapshot. Read on from [`State::read_from`].
+    Restored,
     /// The offset was applied before.
     Old,
-    /// Records between the state and this offset are missing.
+    /// Records between [`State::read_from`] and this offset are missing; nothing was applied.
     Gap,
 }
 
+plain! {
+    /// The search for a snapshot, after records that the state lacks have expired.
+    pub(crate) struct Scan {
+        /// The oldest record that the log still has.
+        pub(crate) start: u64,
+        /// The next record to look at.
+        pub(crate) next: u64,
+    }
+}
+
 data! {
     /// What the stream says up to `next`.
     #[derive(Default)]
@@ -92,35 +110,25 @@
         pub verdicts: IndexMap<u128, Verdict>,
         /// The current view of each service.
         pub views: IndexMap<Arc<str>, View>,
+        /// Incarnations that went, oldest first. They never come back.
+        pub departed: IndexMap<Incarnation, Departure>,
+        /// The newest snapshot.
+        pub snapshot: Option<SnapshotMark>,
+        #[serde(skip)]
+        pub(crate) scan: Option<Scan>,
     }
 }
 
 impl State {
-    /// Folds the record at `offset`.
-    pub fn apply(&mut self, offset: u64, bytes: &[u8]) -> Change {
-        if offset < self.next {
-            return Change::Old;
-        }
-        let record = proto::decode::<Record>(bytes);
-        if offset > self.next {
-            return self.bridge(record.ok());
-        }
-        self.next = offset + 1;
-        match record {
-            Ok(Record::Publish {
-                expected,
-                publication,
-                operator,
-                file,
-            }) => self.publish(offset, expected, publication, operator, file),
-            Ok(Record::Join(instance)) => self.join(offset, instance),
-            Ok(Record::Leave(incarnation)) => self.depart(offset, incarnation, Departure::Left),
-            Ok(Record::Evict { incarnation, .. }) => {
-                self.depart(offset, incarnation, Departure::Evicted)
-            }
-            Ok(Record::Snapshot(_)) => Change::Nothing,
-            Err(_) => Change::Broken,
-        }
+    /// The offset that the log has to be read from.
+    pub fn read_from(&self) -> u64 {
+        self.scan.map_or(self.next, |scan| scan.next)
+    }
+
+    /// Whether records that this state lacks have expired, and no snapshot was found yet that
+    /// stands in for them.
+    pub fn is_scanning(&self) -> bool {
+        self.scan.is_some()
     }
 
     /// Every instance of every service, as the views have them.
@@ -139,102 +147,10 @@
         self.views.get(service)
     }
 
-    /// Parses the file again after the state itself was decoded.
-    pub fn restore(&mut self) {
-        self.rules = Arc::new(Rules::parse(&self.file).unwrap_or_default());
-    }
-
-    fn bridge(&mut self, record: Option<Record>) -> Change {
-        match record {
-            Some(Record::Snapshot(snapshot)) if snapshot.next >= self.next => {
-                *self = *snapshot;
-                self.restore();
-                Change::Rules
-            }
-            _ => Change::Gap,
-        }
-    }
-
-    fn publish(
-        &mut self,
-        offset: u64,
-        expected: u64,
-        publication: u128,
-        operator: Arc<str>,
-        file: Arc<str>,
-    ) -> Change {
-        // An operator's tool that lost the answer may append again; the first record counts.
-        if self.verdicts.contains_key(&publication) {
-            return Change::Nothing;
-        }
-        let parsed = Rules::parse(&file);
-        let result = match &parsed {
-            Ok(_) if expected == self.version => Ok(self.version + 1),
-            Ok(_) => Err(Rejection::Overtaken(self.version)),
-            Err(_) => Err(Rejection::BadFile),
-        };
-        if self.verdicts.len() == MAX_VERDICTS {
-            self.verdicts.shift_remove_index(0);
-        }
-        self.verdicts.insert(
-            publication,
-            Verdict {
-                operator,
-                offset,
-                result,
-            },
-        );
-        match (result, parsed) {
-            (Ok(version), Ok(rules)) => {
-                self.version = version;
-                self.file = file;
-                self.rules = Arc::new(rules);
-                Change::Rules
-            }
-            _ => Change::Rejected,
-        }
-    }
-
-    fn join(&mut self, offset: u64, instance: Instance) -> Change {
-        let service = instance.service.clone();
-        let view = self.views.entry(service.clone()).or_insert_with(|| View {
-            number: offset,
-            members: Vec::new(),
-            departed: Vec::new(),
-        });
-        if view
-            .members
-            .iter()
-            .any(|member| member.incarnation == instance.incarnation)
-        {
-            return Change::Nothing;
-        }
-        view.number = offset;
-        view.departed.clear();
-        // A newcomer at a member's address proves that the member's process has ended.
-        let (gone, stay) = view
-            .members
-            .drain(..)
-            .partition(|member| member.addr == instance.addr);
-        view.members = stay;
-        let gone: Vec<Instance> = gone;
-        view.departed
-            .extend(gone.iter().map(|old| (old.incarnation, Departure::Evicted)));
-        view.members.push(instance);
-        Change::View(service)
-    }
-
-    fn depart(&mut self, offset: u64, incarnation: Incarnation, how: Departure) -> Change {
-        for (service, view) in &mut self.views {
-            let before = view.members.len();
-            view.members
-                .retain(|member| member.incarnation != incarnation);
-            if view.members.len() < before {
-                view.number = offset;
-                view.departed = vec![(incarnation, how)];
-                return Change::View(service.clone());
-            }
-        }
-        Change::Nothing
+    /// Who published the rules of a version, if that is still known.
+    pub fn winner(&self, version: u64) -> Option<&Verdict> {
+        self.verdicts
+            .values()
+            .find(|verdict| verdict.result == Ok(version))
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod caller;
+mod fetch;
 mod log_reader;
 mod metrics;
 mod peers;
--- a/crates/node/src/log_reader.rs
+++ b/crates/node/src/log_reader.rs
@@ -2,17 +2,23 @@
 
 use crate::shell::Shell;
 use engine::Input;
+use logservice::Batch;
+use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// How long one read waits for new records.
 const WAIT: Duration = Duration::from_secs(5);
 
-/// How long to wait after a read that failed.
-const PAUSE: Duration = Duration::from_secs(1);
+/// How long to wait after the first read that failed; doubled up to [`MAX_PAUSE`].
+const MIN_PAUSE: Duration = Duration::from_millis(250);
+
+/// The longest wait after a read that failed. New rules have ten seconds to reach every node.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
 
 pub(crate) async fn run(shell: Rc<Shell>) {
     let mut wait = Duration::ZERO;
+    let mut pause = MIN_PAUSE;
     loop {
         let next = shell.engine.borrow().next_offset();
         let read = tokio::select! {
@@ -24,20 +30,34 @@
         };
         match read {
             Ok(batch) => {
-                let read_to_end = batch.records.last().map_or(next, |(offset, _)| offset + 1);
-                shell.feed(Input::Records(batch.records));
-                if read_to_end >= batch.end {
-                    shell.feed(Input::LogRead);
-                    wait = WAIT;
+                pause = MIN_PAUSE;
+                wait = if take(&shell, batch) {
+                    WAIT
                 } else {
-                    wait = Duration::ZERO;
-                }
+                    Duration::ZERO
+                };
             }
             Err(e) => {
-                log::warn!("{e}");
+                log::warn!("event=log_unreachable error=\"{e}\"");
                 shell.feed(Input::LogUnreachable);
-                tokio::time::sleep(PAUSE).await;
+                // The nodes lose the log together. A random part of the wait keeps them from
+                // coming back together, which a log that just got up might not survive.
+                tokio::time::sleep(pause.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+                pause = (pause * 2).min(MAX_PAUSE);
             }
         }
     }
 }
+
+/// Feeds a batch; says whether the stream was read to its end.
+fn take(shell: &Rc<Shell>, batch: Batch) -> bool {
+    shell.feed(Input::LogStart(batch.first));
+    let records = !batch.records.is_empty();
+    shell.feed(Input::Records(batch.records));
+    let next = shell.engine.borrow().next_offset();
+    let at_end = next >= batch.end;
+    if at_end || !records {
+        shell.feed(Input::LogRead);
+    }
+    at_end || !records
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,5 +1,6 @@
 //! TCP between nodes: one link to each node that there is something to say to.
 
+use crate::fetch;
 use crate::shell::Shell;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -37,7 +38,7 @@
 /// How long connecting and the first frame may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-type Wire = Framed<TcpStream, LengthDelimitedCodec>;
+pub(crate) type Wire = Framed<TcpStream, LengthDelimitedCodec>;
 
 /// Links by the node at their other end.
 #[derive(Default)]
@@ -127,6 +128,9 @@
     {
         return;
     }
+    if to.is_none() {
+        return fetch::answer(&shell, &mut wire).await;
+    }
     // Whoever expected an earlier incarnation at this address learns that it is gone.
     if to.is_some_and(|to| to != shell.me.incarnation) {
         return;
@@ -251,14 +255,14 @@
     SinkExt::<Bytes>::flush(wire).await
 }
 
-async fn read(wire: &mut Wire) -> Option<Result<Frame, proto::DecodeError>> {
+pub(crate) async fn read(wire: &mut Wire) -> Option<Result<Frame, proto::DecodeError>> {
     match wire.next().await? {
         Ok(bytes) => Some(decode(&bytes)),
         Err(_) => Some(Err(proto::DecodeError::Malformed)),
     }
 }
 
-async fn write(wire: &mut Wire, frame: &Frame) -> std::io::Result<()> {
+pub(crate) async fn write(wire: &mut Wire, frame: &Frame) -> std::io::Result<()> {
     wire.send(encode(frame)).await
 }
 
@@ -270,14 +274,14 @@
     proto::decode(bytes)
 }
 
-fn frame_wire(stream: TcpStream) -> Wire {
+pub(crate) fn frame_wire(stream: TcpStream) -> Wire {
     let _ = stream.set_nodelay(true);
     LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME)
         .new_framed(stream)
 }
 
-fn hello_frame(shell: &Shell, to: Option<Incarnation>) -> Frame {
+pub(crate) fn hello_frame(shell: &Shell, to: Option<Incarnation>) -> Frame {
     Frame::Hello {
         version: PROTOCOL_VERSION,
         from: shell.me.incarnation,
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Backend;
 use crate::caller;
+use crate::fetch;
 use crate::log_reader;
 use crate::metrics::Metrics;
 use crate::peers;
@@ -263,6 +264,7 @@
             }
             Output::CancelRun(run) => self.backend.cancel(run),
             Output::Append { number, record } => self.append(number, record),
+            Output::FetchState { from, next } => fetch::ask(self, from, next),
             Output::ReadLog => self.read_log.notify_one(),
             Output::Count(counter) => self.count(counter),
             Output::Stopped => self.stopped.notify_one(),
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -12,6 +12,8 @@
         Member {
             /// [`crate::PROTOCOL_VERSION`] of the sender.
             version: u16,
+            /// The next offset of the log that the sender lacks; a receiver that is behind asks it.
+            log_next: u64,
             /// The message.
             message: MemberMessage,
         },
--- a/crates/standin/examples/backend_server.rs
+++ b/crates/standin/examples/backend_server.rs
@@ -24,6 +24,7 @@
     let children = args.map(|arg| child(&arg)).collect();
     let work = Work {
         takes: Duration::from_millis(takes),
+        slots: 0,
         children,
     };
     let backend = Backend::start(addr, work)
