Homes: leases, fences, moves of slots and bounded records

The thin version let any owner start work with no lease and dropped records with their home: two homes could run one key after a pause, a kill or a change of view.

Weighed: a fence that asks a quorum of the last view only. Ruled out, because a granter that still lends its votes in an older view lets a lagging home hold a lease there while the last view counts as fenced. So a granter lends votes only to views at least as new as its own, and each view is fenced by itself. A grant names whom it is for: a restarted node at the same address counts its rounds anew. With two members there is no tie-break, or a crash of the older one could not be told from a pause.

--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -1,194 +1,360 @@
-//! The records of keys that this node is home to.
+//! A node as the home of slots: what it holds, and how views change that.
 
+use crate::fence::Fence;
+use crate::lease::Lease;
+use crate::owner::owner;
+use crate::records::Records;
+use crate::runs::Moved;
+use crate::slot::Give;
+use crate::slot::Held;
+use crate::slot::Move;
+use crate::slot::Receive;
+use crate::slot::Slot;
+use crate::Config;
+use crate::Effect;
 use indexmap::IndexMap;
-use proto::Fingerprint;
+use journal::Departure;
+use journal::View;
 use proto::Incarnation;
 use proto::Instance;
 use proto::KeyHash;
-use proto::LeaseMessage;
-use proto::Reason;
-use proto::Response;
-use proto::SlotTransfer;
+use proto::SLOTS;
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
+use stdx::Bounded;
 use stdx::Time;
 
-/// Bounds and times.
-#[derive(Debug, Clone)]
-pub struct Config {
-    /// The most bytes that records may take up.
-    pub max_bytes: usize,
-    /// How long a lease lasts after the round that won it was sent.
-    pub lease: Duration,
-    /// The least of the lease that must be left to start work.
-    pub margin: Duration,
-}
-
-impl Default for Config {
-    fn default() -> Self {
-        Self {
-            max_bytes: 8 << 20,
-            lease: Duration::from_secs(3),
-            margin: Duration::from_millis(300),
-        }
-    }
-}
-
-/// What the driver has to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Effect {
-    /// Send a lease message, as a datagram.
-    Lease {
-        /// To whom.
-        to: Instance,
-        /// What.
-        message: LeaseMessage,
-    },
-    /// Send a slot's records to its next home.
-    Transfer {
-        /// To whom.
-        to: Instance,
-        /// What.
-        transfer: SlotTransfer,
-    },
-    /// Tell the giver that a slot has arrived.
-    TransferDone {
-        /// To whom.
-        to: Incarnation,
-        /// The slot.
-        slot: u16,
-        /// The view that moved it.
-        view: u64,
-    },
-    /// A slot has become ready here; calls that were held for it can go on.
-    Ready(u16),
-}
-
-/// What a call with a key gets.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Begin {
-    /// No run with this key was ever started; the record now says that one is. Run it, then call
-    /// [`Home::finish`].
-    Start,
-    /// A run is under way here; wait for its end.
-    Attach,
-    /// A run is under way at an earlier home; ask there.
-    AttachAt(Incarnation),
-    /// It ended with this response.
-    Done(Response),
-    /// The slot is on its way here; ask again on [`Effect::Ready`].
-    Wait,
-    /// It did not run, for this reason.
-    NotRun(Reason),
-    /// It may have run.
-    Unknown,
-}
-
-/// How a run ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum End {
-    /// With a whole response.
-    Done(Response),
-    /// It certainly did not run, and the key may be used again.
-    NotRun,
-    /// Nobody can tell.
-    Unknown,
-}
-
-#[derive(Debug)]
-struct Record {
-    fingerprint: Fingerprint,
-    state: State,
-}
-
-#[derive(Debug)]
-enum State {
-    Running,
-    Done(Response),
-    Unknown,
-}
+/// The most past members whose addresses are kept, to answer their late messages.
+const MAX_KNOWN: usize = 1024;
 
 /// The records of keys that this node is home to, and its right to start work on them.
 #[derive(Debug)]
 pub struct Home {
-    cfg: Config,
-    me: Incarnation,
-    members: Vec<Instance>,
-    view: u64,
-    records: IndexMap<KeyHash, Record>,
-    bytes: usize,
+    pub(crate) cfg: Config,
+    pub(crate) me: Incarnation,
+    /// How long a record is kept after its run's end.
+    pub(crate) retention: Duration,
+    /// The longest that a run may take.
+    pub(crate) longest_run: Duration,
+    /// The newest view; `None` before the first.
+    pub(crate) view: Option<View>,
+    /// Whether this incarnation is or was a member.
+    pub(crate) joined: bool,
+    /// Work and grants have stopped for good.
+    pub(crate) leaving: bool,
+    /// Since when the views leave this incarnation out, until the driver is told.
+    expelled: Option<Time>,
+    pub(crate) lease: Lease,
+    pub(crate) next_round: Option<Time>,
+    pub(crate) fence: Fence,
+    /// A time at which the log's stream held no newer view; `None` before the first reading.
+    pub(crate) log_heard: Option<Time>,
+    pub(crate) slots: Vec<Slot>,
+    /// The slots with moves that are not over.
+    pub(crate) moving: BTreeSet<u16>,
+    pub(crate) records: Records,
+    /// Runs of this node whose slot has moved on meanwhile.
+    pub(crate) moved: IndexMap<KeyHash, Moved>,
+    pub(crate) known: Bounded<Incarnation, Instance>,
+    pub(crate) service: Arc<str>,
+    pub(crate) out: Vec<Effect>,
 }
 
 impl Home {
     /// A home to nothing yet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_once::{Config, Home};
+    ///
+    /// let home = Home::new(Config::default(), proto::Incarnation(1));
+    /// assert_eq!(home.view(), 0);
+    /// ```
     pub fn new(cfg: Config, me: Incarnation) -> Self {
         Self {
-            cfg,
             me,
-            members: Vec::new(),
-            view: 0,
-            records: IndexMap::new(),
-            bytes: 0,
+            retention: Duration::from_secs(15 * 60),
+            longest_run: Duration::from_secs(60),
+            view: None,
+            joined: false,
+            leaving: false,
+            expelled: None,
+            lease: Lease::default(),
+            next_round: None,
+            fence: Fence::default(),
+            log_heard: None,
+            slots: (0..SLOTS).map(|_| Slot::default()).collect(),
+            moving: BTreeSet::new(),
+            records: Records::new(cfg.reserve_bytes),
+            moved: IndexMap::new(),
+            known: Bounded::new(MAX_KNOWN),
+            service: "".into(),
+            out: Vec::new(),
+            cfg,
         }
     }
 
-    /// Takes the next view of this node's service from the log.
-    pub fn on_view(&mut self, _now: Time, view: u64, members: &[Instance]) -> Vec<Effect> {
-        self.view = view;
-        self.members = members.to_vec();
-        Vec::new()
+    /// Takes the rules' retention of keys, and the longest deadline of a run.
+    pub fn set_times(&mut self, retention: Duration, longest_run: Duration) {
+        self.retention = retention;
+        self.longest_run = longest_run;
     }
 
-    /// The newest view that was taken.
+    /// The number of the newest view that was taken; 0 before the first.
     pub fn view(&self) -> u64 {
-        self.view
+        self.view.as_ref().map_or(0, |view| view.number)
+    }
+
+    /// All views below this one are fenced, as far as this node knows.
+    pub fn fenced_below(&self) -> u64 {
+        self.fence.below()
+    }
+
+    /// How many slots are ready here.
+    pub fn ready_slots(&self) -> usize {
+        self.slots.iter().filter(|slot| slot.is_ready()).count()
+    }
+
+    /// How many records there are, and the bytes that they take up.
+    pub fn record_usage(&self) -> (usize, usize) {
+        (self.records.len(), self.records.bytes())
+    }
+
+    /// Whether nothing is left to hand over.
+    pub fn is_handed_over(&self) -> bool {
+        self.moved.is_empty() && self.moving.is_empty()
+    }
+
+    /// Takes a view of this node's service, as it was when this node began to read the stream in
+    /// its middle. Nothing is known of the time before.
+    pub fn on_baseline(&mut self, now: Time, view: &View) -> Vec<Effect> {
+        if self.joined {
+            // Views in between were missed, and with them perhaps moves from here and back. What
+            // this incarnation holds cannot be trusted any more.
+            self.expel();
+            return std::mem::take(&mut self.out);
+        }
+        self.learn(view);
+        self.fence = Fence::default();
+        self.fence.first(now, view.number, false);
+        self.view = Some(view.clone());
+        if is_member(&view.members, self.me) {
+            self.expel();
+        }
+        std::mem::take(&mut self.out)
     }
 
-    /// Begins a call with a key.
-    pub fn begin(&mut self, _now: Time, key: KeyHash, fingerprint: Fingerprint) -> Begin {
-        let home = crate::owner(&self.members, key.slot());
-        if home.is_none_or(|home| home.incarnation != self.me) {
-            return Begin::NotRun(Reason::Moving);
+    /// Takes the next view of this node's service from the log. None may be left out.
+    pub fn on_view(&mut self, now: Time, view: &View) -> Vec<Effect> {
+        if self
+            .view
+            .as_ref()
+            .is_some_and(|old| old.number >= view.number)
+        {
+            return Vec::new();
         }
-        if let Some(record) = self.records.get(&key) {
-            if record.fingerprint != fingerprint {
-                return Begin::NotRun(Reason::KeyMismatch);
+        self.learn(view);
+        let old = self.view.replace(view.clone());
+        match &old {
+            None => self.fence.first(now, view.number, true),
+            Some(old) => {
+                self.fence.next(now, view.number, &old.members);
+                self.note_departures(now, &old.members, view);
             }
-            return match &record.state {
-                State::Running => Begin::Attach,
-                State::Done(response) => Begin::Done(response.clone()),
-                State::Unknown => Begin::Unknown,
+        }
+        self.lease.retain(&view.members);
+        self.move_slots(now, old.as_ref(), view);
+        if is_member(&view.members, self.me) {
+            self.joined = true;
+            self.next_round = Some(now);
+        } else if self.joined {
+            self.next_round = None;
+            self.expelled = Some(now).filter(|_| !self.leaving);
+        }
+        self.advance(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// The log was read to its end.
+    pub fn on_log_read(&mut self, now: Time) {
+        let began = Time::ZERO + now.since(Time::ZERO + self.cfg.max_log_read);
+        self.log_heard = self.log_heard.max(Some(began));
+    }
+
+    /// Stops starting work and granting leases, for good. Only then may the log be told that this
+    /// node leaves: the others take that as its word that it starts nothing any more.
+    pub fn leave(&mut self, _now: Time) -> Vec<Effect> {
+        self.leaving = true;
+        for slot in 0..SLOTS {
+            self.recall(slot);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Does what is due. Call when [`Home::next_timer`] has come, at the latest.
+    pub fn tick(&mut self, now: Time) -> Vec<Effect> {
+        self.run_round(now);
+        self.expire(now);
+        self.advance(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// When [`Home::tick`] is due.
+    pub fn next_timer(&self) -> Option<Time> {
+        let fence = self.fence.due(&self.cfg);
+        let moving = self
+            .moving
+            .iter()
+            .map(|slot| &self.slots[usize::from(*slot)]);
+        let moves = moving.filter_map(|slot| self.slot_due(slot));
+        let moved = self.moved.values().filter_map(|moved| moved.send_at);
+        [self.next_round, fence, self.records.next_end()]
+            .into_iter()
+            .flatten()
+            .chain(moves)
+            .chain(moved)
+            .min()
+    }
+
+    /// When a slot's next move needs attention.
+    fn slot_due(&self, slot: &Slot) -> Option<Time> {
+        match slot.moves.front()? {
+            Move::Give(give) => Some(give.send_at),
+            // After that the fence's own time counts.
+            Move::Receive(receive) => receive.lost.filter(|_| self.fence.below() >= receive.view),
+        }
+    }
+
+    fn learn(&mut self, view: &View) {
+        for member in &view.members {
+            self.service = member.service.clone();
+            self.known.insert(member.incarnation, member.clone());
+        }
+    }
+
+    fn expel(&mut self) {
+        self.leaving = true;
+        self.out.push(Effect::Expelled);
+    }
+
+    /// What it means for slots under way that members have gone.
+    fn note_departures(&mut self, now: Time, old: &[Instance], view: &View) {
+        for (who, how) in &view.departed {
+            let replaced = old
+                .iter()
+                .find(|member| member.incarnation == *who)
+                .is_some_and(|gone| view.members.iter().any(|member| member.addr == gone.addr));
+            // The port of a process that still runs cannot be bound again, and a node says that it
+            // leaves only after it has stopped.
+            if replaced || *how == Departure::Left {
+                self.fence.ended(*who);
+            }
+            let lost = match how {
+                Departure::Evicted => now,
+                Departure::Left => now + self.cfg.transfer_timeout,
             };
+            for slot in &mut self.slots {
+                mark_lost(slot, *who, lost);
+            }
         }
-        if self.bytes >= self.cfg.max_bytes {
-            return Begin::NotRun(Reason::TableFull);
+    }
+
+    /// Takes queued runs of a slot back. They are not records yet, so the next home would not know
+    /// of them; left in the queue, one could start after the slot came back and was begun anew.
+    fn recall(&mut self, slot: u16) {
+        for key in self.records.queued(slot) {
+            self.records.remove(key);
+            self.out.push(Effect::Recall(key));
         }
-        self.records.insert(
-            key,
-            Record {
-                fingerprint,
-                state: State::Running,
-            },
-        );
-        Begin::Start
-    }
-
-    /// Ends the run of a key.
-    pub fn finish(&mut self, _now: Time, key: KeyHash, end: End) {
-        match end {
-            End::NotRun => {
-                self.records.swap_remove(&key);
+    }
+
+    /// Enters the moves of slots from or to this node.
+    fn move_slots(&mut self, now: Time, old: Option<&View>, view: &View) {
+        for slot in 0..SLOTS {
+            let before = old.and_then(|old| owner(&old.members, slot));
+            let after = owner(&view.members, slot);
+            if before.map(|owner| owner.incarnation) == after.map(|owner| owner.incarnation) {
+                continue;
             }
-            End::Done(response) => {
-                self.bytes += response.size();
-                self.set(key, State::Done(response));
+            if before.is_some_and(|owner| owner.incarnation == self.me) {
+                self.recall(slot);
+                self.moving.insert(slot);
+                let entry = &mut self.slots[usize::from(slot)];
+                entry.moves.extend(after.map(|to| {
+                    Move::Give(Give {
+                        view: view.number,
+                        to: to.clone(),
+                        parts: Vec::new(),
+                        send_at: now,
+                        lost: None,
+                    })
+                }));
             }
-            End::Unknown => self.set(key, State::Unknown),
+            if after.is_none_or(|owner| owner.incarnation != self.me) {
+                continue;
+            }
+            let entry = &mut self.slots[usize::from(slot)];
+            if old.is_none() {
+                // The service's first member ever: there is nothing to know.
+                entry.held = Some(Held::CERTAIN);
+                continue;
+            }
+            self.moving.insert(slot);
+            let from = before.map(|owner| owner.incarnation);
+            entry.moves.push_back(Move::Receive(Receive {
+                view: view.number,
+                from,
+                since: now,
+                lost: departed_at(now, &self.cfg, view, from),
+                expected: None,
+                doubt_until: Time::ZERO,
+                parts: IndexMap::new(),
+            }));
         }
     }
 
-    fn set(&mut self, key: KeyHash, state: State) {
-        if let Some(record) = self.records.get_mut(&key) {
-            record.state = state;
+    /// Tells the driver once that this incarnation is over.
+    pub(crate) fn check_expelled(&mut self, now: Time) {
+        let Some(since) = self.expelled else {
+            return;
+        };
+        let patience = self.longest_run + self.cfg.transfer_timeout;
+        if self.is_handed_over() || since + patience <= now {
+            self.expelled = None;
+            self.expel();
+        }
+    }
+}
+
+pub(crate) fn is_member(members: &[Instance], who: Incarnation) -> bool {
+    members.iter().any(|member| member.incarnation == who)
+}
+
+/// From when on the giver of a slot is not waited for any more; `None` while it is a member.
+fn departed_at(now: Time, cfg: &Config, view: &View, from: Option<Incarnation>) -> Option<Time> {
+    let Some(from) = from else {
+        return Some(now);
+    };
+    let departed = view.departed.iter().find(|(who, _)| *who == from);
+    departed.map(|(_, how)| match how {
+        Departure::Evicted => now,
+        Departure::Left => now + cfg.transfer_timeout,
+    })
+}
+
+/// A slot's giver or receiver has gone.
+fn mark_lost(slot: &mut Slot, who: Incarnation, at: Time) {
+    for step in &mut slot.moves {
+        match step {
+            Move::Receive(receive) if receive.from == Some(who) => {
+                receive.lost.get_or_insert(at);
+            }
+            Move::Give(give) if give.to.incarnation == who => {
+                give.lost.get_or_insert(at);
+            }
+            _ => {}
         }
     }
 }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,14 +1,26 @@
 //! At most once: who is home to a key, whether the home may start work, and what it remembers.
 //!
 //! This package does no I/O and reads no clock. It knows nothing about load, HTTP or how a run is
-//! done.
+//! done. docs/AT_MOST_ONCE.md has the design.
 
+mod config;
+mod effect;
+mod fence;
 mod home;
+mod lease;
 mod owner;
+mod records;
+mod runs;
+mod slot;
+mod transfers;
+mod view;
+mod votes;
 
-pub use home::Begin;
-pub use home::Config;
-pub use home::Effect;
-pub use home::End;
+pub use config::Config;
+pub use effect::Begin;
+pub use effect::Effect;
+pub use effect::End;
+pub use effect::Fault;
 pub use home::Home;
 pub use owner::owner;
+pub use view::is_quorum;
--- /dev/null
+++ b/crates/once/tests/common/mod.rs
@@ -0,0 +1,343 @@
+//! Several homes on a clock of their own, with a fake for the log and one for the network.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use bilberry_once::Begin;
+use bilberry_once::Config;
+use bilberry_once::Effect;
+use bilberry_once::End;
+use bilberry_once::Home;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use journal::Departure;
+use journal::View;
+use proto::Fingerprint;
+use proto::Incarnation;
+use proto::Instance;
+use proto::KeyHash;
+use proto::KeyRecord;
+use proto::LeaseMessage;
+use proto::Response;
+use proto::SlotTransfer;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use stdx::Time;
+
+pub const FINGERPRINT: Fingerprint = Fingerprint(7);
+
+#[derive(Debug, Clone)]
+pub enum Packet {
+    Lease(SocketAddr, LeaseMessage),
+    Transfer(SlotTransfer),
+    TransferDone(u16, u64),
+    Finished(KeyRecord),
+    FinishedDone(KeyHash),
+    RunEnds(KeyHash, End),
+    View(usize),
+}
+
+pub struct Node {
+    pub home: Home,
+    pub instance: Instance,
+    pub paused: bool,
+    pub sees_log: bool,
+    pub views: usize,
+    /// Effects for the driver.
+    pub seen: Vec<Effect>,
+}
+
+/// What the network does to a packet: `None` loses it, else each time is the delay of a copy.
+pub type Fate = Box<dyn FnMut(u64, u64, &Packet) -> Vec<Duration>>;
+
+pub struct Cluster {
+    pub now: Time,
+    pub nodes: IndexMap<u64, Node>,
+    pub log: Vec<View>,
+    pub fate: Fate,
+    pub run: Duration,
+    /// Runs started, by key.
+    pub starts: IndexMap<KeyHash, u32>,
+    wire: BTreeMap<(Time, u64), (u64, u64, Packet)>,
+    sent: u64,
+    pub cfg: Config,
+    /// Bytes of lease datagrams, by sender.
+    pub lease_bytes: IndexMap<u64, usize>,
+}
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn instance(number: u64, port: u16) -> Instance {
+    Instance {
+        incarnation: Incarnation(number),
+        service: "press".into(),
+        failure_domain: format!("domain-{}", number % 6).into(),
+        region: format!("region-{}", number % 6 / 2).into(),
+        addr: ([127, 0, 0, 1], port).into(),
+    }
+}
+
+pub fn response() -> Response {
+    Response {
+        status: 200,
+        headers: Vec::new(),
+        body: "done".into(),
+    }
+}
+
+impl Cluster {
+    /// A service whose members joined one after the other, everything settled.
+    pub fn new(members: u64) -> Self {
+        let mut cluster = Self {
+            now: Time::ZERO + ms(100_000),
+            nodes: IndexMap::new(),
+            log: Vec::new(),
+            fate: Box::new(|_, _, _| vec![ms(1)]),
+            run: ms(50),
+            starts: IndexMap::new(),
+            wire: BTreeMap::new(),
+            sent: 0,
+            cfg: Config::default(),
+            lease_bytes: IndexMap::new(),
+        };
+        for number in 1..=members {
+            cluster.join(number, number as u16);
+            cluster.advance(ms(500));
+        }
+        cluster.advance(ms(8_000));
+        cluster
+    }
+
+    pub fn node(&self, number: u64) -> &Node {
+        &self.nodes[&number]
+    }
+
+    pub fn home(&mut self, number: u64) -> &mut Home {
+        &mut self.nodes[&number].home
+    }
+
+    /// Starts a node and lets it join; a member at the same address has gone with that.
+    pub fn join(&mut self, number: u64, port: u16) {
+        let instance = instance(number, port);
+        let node = Node {
+            home: Home::new(self.cfg.clone(), instance.incarnation),
+            instance: instance.clone(),
+            paused: false,
+            sees_log: true,
+            views: 0,
+            seen: Vec::new(),
+        };
+        self.nodes.insert(number, node);
+        let mut members = self.members();
+        let gone = members.iter().find(|old| old.addr == instance.addr);
+        let departed = gone.map(|old| (old.incarnation, Departure::Evicted));
+        members.retain(|old| old.addr != instance.addr);
+        members.push(instance);
+        self.append(members, departed.into_iter().collect());
+    }
+
+    pub fn members(&self) -> Vec<Instance> {
+        self.log
+            .last()
+            .map_or(Vec::new(), |view| view.members.clone())
+    }
+
+    pub fn depart(&mut self, number: u64, how: Departure) {
+        let mut members = self.members();
+        members.retain(|member| member.incarnation.0 != number);
+        self.append(members, vec![(Incarnation(number), how)]);
+    }
+
+    /// A planned leave, up to the log's record.
+    pub fn leave(&mut self, number: u64) {
+        let now = self.now;
+        let effects = self.home(number).leave(now);
+        self.apply(number, effects);
+        self.depart(number, Departure::Left);
+    }
+
+    pub fn crash(&mut self, number: u64) {
+        self.nodes.shift_remove(&number);
+    }
+
+    fn append(&mut self, members: Vec<Instance>, departed: Vec<(Incarnation, Departure)>) {
+        let number = self.log.len() as u64 * 10 + 5;
+        self.log.push(View {
+            number,
+            members,
+            departed,
+        });
+        self.read_log();
+    }
+
+    /// Lets all nodes that see the log read it.
+    pub fn read_log(&mut self) {
+        let all = self.log.len();
+        let numbers: Vec<u64> = self.nodes.keys().copied().collect();
+        for number in numbers {
+            let node = &mut self.nodes[&number];
+            if !node.sees_log || node.paused {
+                continue;
+            }
+            let from = std::mem::replace(&mut node.views, all);
+            for view in from..all {
+                let view = self.log[view].clone();
+                let now = self.now;
+                let effects = self.home(number).on_view(now, &view);
+                self.apply(number, effects);
+            }
+            let now = self.now;
+            self.home(number).on_log_read(now);
+        }
+    }
+
+    /// A call with a key at a node. A run that starts ends whole after `self.run`.
+    pub fn call(&mut self, number: u64, key: KeyHash, fresh: bool) -> Begin {
+        let now = self.now;
+        let begin = self.home(number).begin(now, key, FINGERPRINT, fresh);
+        if begin != Begin::Start {
+            return begin;
+        }
+        let end = match self.home(number).start(now, key) {
+            Ok(_) => {
+                *self.starts.entry(key).or_default() += 1;
+                End::Done(response())
+            }
+            Err(_) => End::NotRun,
+        };
+        self.put(number, number, self.run, Packet::RunEnds(key, end));
+        begin
+    }
+
+    pub fn advance(&mut self, time: Duration) {
+        let until = self.now + time;
+        loop {
+            let packet = self.wire.keys().next().map(|(at, _)| *at);
+            let awake = self.nodes.values().filter(|node| !node.paused);
+            let timer = awake.filter_map(|node| node.home.next_timer()).min();
+            let Some(next) = packet
+                .into_iter()
+                .chain(timer)
+                .min()
+                .filter(|at| *at <= until)
+            else {
+                break;
+            };
+            self.now = self.now.max(next);
+            if packet.is_some_and(|at| at <= self.now) {
+                let (_, (from, to, packet)) = self.wire.pop_first().unwrap();
+                self.deliver(from, to, packet);
+            } else {
+                self.tick();
+            }
+        }
+        self.now = until;
+    }
+
+    fn tick(&mut self) {
+        let numbers: Vec<u64> = self.nodes.keys().copied().collect();
+        let now = self.now;
+        for number in numbers {
+            let node = &mut self.nodes[&number];
+            if !node.paused && node.home.next_timer().is_some_and(|due| due <= now) {
+                let effects = node.home.tick(now);
+                self.apply(number, effects);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: u64, to: u64, packet: Packet) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&to) else {
+            return;
+        };
+        if node.paused {
+            // It waits in the socket's buffer.
+            return self.put(from, to, ms(50), packet);
+        }
+        let giver = Incarnation(from);
+        let home = &mut node.home;
+        let effects = match packet {
+            Packet::Lease(addr, message) => home.on_lease(now, addr, message),
+            Packet::Transfer(transfer) => home.on_transfer(now, transfer),
+            Packet::TransferDone(slot, view) => home.on_transfer_done(now, giver, slot, view),
+            Packet::Finished(record) => home.on_finished(now, giver, record),
+            Packet::FinishedDone(key) => home.on_finished_done(now, key),
+            Packet::RunEnds(key, end) => home.finish(now, key, end),
+            Packet::View(_) => Vec::new(),
+        };
+        self.apply(to, effects);
+    }
+
+    pub fn apply(&mut self, number: u64, effects: Vec<Effect>) {
+        for effect in effects {
+            let (to, packet) = match &effect {
+                Effect::Lease { to, message } => {
+                    let bytes = proto::encode(message).len();
+                    *self.lease_bytes.entry(number).or_default() += bytes;
+                    let mine = self.nodes[&number].instance.addr;
+                    let at = self.nodes.values().find(|node| node.instance.addr == *to);
+                    (
+                        at.map(|node| node.instance.incarnation),
+                        Packet::Lease(mine, *message),
+                    )
+                }
+                Effect::Transfer { to, transfer } => {
+                    (Some(to.incarnation), Packet::Transfer(transfer.clone()))
+                }
+                Effect::TransferDone { to, slot, view } => {
+                    (Some(to.incarnation), Packet::TransferDone(*slot, *view))
+                }
+                Effect::Finished { to, record } => {
+                    (Some(to.incarnation), Packet::Finished(record.clone()))
+                }
+                Effect::FinishedDone { to, key } => {
+                    (Some(to.incarnation), Packet::FinishedDone(*key))
+                }
+                Effect::Fault(fault) => panic!("node {number}: {fault:?}"),
+                _ => {
+                    self.nodes[&number].seen.push(effect);
+                    continue;
+                }
+            };
+            let Some(to) = to else {
+                continue;
+            };
+            for delay in (self.fate)(number, to.0, &packet) {
+                self.put(number, to.0, delay, packet.clone());
+            }
+        }
+    }
+
+    fn put(&mut self, from: u64, to: u64, delay: Duration, packet: Packet) {
+        self.sent += 1;
+        let at = (self.now + delay, self.sent);
+        self.wire.insert(at, (from, to, packet));
+    }
+
+    /// Some key whose slot `number` owns in the newest view, different for each `nth`.
+    pub fn key_of(&self, number: u64, nth: usize) -> KeyHash {
+        let members = self.members();
+        let owned = |key: &KeyHash| {
+            bilberry_once::owner(&members, key.slot())
+                .unwrap()
+                .incarnation
+                .0
+                == number
+        };
+        (0..).map(KeyHash).filter(owned).nth(nth).unwrap()
+    }
+
+    pub fn ready(&self) -> Vec<(u64, usize)> {
+        let ready = |(number, node): (&u64, &Node)| (*number, node.home.ready_slots());
+        self.nodes.iter().map(ready).collect()
+    }
+
+    pub fn all_ready(&self) -> bool {
+        let ready: IndexSet<u64> = self.members().iter().map(|m| m.incarnation.0).collect();
+        let ready = self.ready().into_iter().filter(|(n, _)| ready.contains(n));
+        ready.map(|(_, ready)| ready).sum::<usize>() == usize::from(proto::SLOTS)
+    }
+}
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -37,18 +37,23 @@
             /// Counts the sender's rounds; a grant names the round it answers.
             round: u64,
         },
-        /// Says which view the granter is in. A granter that has seen a view without the asker
-        /// never grants it anything again.
+        /// Says which view the granter is in. A granter that has seen a newer view than the asker
+        /// grants it nothing until the asker has caught up.
         Grant {
             /// Who grants.
             from: Incarnation,
+            /// Who asked. A restarted node at the same address counts its rounds anew and would
+            /// otherwise take a late grant to its predecessor for its own.
+            to: Incarnation,
             /// The newest view that the granter knows.
             view: u64,
             /// All views below this one are fenced, as far as the granter knows.
             fenced_below: u64,
             /// The round that is answered.
             round: u64,
-            /// Whether the asker is in the granter's view.
+            /// Milliseconds since the granter, or whoever told it, began to read the log to its end.
+            log_age_ms: u32,
+            /// Whether the granter lends its votes: it knows no view newer than the asker's.
             granted: bool,
         },
     }
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -6,6 +6,7 @@
 use crate::Fingerprint;
 use crate::Incarnation;
 use crate::KeyHash;
+use crate::KeyRecord;
 use crate::Request;
 use crate::SlotTransfer;
 use bytes::Bytes;
@@ -47,6 +48,10 @@
             /// The view that moved it.
             view: u64,
         },
+        /// A run has ended whose record moved to the receiver while it was under way.
+        Finished(Box<KeyRecord>),
+        /// The receiver of [`Frame::Finished`] has put it in its records.
+        FinishedDone(KeyHash),
         /// Asks for the log's state, from a node that cannot reach the log.
         FetchState {
             /// The next offset that the sender lacks.
--- a/crates/proto/src/transfer.rs
+++ b/crates/proto/src/transfer.rs
@@ -29,6 +29,8 @@
         Done(Response),
         /// It may have run; nobody can tell any more.
         Unknown,
+        /// It certainly did not run; the record is void and the key may be used again.
+        NotRun,
     }
 }
 
@@ -43,7 +45,11 @@
         pub view: u64,
         /// Who gives it. It has stopped starting work in this slot.
         pub from: Incarnation,
-        /// All live records of the slot.
+        /// The count of this part, from 0. A slot whose records do not fit one frame has several.
+        pub part: u16,
+        /// How many parts there are.
+        pub parts: u16,
+        /// The live records of the slot, in this part.
         pub records: Vec<KeyRecord>,
         /// Milliseconds for which keys that are in no record may have run all the same, because
         /// an earlier home was lost with its records; 0 if there is no such doubt.
