--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -42,8 +42,12 @@
         PeerChanged,
         /// A view of this node's service was taken.
         ViewTaken,
-        /// A slot moved to another node.
+        /// A slot moved here from another node.
         SlotMoved,
+        /// The log's views leave this incarnation out.
+        Expelled,
+        /// An invariant did not hold: a bug.
+        Fault,
     }
 }
 
@@ -77,6 +81,8 @@
             Counter::PeerChanged => "peer_changed".to_owned(),
             Counter::ViewTaken => "view_taken".to_owned(),
             Counter::SlotMoved => "slot_moved".to_owned(),
+            Counter::Expelled => "expelled".to_owned(),
+            Counter::Fault => "fault".to_owned(),
         }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::Outgoing;
 use crate::entry::OpenRequest;
+use crate::homes::HeldCalls;
 use crate::homes::KeyWork;
 use crate::log::LogLink;
 use crate::serve::Inbound;
@@ -63,6 +64,10 @@
     pub(crate) jobs: IndexMap<RunId, Job>,
     /// Who waits for the run of a key.
     pub(crate) keys: IndexMap<KeyHash, KeyWork>,
+    /// Calls that wait for a slot on its way here.
+    pub(crate) held: HeldCalls,
+    /// The log's views leave this incarnation out.
+    pub(crate) expelled: bool,
     pub(crate) timers: Timers,
     pub(crate) stopping: bool,
     next_number: u64,
@@ -105,6 +110,8 @@
             answered: Bounded::new(ANSWERS_KEPT),
             jobs: IndexMap::new(),
             keys: IndexMap::new(),
+            held: HeldCalls::new(),
+            expelled: false,
             timers: Timers::default(),
             stopping: false,
             next_number: 0,
@@ -153,6 +160,7 @@
         [
             self.timers.next(),
             self.members.next_timer(),
+            self.home.next_timer(),
             self.server.next_timer(),
         ]
         .into_iter()
@@ -179,10 +187,12 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Deadline(call) => self.on_deadline(now, call),
+                Timer::Held(call) => self.on_held_too_long(call),
                 Timer::Append => self.on_append_timer(now),
             }
         }
         self.tick_members(now);
+        self.tick_home(now);
         self.pump_server(now);
     }
 
@@ -200,7 +210,11 @@
             Frame::Answer(id, answer) => self.on_answer(now, from, id, *answer),
             Frame::Cancel(id) => self.on_cancel(now, from, id),
             // The shell answers the frames that are about the connection itself.
-            _ => self.count(Counter::Unexpected),
+            frame => {
+                if !self.on_home_frame(now, from, frame) {
+                    self.count(Counter::Unexpected);
+                }
+            }
         }
     }
 
@@ -229,8 +243,9 @@
         Refusal::new(reason, RETRY_AFTER)
     }
 
-    fn on_stop(&mut self, now: Time) {
+    pub(crate) fn on_stop(&mut self, now: Time) {
         self.stopping = true;
+        self.leave_home(now);
         self.leave_members(now);
         self.leave_log();
     }
--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -1,34 +1,64 @@
 //! Calls with a key, at the key's home.
 
+use crate::engine::RETRY_AFTER;
 use crate::serve::Inbound;
 use crate::serve::JobOwner;
 use crate::serve::Work;
+use crate::timers::Timer;
 use crate::Counter;
 use crate::Engine;
+use crate::Output;
+use indexmap::IndexMap;
 use once::Begin;
+use once::Effect;
 use once::End;
 use proto::Call;
 use proto::CallId;
+use proto::Datagram;
+use proto::Frame;
+use proto::Incarnation;
 use proto::KeyHash;
+use proto::LeaseMessage;
 use proto::Outcome;
 use proto::Reason;
 use proto::RunId;
+use proto::PROTOCOL_VERSION;
+use std::net::SocketAddr;
+use std::time::Duration;
 use stdx::Time;
 
-/// The run of a key that is under way here.
+/// The most calls that wait for slots on their way.
+const MAX_HELD: usize = 1024;
+
+/// How long a call waits for a slot on its way.
+const HOLD: Duration = Duration::from_secs(2);
+
+/// The run of a key that is under way.
 #[derive(Debug)]
 pub(crate) struct KeyWork {
-    run: RunId,
+    /// `None` if it runs at an earlier home.
+    run: Option<RunId>,
     waiting: Vec<CallId>,
 }
 
+/// A call that waits for its slot.
+#[derive(Debug)]
+pub(crate) struct HeldCall {
+    call: Call,
+    key: KeyHash,
+    until: Time,
+}
+
+/// Calls that wait for their slots, by id.
+pub(crate) type HeldCalls = IndexMap<CallId, HeldCall>;
+
 impl Engine {
     pub(crate) fn on_home_call(&mut self, now: Time, call: Call) {
         let (id, allowance) = (call.id, call.allowance);
         let Some((key, fingerprint)) = call.key else {
             return self.answer_call(id, allowance, self.not_run(Reason::BadKey));
         };
-        match self.home.begin(now, key, fingerprint) {
+        match self.home.begin(now, key, fingerprint, call.fresh) {
             Begin::Start => self.start_key(now, key, call),
             Begin::Attach => self.attach(key, id, allowance),
             Begin::Done(response) => {
@@ -39,9 +69,7 @@
             Begin::Unknown => {
                 self.answer_call(id, allowance, Outcome::Unknown(Reason::RecordLost));
             }
-            Begin::AttachAt(_) | Begin::Wait => {
-                self.answer_call(id, allowance, self.not_run(Reason::Moving));
-            }
+            Begin::Wait => self.hold(now, key, call),
         }
     }
 
@@ -51,34 +79,81 @@
         self.keys.insert(
             key,
             KeyWork {
-                run,
+                run: Some(run),
                 waiting: vec![id],
             },
         );
-        self.inbound.insert(
-            id,
-            Inbound {
-                work: Work::Key(key),
-            },
-        );
+        self.wait_for_key(key, id);
         self.offer(now, run);
     }
 
     /// A re-send waits for the run in flight, and gives its own allowance back unspent.
-    fn attach(&mut self, key: KeyHash, id: CallId, allowance: u16) {
-        let Some(work) = self.keys.get_mut(&key) else {
-            return self.answer_call(id, allowance, Outcome::Unknown(Reason::RecordLost));
-        };
+    fn attach(&mut self, key: KeyHash, id: CallId, _allowance: u16) {
+        let work = self.keys.entry(key).or_insert_with(|| KeyWork {
+            run: None,
+            waiting: Vec::new(),
+        });
         work.waiting.push(id);
-        self.inbound.insert(
-            id,
-            Inbound {
-                work: Work::Key(key),
-            },
-        );
+        self.wait_for_key(key, id);
         self.count(Counter::Attached);
     }
 
+    fn wait_for_key(&mut self, key: KeyHash, id: CallId) {
+        let work = Work::Key(key);
+        self.inbound.insert(id, Inbound { work });
+    }
+
+    /// The slot is on its way. A refusal would send the call round the nodes while the records are
+    /// under way for a few milliseconds; so it waits, for a bounded time, in a bounded table.
+    fn hold(&mut self, now: Time, key: KeyHash, call: Call) {
+        let (id, allowance) = (call.id, call.allowance);
+        if self.held.len() >= MAX_HELD {
+            return self.answer_call(id, allowance, self.not_run(Reason::Moving));
+        }
+        let until = now + HOLD.min(Duration::from_millis(u64::from(call.remaining_ms)));
+        self.timers.set(until, Timer::Held(id));
+        self.inbound.insert(id, Inbound { work: Work::Held });
+        self.held.insert(id, HeldCall { call, key, until });
+    }
+
+    fn take_held(&mut self, id: CallId) -> Option<HeldCall> {
+        let held = self.held.swap_remove(&id)?;
+        self.timers.clear(held.until, Timer::Held(id));
+        self.inbound.swap_remove(&id);
+        Some(held)
+    }
+
+    /// A call has waited long enough.
+    pub(crate) fn on_held_too_long(&mut self, id: CallId) {
+        if let Some(held) = self.take_held(id) {
+            self.answer_call(id, held.call.allowance, self.not_run(Reason::Moving));
+        }
+    }
+
+    pub(crate) fn cancel_held(&mut self, id: CallId) {
+        if let Some(held) = self.take_held(id) {
+            self.answer_call(id, held.call.allowance, self.not_run(Reason::CallerGone));
+        }
+    }
+
+    /// Calls that waited for a slot begin again.
+    fn release(&mut self, now: Time, slot: u16) {
+        let waiting = self.held.iter();
+        let waiting: Vec<CallId> = waiting
+            .filter(|(_, held)| held.key.slot() == slot)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in waiting {
+            let Some(mut held) = self.take_held(id) else {
+                continue;
+            };
+            let waited = HOLD.saturating_sub(now.until(held.until));
+            let waited = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
+            held.call.remaining_ms = held.call.remaining_ms.saturating_sub(waited);
+            self.on_home_call(now, held.call);
+        }
+    }
+
     /// The run of a key has ended: the record first, then everyone who waits.
     pub(crate) fn end_key(&mut self, now: Time, key: KeyHash, unspent: u16, outcome: Outcome) {
         let end = match &outcome {
@@ -86,14 +161,15 @@
             Outcome::NotRun(_) => End::NotRun,
             Outcome::Unknown(_) => End::Unknown,
         };
-        self.home.finish(now, key, end);
+        let effects = self.home.finish(now, key, end);
         let Some(work) = self.keys.swap_remove(&key) else {
-            return;
+            return self.apply_home(now, effects);
         };
         for (id, first) in work.waiting.into_iter().zip((0..).map(|n| n == 0)) {
             let unspent = if first { unspent } else { 0 };
             self.answer_call(id, unspent, outcome.clone());
         }
+        self.apply_home(now, effects);
     }
 
     /// A caller has gone. A run that began goes on and keeps its record; only one that nobody
@@ -104,9 +180,146 @@
             return;
         };
         work.waiting.retain(|waiting| *waiting != id);
-        let run = work.run;
-        if work.waiting.is_empty() && self.server.withdraw(run.number) {
-            self.withdraw_job(now, run);
+        if !work.waiting.is_empty() {
+            return;
+        }
+        match work.run {
+            Some(run) if self.server.withdraw(run.number) => self.withdraw_job(now, run),
+            Some(_) => {}
+            None => {
+                self.keys.swap_remove(&key);
+            }
+        }
+    }
+
+    /// Whether a job may start now, and for how long it may still be on its way to the server.
+    pub(crate) fn right_to_start(
+        &mut self,
+        now: Time,
+        owner: JobOwner,
+    ) -> Result<Option<Duration>, Reason> {
+        match owner {
+            JobOwner::Call(_) => Ok(None),
+            JobOwner::Key(key) => self.home.start(now, key).map(Some),
+        }
+    }
+
+    pub(crate) fn on_lease_message(&mut self, now: Time, from: SocketAddr, message: LeaseMessage) {
+        let effects = self.home.on_lease(now, from, message);
+        self.apply_home(now, effects);
+    }
+
+    /// Frames about slots and records; `false` for all others.
+    pub(crate) fn on_home_frame(&mut self, now: Time, from: Incarnation, frame: Frame) -> bool {
+        let effects = match frame {
+            Frame::Transfer(transfer) => self.home.on_transfer(now, *transfer),
+            Frame::TransferDone { slot, view } => self.home.on_transfer_done(now, from, slot, view),
+            Frame::Finished(record) => self.home.on_finished(now, from, *record),
+            Frame::FinishedDone(key) => self.home.on_finished_done(now, key),
+            _ => return false,
+        };
+        self.apply_home(now, effects);
+        true
+    }
+
+    pub(crate) fn tick_home(&mut self, now: Time) {
+        if self.home.next_timer().is_some_and(|due| due <= now) {
+            let effects = self.home.tick(now);
+            self.apply_home(now, effects);
+        }
+    }
+
+    /// Takes the service's view from the log's state, if it is newer than the home's. `next` says
+    /// that it follows the home's view with none between them.
+    pub(crate) fn update_home(&mut self, now: Time, next: bool) {
+        let Some(view) = self.journal.view(&self.me.service) else {
+            return;
+        };
+        if view.number <= self.home.view() {
+            return;
+        }
+        let effects = if next {
+            self.home.on_view(now, view)
+        } else {
+            self.home.on_baseline(now, view)
+        };
+        self.count(Counter::ViewTaken);
+        self.apply_home(now, effects);
+    }
+
+    /// Stops starting work as a home, before the log is told that this node leaves.
+    pub(crate) fn leave_home(&mut self, now: Time) {
+        let effects = self.home.leave(now);
+        self.apply_home(now, effects);
+    }
+
+    pub(crate) fn apply_home(&mut self, now: Time, effects: Vec<Effect>) {
+        for effect in effects {
+            self.apply_home_effect(now, effect);
+        }
+    }
+
+    fn apply_home_effect(&mut self, now: Time, effect: Effect) {
+        match effect {
+            Effect::Lease { to, message } => {
+                let version = PROTOCOL_VERSION;
+                let datagram = Datagram::Lease { version, message };
+                self.out.push(Output::Datagram { to, datagram });
+            }
+            Effect::Transfer { to, transfer } => {
+                self.send(&to, Frame::Transfer(Box::new(transfer)));
+            }
+            Effect::TransferDone { to, slot, view } => {
+                self.count(Counter::SlotMoved);
+                self.send(&to, Frame::TransferDone { slot, view });
+            }
+            Effect::Finished { to, record } => self.send(&to, Frame::Finished(Box::new(record))),
+            Effect::FinishedDone { to, key } => self.send(&to, Frame::FinishedDone(key)),
+            Effect::Settled(slot) => self.release(now, slot),
+            Effect::Ended(key) => self.on_ended_elsewhere(now, key),
+            Effect::Recall(key) => self.recall(now, key),
+            Effect::Behind => self.out.push(Output::ReadLog),
+            Effect::Expelled => self.on_expelled(now),
+            Effect::Fault(fault) => {
+                debug_assert!(false, "{fault:?}");
+                self.count(Counter::Fault);
+            }
+        }
+    }
+
+    /// A run at an earlier home has ended: whoever waits here begins again and finds its end.
+    fn on_ended_elsewhere(&mut self, now: Time, key: KeyHash) {
+        if self.keys.get(&key).is_none_or(|work| work.run.is_some()) {
+            return;
+        }
+        let Some(work) = self.keys.swap_remove(&key) else {
+            return;
+        };
+        let outcome = match self.home.known(now, key) {
+            Begin::Done(response) => Outcome::Whole(response),
+            Begin::NotRun(reason) => self.not_run(reason),
+            _ => Outcome::Unknown(Reason::RecordLost),
+        };
+        for id in work.waiting {
+            self.answer_call(id, 0, outcome.clone());
         }
     }
+
+    /// A queued run is taken back, because its slot moves; its callers go to the new home.
+    fn recall(&mut self, now: Time, key: KeyHash) {
+        let run = self.keys.get(&key).and_then(|work| work.run);
+        let Some(run) = run.filter(|run| self.server.withdraw(run.number)) else {
+            return;
+        };
+        let refusal = proto::Refusal::new(Reason::Moving, RETRY_AFTER);
+        self.end_job(now, run, Outcome::NotRun(refusal));
+    }
+
+    /// The log's views leave this incarnation out for good. It takes nothing new, ends what is in
+    /// flight, and the shell starts another incarnation.
+    fn on_expelled(&mut self, now: Time) {
+        self.count(Counter::Expelled);
+        self.expelled = true;
+        self.on_stop(now);
+    }
 }
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -42,10 +42,16 @@
                 Change::Gap => self.out.push(Output::ReadLog),
             }
         }
+        // A snapshot may have brought a view without those before it.
+        self.update_home(now, false);
     }
 
     fn on_rules(&mut self, now: Time) {
         let limit = self.journal.rules.limit(&self.me.service);
+        let deadlines = self.journal.rules.operations.iter();
+        let longest = deadlines.map(|operation| operation.deadline).max();
+        let longest = longest.unwrap_or(limit.key_retention);
+        self.home.set_times(limit.key_retention, longest);
         self.server
             .set_bounds(limit.min_concurrency, limit.max_concurrency, limit.queue);
         self.update_roster(now);
@@ -56,13 +62,11 @@
         if *service != *self.me.service {
             return;
         }
-        if let Some(view) = self.journal.view(service) {
-            self.home.on_view(now, view.number, &view.members);
-            self.count(Counter::ViewTaken);
-        }
+        self.update_home(now, true);
     }
 
-    pub(crate) fn on_log_read(&mut self, _now: Time) {
+    pub(crate) fn on_log_read(&mut self, now: Time) {
+        self.home.on_log_read(now);
         self.log.reachable = true;
         self.log.caught_up = true;
         self.announce();
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -22,6 +22,10 @@
                 let effects = self.members.on_message(now, from, message);
                 self.apply_members(effects);
             }
+            Datagram::Lease {
+                version: PROTOCOL_VERSION,
+                message,
+            } => self.on_lease_message(now, from, message),
             _ => self.count(Counter::Unexpected),
         }
     }
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -41,6 +41,8 @@
     Run(RunId),
     /// The run of a key, perhaps together with others.
     Key(KeyHash),
+    /// The key's slot, which is on its way here.
+    Held,
 }
 
 /// Work for the own backend server, queued or running.
@@ -165,6 +167,16 @@
     }
 
     fn start(&mut self, now: Time, run: RunId) {
+        let Some(owner) = self.jobs.get(&run).map(|job| job.owner) else {
+            return;
+        };
+        let start_within = match self.right_to_start(now, owner) {
+            Ok(start_within) => start_within,
+            Err(reason) => {
+                self.server.finished(now, None);
+                return self.end_job(now, run, self.not_run(reason));
+            }
+        };
         let Some(job) = self.jobs.get_mut(&run) else {
             return;
         };
@@ -174,7 +186,7 @@
             run,
             request: job.request.clone(),
             remaining: now.until(job.deadline),
-            start_within: None,
+            start_within,
         });
         self.count(Counter::Run(class));
     }
@@ -201,7 +213,7 @@
         self.end_job(now, run, outcome);
     }
 
-    fn end_job(&mut self, now: Time, run: RunId, outcome: Outcome) {
+    pub(crate) fn end_job(&mut self, now: Time, run: RunId, outcome: Outcome) {
         let Some(job) = self.jobs.swap_remove(&run) else {
             return;
         };
@@ -219,6 +231,7 @@
         match inbound.work {
             Work::Run(run) => self.cancel_run(now, run),
             Work::Key(key) => self.cancel_key(now, key, id),
+            Work::Held => self.cancel_held(id),
         }
     }
 
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -11,6 +11,8 @@
     pub(crate) enum Timer {
         /// A call's deadline.
         Deadline(CallId),
+        /// A call has waited for its slot for long enough.
+        Held(CallId),
         /// A lost append may be tried again.
         Append,
     }
--- a/crates/once/src/runs.rs
+++ b/crates/once/src/runs.rs
@@ -77,6 +77,14 @@
         Begin::Start
     }
 
+    /// What is known of a key, for whoever waited for the end of its run.
+    pub fn known(&self, _now: Time, key: KeyHash) -> Begin {
+        match self.records.get(key) {
+            Some(record) => known(record, record.fingerprint),
+            None => Begin::NotRun(Reason::Moving),
+        }
+    }
+
     /// Whether a queued run may start now, and within what time; it counts as started from here on.
     ///
     /// # Errors
