--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -40,6 +40,21 @@
 /// When a caller may come back after a refusal that says nothing more exact.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// How many entries the tables of what is in flight have.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tables {
+    /// Requests of callers and of the own backend server.
+    pub requests: usize,
+    /// Calls to nodes.
+    pub calls: usize,
+    /// Calls from nodes.
+    pub inbound: usize,
+    /// Work for the own backend server, queued or running.
+    pub jobs: usize,
+    /// Runs of keys that somebody waits for.
+    pub keys: usize,
+}
+
 /// A node's decisions and state.
 #[derive(Debug)]
 pub struct Engine {
@@ -68,6 +83,8 @@
     pub(crate) held: HeldCalls,
     /// The log's views leave this incarnation out.
     pub(crate) expelled: bool,
+    /// When a stop no longer waits for its slots to be taken.
+    pub(crate) handover_ends: Option<Time>,
     pub(crate) timers: Timers,
     pub(crate) stopping: bool,
     next_number: u64,
@@ -103,7 +120,12 @@
             log: LogLink::default(),
             members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
             home: Home::new(cfg.once.clone(), incarnation),
-            server: Server::new(defaults.max_concurrency, defaults.queue),
+            server: Server::new(
+                cfg.policy,
+                defaults.min_concurrency,
+                defaults.max_concurrency,
+                defaults.queue,
+            ),
             open: IndexMap::new(),
             calls: IndexMap::new(),
             inbound: IndexMap::new(),
@@ -112,6 +134,7 @@
             keys: IndexMap::new(),
             held: HeldCalls::new(),
             expelled: false,
+            handover_ends: None,
             timers: Timers::default(),
             stopping: false,
             next_number: 0,
@@ -144,14 +167,18 @@
             Input::Records(records) => self.on_records(now, records),
             Input::LogRead => self.on_log_read(now),
             Input::LogUnreachable => self.log.reachable = false,
-            Input::Appended(number) => self.on_appended(number),
+            Input::Appended(number) => self.on_appended(now, number),
             Input::AppendLost(number) => self.on_append_lost(now, number),
             Input::Stop => self.on_stop(now),
             Input::Tick => {}
         }
         self.run_due(now);
         self.drain_loopback(now);
-        self.check_stopped();
+        // What came from this node itself may have freed a place, or have to leave the queue.
+        self.pump_server(now);
+        self.drain_loopback(now);
+        self.pump_appends(now);
+        self.check_stopped(now);
         std::mem::take(&mut self.out)
     }
 
@@ -162,6 +189,7 @@
             self.members.next_timer(),
             self.home.next_timer(),
             self.server.next_timer(),
+            self.log.next_timer(),
         ]
         .into_iter()
         .flatten()
@@ -183,12 +211,23 @@
         &self.journal
     }
 
+    /// How much is in flight.
+    pub fn tables(&self) -> Tables {
+        Tables {
+            requests: self.open.len(),
+            calls: self.calls.len(),
+            inbound: self.inbound.len(),
+            jobs: self.jobs.len(),
+            keys: self.keys.len(),
+        }
+    }
+
     fn run_due(&mut self, now: Time) {
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Deadline(call) => self.on_deadline(now, call),
                 Timer::Held(call) => self.on_held_too_long(call),
-                Timer::Append => self.on_append_timer(now),
+                Timer::Handover => {}
             }
         }
         self.tick_members(now);
@@ -247,12 +286,12 @@
         self.stopping = true;
         self.leave_home(now);
         self.leave_members(now);
-        self.leave_log();
+        self.leave_log(now);
     }
 
-    fn check_stopped(&mut self) {
+    fn check_stopped(&mut self, now: Time) {
         let idle = self.open.is_empty() && self.inbound.is_empty() && self.jobs.is_empty();
-        if self.stopping && idle && self.log.left() {
+        if self.stopping && idle && self.log.left() && self.has_handed_over(now) {
             self.out.push(Output::Stopped);
         }
     }
--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -253,6 +253,20 @@
         self.apply_home(now, effects);
     }
 
+    /// Whether all slots have been taken by other homes, or have been offered for long enough.
+    pub(crate) fn has_handed_over(&mut self, now: Time) -> bool {
+        let unheard = self.is_listed() && self.log.has_given_up();
+        if unheard || (!self.is_listed() && self.home.is_handed_over()) {
+            return true;
+        }
+        let ends = *self.handover_ends.get_or_insert_with(|| {
+            let ends = now + self.cfg.leave_patience;
+            self.timers.set(ends, Timer::Handover);
+            ends
+        });
+        ends <= now
+    }
+
     pub(crate) fn apply_home(&mut self, now: Time, effects: Vec<Effect>) {
         for effect in effects {
             self.apply_home_effect(now, effect);
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -13,8 +13,8 @@
         Deadline(CallId),
         /// A call has waited for its slot for long enough.
         Held(CallId),
-        /// A lost append may be tried again.
-        Append,
+        /// A stopping node has waited long enough for its slots to be taken.
+        Handover,
     }
 }
 
