--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,6 +3,7 @@
 use crate::calls::Outgoing;
 use crate::entry::OpenRequest;
 use crate::fetch::FetchLink;
+use crate::homes::HeldCalls;
 use crate::homes::KeyWork;
 use crate::log::LogLink;
 use crate::serve::Inbound;
@@ -80,6 +81,12 @@
     pub(crate) jobs: IndexMap<RunId, Job>,
     /// Who waits for the run of a key.
     pub(crate) keys: IndexMap<KeyHash, KeyWork>,
+    /// Calls that wait for a slot on its way here.
+    pub(crate) held: HeldCalls,
+    /// The log's views leave this incarnation out.
+    pub(crate) expelled: bool,
+    /// When a stop no longer waits for its slots to be taken.
+    pub(crate) handover_ends: Option<Time>,
     pub(crate) timers: Timers,
     pub(crate) stopping: bool,
     next_number: u64,
@@ -128,6 +135,9 @@
             answered: Bounded::new(ANSWERS_KEPT),
             jobs: IndexMap::new(),
             keys: IndexMap::new(),
+            held: HeldCalls::new(),
+            expelled: false,
+            handover_ends: None,
             timers: Timers::default(),
             stopping: false,
             next_number: 0,
@@ -174,7 +184,7 @@
         self.drain_loopback(now);
         self.run_fetch(now);
         self.pump_appends(now);
-        self.check_stopped();
+        self.check_stopped(now);
         std::mem::take(&mut self.out)
     }
 
@@ -183,6 +193,7 @@
         [
             self.timers.next(),
             self.members.next_timer(),
+            self.home.next_timer(),
             self.server.next_timer(),
             self.log.next_timer(),
             self.fetch.due,
@@ -222,9 +233,12 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Deadline(call) => self.on_deadline(now, call),
+                Timer::Held(call) => self.on_held_too_long(call),
+                Timer::Handover => {}
             }
         }
         self.tick_members(now);
+        self.tick_home(now);
         self.pump_server(now);
     }
 
@@ -242,7 +256,11 @@
             Frame::Answer(id, answer) => self.on_answer(now, from, id, *answer),
             Frame::Cancel(id) => self.on_cancel(now, from, id),
             // The shell answers the frames that are about the connection itself.
-            _ => self.count(Counter::Unexpected),
+            frame => {
+                if !self.on_home_frame(now, from, frame) {
+                    self.count(Counter::Unexpected);
+                }
+            }
         }
     }
 
@@ -271,15 +289,16 @@
         Refusal::new(reason, RETRY_AFTER)
     }
 
-    fn on_stop(&mut self, now: Time) {
+    pub(crate) fn on_stop(&mut self, now: Time) {
         self.stopping = true;
+        self.leave_home(now);
         self.leave_members(now);
         self.leave_log(now);
     }
 
-    fn check_stopped(&mut self) {
+    fn check_stopped(&mut self, now: Time) {
         let idle = self.open.is_empty() && self.inbound.is_empty() && self.jobs.is_empty();
-        if self.stopping && idle && self.log.left() {
+        if self.stopping && idle && self.log.left() && self.has_handed_over(now) {
             self.out.push(Output::Stopped);
         }
     }
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -30,8 +30,6 @@
     pub(crate) snapshots: SnapshotClock,
     /// The oldest record that the log still has.
     pub(crate) first: u64,
-    /// The number of the view of the own service that was taken last.
-    view: Option<u64>,
     pub(crate) appends: AppendQueue,
     /// A `Join` may stand in the stream, now or later.
     join_sent: bool,
@@ -45,6 +43,11 @@
         !self.appends.contains(AppendKey::Leave)
     }
 
+    /// Whether a stop no longer waits for its `Leave`.
+    pub(crate) fn has_given_up(&self) -> bool {
+        self.give_up.is_none()
+    }
+
     /// When the controller has something to do.
     pub(crate) fn next_timer(&self) -> Option<Time> {
         let timers = [self.appends.next_due(), self.give_up];
@@ -63,7 +66,7 @@
                     self.count(Counter::RulesInForce);
                     self.on_rules(now);
                 }
-                Change::View(_) => self.on_view_change(now),
+                Change::View(service) => self.on_view_change(now, &service),
                 Change::Restored => {
                     self.on_restored(now);
                     // What follows here comes after records that the snapshot does not cover.
@@ -76,6 +79,10 @@
 
     fn on_rules(&mut self, now: Time) {
         let limit = self.journal.rules.limit(&self.me.service);
+        let deadlines = self.journal.rules.operations.iter();
+        let longest = deadlines.map(|operation| operation.deadline).max();
+        let longest = longest.unwrap_or(limit.key_retention);
+        self.home.set_times(limit.key_retention, longest);
         self.server
             .set_bounds(limit.min_concurrency, limit.max_concurrency, limit.queue);
         self.update_roster(now);
@@ -84,20 +91,15 @@
     pub(crate) fn on_restored(&mut self, now: Time) {
         self.count(Counter::Restored);
         self.on_rules(now);
-        self.on_view_change(now);
+        // The views between the last one taken and this one are not known.
+        self.update_home(now, false);
     }
 
-    fn on_view_change(&mut self, now: Time) {
+    fn on_view_change(&mut self, now: Time, service: &str) {
         self.update_roster(now);
-        let Some(view) = self.journal.view(&self.me.service) else {
-            return;
-        };
-        if self.log.view == Some(view.number) {
-            return;
+        if *service == *self.me.service {
+            self.update_home(now, true);
         }
-        self.log.view = Some(view.number);
-        self.home.on_view(now, view.number, &view.members);
-        self.count(Counter::ViewTaken);
     }
 
     pub(crate) fn on_log_start(&mut self, first: u64) {
@@ -106,6 +108,7 @@
     }
 
     pub(crate) fn on_log_read(&mut self, now: Time) {
+        self.home.on_log_read(now);
         self.log.reachable = true;
         if self.journal.is_scanning() {
             // The records that this node lacks have expired, and no snapshot stands in for them.
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -42,6 +42,8 @@
     Run(RunId),
     /// The run of a key, perhaps together with others.
     Key(KeyHash),
+    /// The key's slot, which is on its way here.
+    Held,
 }
 
 /// Work for the own backend server, queued or running.
@@ -215,16 +217,25 @@
     }
 
     fn start(&mut self, now: Time, run: RunId) {
+        let Some((owner, class)) = self.jobs.get(&run).map(|job| (job.owner, job.class)) else {
+            return;
+        };
+        let start_within = match self.right_to_start(now, owner) {
+            Ok(start_within) => start_within,
+            Err(reason) => {
+                self.server.finished(now, class, policy::Ended::Failed);
+                return self.end_job(now, run, self.not_run(reason));
+            }
+        };
         let Some(job) = self.jobs.get_mut(&run) else {
             return;
         };
         job.started = Some(now);
-        let class = job.class;
         self.out.push(Output::Run {
             run,
             request: job.request.clone(),
             remaining: now.until(job.deadline),
-            start_within: None,
+            start_within,
         });
         self.count(Counter::Run(class));
     }
@@ -251,7 +262,7 @@
         self.end_job(now, run, outcome);
     }
 
-    fn end_job(&mut self, now: Time, run: RunId, outcome: Outcome) {
+    pub(crate) fn end_job(&mut self, now: Time, run: RunId, outcome: Outcome) {
         let Some(job) = self.jobs.swap_remove(&run) else {
             return;
         };
@@ -269,6 +280,7 @@
         match inbound.work {
             Work::Run(run) => self.cancel_run(now, run),
             Work::Key(key) => self.cancel_key(now, key, id),
+            Work::Held => self.cancel_held(id),
         }
     }
 
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -11,6 +11,10 @@
     pub(crate) enum Timer {
         /// A call's deadline.
         Deadline(CallId),
+        /// A call has waited for its slot for long enough.
+        Held(CallId),
+        /// A stopping node has waited long enough for its slots to be taken.
+        Handover,
     }
 }
 
