Choice of instances: two random ones from each distance, loads that age, counts per peer

Cause: a choice looked at every instance and counted all calls in flight anew for each, believed a report for ever, and gave a new instance or one that just failed as much as any other.

Ruled out: the least loaded of all (all nodes choose the same one), a weighted draw by distance alone (crosses regions while there is room).

Change: policy::Selector keeps the instances of a service by distance, draws two of each, and takes the least cost: the aged report with what was sent since, calls in flight, distance, a slow start. An instance whose connection failed is left out with a backoff, then tried by single calls. Suspects are used if nobody else may be. The roster is handed to membership once for a batch of records.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -76,7 +76,7 @@
     fn route(&mut self, now: Time, mut call: Outgoing) {
         let target = match call.key {
             Some((key, _)) => self.home_of(&call.request.service, key),
-            None => self.choose_server(&call),
+            None => self.choose_server(now, &call),
         };
         let Some(target) = target else {
             return self.conclude(call, Outcome::NotRun(self.refusal(Reason::NoInstance)));
@@ -94,6 +94,7 @@
             open.call = id;
         }
         self.timers.set(call.deadline, Timer::Deadline(id));
+        self.selector.on_sent(call.target.incarnation);
         self.send_attempt(now, id, &call);
         self.calls.insert(id, call);
     }
@@ -120,7 +121,7 @@
     }
 
     pub(crate) fn on_answer(&mut self, now: Time, from: Incarnation, id: CallId, answer: Answer) {
-        self.members.heard_load(now, from, answer.load);
+        self.hear_load(now, from, answer.load);
         // An answer to an attempt that was given up, or a second one to the same attempt, is late.
         let Some(mut call) = self.take_call(id) else {
             return;
@@ -168,6 +169,7 @@
                 self.send_attempt(now, id, &call);
                 self.calls.insert(id, call);
             } else {
+                self.selector.on_ended(peer);
                 self.timers.clear(call.deadline, Timer::Deadline(id));
                 self.after_lost(now, call);
             }
@@ -175,7 +177,8 @@
     }
 
     /// Frames could not be sent. A call's first sending certainly did not run.
-    pub(crate) fn on_unsent(&mut self, now: Time, _peer: Incarnation, unsent: Vec<Frame>) {
+    pub(crate) fn on_unsent(&mut self, now: Time, peer: Incarnation, unsent: Vec<Frame>) {
+        self.selector.on_failed(now, peer, &mut self.rng);
         for frame in unsent {
             let Frame::Call(frame) = frame else {
                 continue;
@@ -225,6 +228,7 @@
 
     fn take_call(&mut self, id: CallId) -> Option<Outgoing> {
         let call = self.calls.swap_remove(&id)?;
+        self.selector.on_ended(call.target.incarnation);
         self.timers.clear(call.deadline, Timer::Deadline(id));
         Some(call)
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -17,6 +17,7 @@
 use journal::State;
 use membership::Membership;
 use once::Home;
+use policy::Selector;
 use policy::Server;
 use proto::Answer;
 use proto::CallId;
@@ -49,6 +50,9 @@
     pub(crate) journal: State,
     pub(crate) log: LogLink,
     pub(crate) members: Membership,
+    pub(crate) selector: Selector,
+    /// The views have changed since the members were told.
+    pub(crate) roster_changed: bool,
     pub(crate) home: Home,
     pub(crate) server: Server,
     /// Requests of callers and of the own backend server, in flight.
@@ -97,6 +101,8 @@
             journal: State::default(),
             log: LogLink::default(),
             members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
+            selector: Selector::new(),
+            roster_changed: false,
             home: Home::new(cfg.once.clone(), incarnation),
             server: Server::new(defaults.max_concurrency, defaults.queue),
             open: IndexMap::new(),
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -9,6 +9,7 @@
 use proto::Frame;
 use proto::Incarnation;
 use proto::LoadReport;
+use proto::MemberMessage;
 use proto::PROTOCOL_VERSION;
 use std::net::SocketAddr;
 use stdx::Time;
@@ -19,30 +20,52 @@
             Datagram::Member {
                 version: PROTOCOL_VERSION,
                 message,
-            } => {
-                let effects = self.members.on_message(now, from, message);
-                self.apply_members(effects);
-            }
+            } => self.on_member_message(now, from, message),
             _ => self.count(Counter::Unexpected),
         }
     }
 
+    fn on_member_message(&mut self, now: Time, from: SocketAddr, message: MemberMessage) {
+        let report = match &message {
+            MemberMessage::Ping { from, load, .. } | MemberMessage::Ack { from, load, .. } => {
+                Some((from.instance.incarnation, *load))
+            }
+            _ => None,
+        };
+        let effects = self.members.on_message(now, from, message);
+        self.apply_members(now, effects);
+        if let Some((peer, load)) = report {
+            self.selector.on_report(now, peer, load);
+        }
+    }
+
+    /// Takes a report that came with an answer.
+    pub(crate) fn hear_load(&mut self, now: Time, from: Incarnation, load: LoadReport) {
+        self.members.heard_load(now, from, load);
+        self.selector.on_report(now, from, load);
+        self.selector.on_answered(from);
+    }
+
     pub(crate) fn tick_members(&mut self, now: Time) {
+        if std::mem::take(&mut self.roster_changed) {
+            let effects = self.members.set_roster(now, self.journal.instances());
+            self.apply_members(now, effects);
+        }
         let load = self.load_report();
         self.members.set_load(load);
         let effects = self.members.tick(now);
-        self.apply_members(effects);
+        self.apply_members(now, effects);
     }
 
     pub(crate) fn leave_members(&mut self, now: Time) {
         let effects = self.members.leave(now);
-        self.apply_members(effects);
+        self.apply_members(now, effects);
     }
 
-    /// The log's views name instances that this node has perhaps not heard of yet.
-    pub(crate) fn update_roster(&mut self, now: Time) {
-        let effects = self.members.set_roster(now, self.journal.instances());
-        self.apply_members(effects);
+    /// The log's views name instances that this node has perhaps not heard of yet. The members are
+    /// told once for a batch of records, because a start reads the views' whole history.
+    pub(crate) fn update_roster(&mut self, _now: Time) {
+        self.roster_changed = true;
     }
 
     pub(crate) fn load_report(&self) -> LoadReport {
@@ -67,7 +90,7 @@
         }
     }
 
-    fn apply_members(&mut self, effects: Vec<Effect>) {
+    fn apply_members(&mut self, now: Time, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
                 Effect::Send { to, message } => {
@@ -77,7 +100,10 @@
                     };
                     self.out.push(Output::Datagram { to, datagram });
                 }
-                Effect::Changed { .. } => self.count(Counter::PeerChanged),
+                Effect::Changed { incarnation, state } => {
+                    self.count(Counter::PeerChanged);
+                    self.set_standing(now, incarnation, state);
+                }
                 Effect::Evict(incarnation) => {
                     self.count(Counter::EvictionAsked);
                     self.append(&Record::Evict {
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -2,11 +2,13 @@
 
 use crate::calls::Outgoing;
 use crate::Engine;
-use policy::Candidate;
 use policy::Place;
+use policy::Standing;
 use proto::Incarnation;
 use proto::Instance;
 use proto::KeyHash;
+use proto::PeerState;
+use stdx::Time;
 
 impl Engine {
     pub(crate) fn home_of(&self, service: &str, key: KeyHash) -> Option<Instance> {
@@ -14,40 +16,53 @@
         once::owner(&view.members, key.slot()).cloned()
     }
 
-    pub(crate) fn choose_server(&mut self, call: &Outgoing) -> Option<Instance> {
+    pub(crate) fn choose_server(&mut self, now: Time, call: &Outgoing) -> Option<Instance> {
         let service = &call.request.service;
-        let mut candidates: Vec<Candidate> = self
-            .members
-            .usable(service)
-            .filter(|peer| !call.avoid.contains(&peer.instance.incarnation))
-            .map(|peer| Candidate {
-                incarnation: peer.instance.incarnation,
-                place: self.place(&peer.instance),
-                load: peer.load,
-                in_flight: self.in_flight(peer.instance.incarnation),
-            })
-            .collect();
         let mine = self.me.incarnation;
-        if self.me.service == *service && !self.stopping && !call.avoid.contains(&mine) {
-            candidates.push(Candidate {
-                incarnation: mine,
-                place: Place::SameDomain,
-                load: self.server.report(),
-                in_flight: 0,
-            });
+        if self.me.service == *service {
+            self.enter_self(now);
         }
-        let chosen = policy::choose(&candidates, &mut self.rng)?;
+        let chosen = self
+            .selector
+            .choose(now, service, &call.avoid, &mut self.rng)?;
         if chosen == mine {
             return Some(self.me.clone());
         }
         self.members.get(chosen).map(|peer| peer.instance.clone())
     }
 
-    fn in_flight(&self, peer: Incarnation) -> u32 {
-        self.calls
-            .values()
-            .filter(|call| call.target.incarnation == peer)
-            .count() as u32
+    /// This node's own backend server is one to choose among, and its load is known exactly.
+    fn enter_self(&mut self, now: Time) {
+        let standing = if self.stopping {
+            Standing::Closed
+        } else {
+            Standing::Ready
+        };
+        let (mine, service) = (self.me.incarnation, &self.me.service);
+        self.selector
+            .set(now, mine, service, Place::SameDomain, standing);
+        self.selector.on_report(now, mine, self.server.report());
+    }
+
+    /// Takes a peer's new state over into the choice of instances.
+    pub(crate) fn set_standing(&mut self, now: Time, peer: Incarnation, state: PeerState) {
+        let Some(peer) = self.members.get(peer) else {
+            return;
+        };
+        let standing = match state {
+            PeerState::Alive if !peer.load.draining => Standing::Ready,
+            PeerState::Suspect if !peer.load.draining => Standing::Doubtful,
+            _ => Standing::Closed,
+        };
+        let instance = &peer.instance;
+        let place = self.place(instance);
+        self.selector.set(
+            now,
+            instance.incarnation,
+            &instance.service,
+            place,
+            standing,
+        );
     }
 
     fn place(&self, peer: &Instance) -> Place {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,9 +8,9 @@
 mod server;
 
 pub use account::Account;
-pub use choose::choose;
-pub use choose::Candidate;
 pub use choose::Place;
+pub use choose::Selector;
+pub use choose::Standing;
 pub use server::Offer;
 pub use server::Server;
 pub use server::Ticket;
--- /dev/null
+++ b/crates/policy/tests/choose.rs
@@ -0,0 +1,189 @@
+//! Whom calls go to.
+
+mod many;
+
+use bilberry_policy::Place;
+use bilberry_policy::Selector;
+use bilberry_policy::Standing;
+use many::Many;
+use proto::Incarnation;
+use proto::LoadReport;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use std::time::Duration;
+use stdx::Time;
+
+/// A selector with these instances: distance, standing, reported load if there is one.
+fn selector(peers: &[(Place, Standing, Option<u16>)]) -> Selector {
+    let mut selector = Selector::new();
+    for (n, (place, standing, load)) in (0..).zip(peers) {
+        let (peer, service) = (Incarnation(n), "press".into());
+        selector.set(Time::ZERO, peer, &service, *place, *standing);
+        if let Some(utilisation) = *load {
+            let report = LoadReport {
+                utilisation,
+                limit: 10,
+                ..LoadReport::default()
+            };
+            selector.on_report(Time::ZERO, peer, report);
+        }
+    }
+    selector
+}
+
+/// How many of 1,000 calls at `millis` go to each of four instances; none of them is noted as sent.
+fn spread(selector: &mut Selector, millis: u64, avoid: &[Incarnation]) -> [u32; 4] {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut counts = [0; 4];
+    let now = Time::ZERO + Duration::from_millis(millis);
+    for _ in 0..1000 {
+        if let Some(chosen) = selector.choose(now, "press", avoid, &mut rng) {
+            counts[chosen.0 as usize] += 1;
+        }
+    }
+    counts
+}
+
+fn check(peers: &[(Place, Standing, Option<u16>)], avoid: &[Incarnation], expected: [u32; 4]) {
+    assert_eq!(spread(&mut selector(peers), 0, avoid), expected);
+}
+
+use Place::OtherRegion;
+use Place::SameDomain;
+use Place::SameRegion;
+use Standing::Closed;
+use Standing::Doubtful;
+use Standing::Ready;
+
+#[test]
+fn near_instances_go_first_while_they_have_room() {
+    let peers = |near, next| {
+        [
+            (OtherRegion, Ready, Some(0)),
+            (SameRegion, Ready, Some(next)),
+            (SameDomain, Ready, Some(near)),
+        ]
+    };
+    check(&peers(0, 0), &[], [0, 0, 1000, 0]);
+    check(&peers(500, 0), &[], [0, 1000, 0, 0]);
+    check(&peers(900, 700), &[], [1000, 0, 0, 0]);
+    check(&peers(0, 0), &[Incarnation(2)], [0, 1000, 0, 0]);
+}
+
+#[test]
+fn a_suspect_gets_calls_only_if_nobody_else_may() {
+    check(
+        &[
+            (SameDomain, Doubtful, Some(0)),
+            (OtherRegion, Ready, Some(2000)),
+        ],
+        &[],
+        [0, 1000, 0, 0],
+    );
+    check(
+        &[(SameDomain, Doubtful, Some(0)), (OtherRegion, Closed, None)],
+        &[],
+        [1000, 0, 0, 0],
+    );
+    check(&[(SameDomain, Closed, None)], &[], [0, 0, 0, 0]);
+}
+
+#[test]
+fn what_was_sent_since_the_report_counts() {
+    // Reports lag. A node that trusted the last one would send all its calls to the instance that
+    // was idle a moment ago.
+    let mut selector = selector(&[(SameDomain, Ready, Some(0)), (SameDomain, Ready, Some(500))]);
+    for _ in 0..6 {
+        selector.on_sent(Incarnation(0));
+    }
+    assert_eq!(spread(&mut selector, 0, &[]), [0, 1000, 0, 0]);
+}
+
+#[test]
+fn an_old_report_counts_less() {
+    // The busy instance has not been used since it said so, and says nothing while it is not used.
+    let peers = [
+        (SameDomain, Ready, Some(2000)),
+        (SameRegion, Ready, Some(700)),
+    ];
+    let mut selector = selector(&peers);
+    assert_eq!(spread(&mut selector, 0, &[]), [0, 1000, 0, 0]);
+    assert_eq!(spread(&mut selector, 5000, &[]), [1000, 0, 0, 0]);
+}
+
+#[test]
+fn an_instance_that_says_it_leaves_gets_nothing_more() {
+    let mut selector = selector(&[(SameDomain, Ready, Some(0)), (OtherRegion, Ready, None)]);
+    let report = LoadReport {
+        draining: true,
+        ..LoadReport::default()
+    };
+    selector.on_report(Time::ZERO, Incarnation(0), report);
+    assert_eq!(spread(&mut selector, 0, &[]), [0, 1000, 0, 0]);
+}
+
+#[test]
+fn a_failed_connection_is_tried_again_by_single_calls() {
+    // A connection to an instance fails. If every call went on trying it, each would lose a
+    // connection's timeout; if all came back at once, they would knock it over again.
+    let mut rng = StdRng::seed_from_u64(1);
+    let peers = [(SameDomain, Ready, Some(0)), (OtherRegion, Ready, Some(0))];
+    let mut selector = selector(&peers);
+    selector.on_failed(Time::ZERO, Incarnation(0), &mut rng);
+    assert_eq!(spread(&mut selector, 0, &[]), [0, 1000, 0, 0]);
+    assert_eq!(spread(&mut selector, 1000, &[]), [1, 999, 0, 0]);
+    selector.on_answered(Incarnation(0));
+    assert_eq!(spread(&mut selector, 1001, &[]), [1000, 0, 0, 0]);
+}
+
+#[test]
+fn no_instance_gets_more_than_its_share_by_more_than_a_tenth() {
+    // Every node hears late and something else about the same instances. If they all took the idle
+    // one, it would be overloaded while the others stand idle, in turn.
+    for servers in [6, 12, 35] {
+        let mut many = Many::new(36, servers);
+        many.run(500, 0.9, 0.5);
+        many.reset();
+        many.run(1_000, 0.9, 0.5);
+        let most = many.most_over_share();
+        assert!(most < 1.1, "{servers} servers: {most}");
+    }
+}
+
+#[test]
+fn regions_are_crossed_for_what_does_not_fit_and_little_else() {
+    // One region has 70% of the demand and half of the servers. Bytes between regions are billed,
+    // so calls stay while there is room; those that cannot fit must cross.
+    let far = |demand| {
+        let mut many = Many::new(36, 6);
+        many.run(1_000, demand, 0.7);
+        many.reset();
+        many.run(2_000, demand, 0.7);
+        many.far_share()
+    };
+    assert!(far(0.3) < 0.01);
+    // At 0.95 of the capacity region 0 asks for 1.33 times its own; 0.174 of all do not fit.
+    let crossed = far(0.95);
+    assert!((0.15..0.20).contains(&crossed), "{crossed}");
+}
+
+#[test]
+fn a_new_instance_gets_its_share_bit_by_bit() {
+    // An instance starts idle and cold. All nodes see an idle one, and without a slow start they
+    // would give it everything at once.
+    let mut many = Many::new(36, 6);
+    many.run(11_000, 0.7, 0.5);
+    many.start_server();
+    many.reset();
+    let part = |many: &Many| {
+        let all: u64 = many.servers.iter().map(|server| server.served).sum();
+        many.servers[6].served as f64 * 7.0 / all as f64
+    };
+    many.run(1_000, 0.7, 0.5);
+    let first = part(&many);
+    many.run(10_000, 0.7, 0.5);
+    many.reset();
+    many.run(1_000, 0.7, 0.5);
+    let later = part(&many);
+    assert!(first < 0.4 && later > 0.6, "{first} {later}");
+}
