--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,11 +4,13 @@
 //! I/O and reads no clock, global or unseeded random number, so production, tests and benches run
 //! the same code, each with a clock and a network of its own.
 
+mod appends;
 mod calls;
 mod config;
 mod counter;
 mod engine;
 mod entry;
+mod gauges;
 mod homes;
 mod io;
 mod log;
@@ -20,6 +22,8 @@
 pub use config::Config;
 pub use counter::Counter;
 pub use engine::Engine;
+pub use engine::Tables;
+pub use gauges::Gauge;
 pub use io::Input;
 pub use io::Output;
 pub use io::RunEnd;
