--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,6 +10,7 @@
 mod counter;
 mod engine;
 mod entry;
+mod fetch;
 mod gauges;
 mod homes;
 mod io;
@@ -17,6 +18,7 @@
 mod members;
 mod routing;
 mod serve;
+mod snapshots;
 mod timers;
 
 pub use config::Config;
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -19,8 +19,12 @@
         match datagram {
             Datagram::Member {
                 version: PROTOCOL_VERSION,
+                log_next,
                 message,
-            } => self.on_member_message(now, from, message),
+            } => {
+                self.on_peer_offset(now, from, log_next);
+                self.on_member_message(now, from, message);
+            }
             _ => self.count(Counter::Unexpected),
         }
     }
@@ -96,6 +100,7 @@
                 Effect::Send { to, message } => {
                     let datagram = Datagram::Member {
                         version: PROTOCOL_VERSION,
+                        log_next: self.journal.next,
                         message,
                     };
                     self.out.push(Output::Datagram { to, datagram });
