--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -1,5 +1,6 @@
 //! The membership controller: roster, probes, loads.
 
+use crate::appends::AppendKey;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
@@ -10,6 +11,7 @@
 use proto::Incarnation;
 use proto::LoadReport;
 use proto::MemberMessage;
+use proto::PeerState;
 use proto::PROTOCOL_VERSION;
 use std::net::SocketAddr;
 use stdx::Time;
@@ -108,6 +110,11 @@
                 Effect::Changed { incarnation, state } => {
                     self.count(Counter::PeerChanged);
                     self.set_standing(now, incarnation, state);
+                    // An eviction may have waited for the log through an outage; by now it would
+                    // take out a live instance, and its share of the keys with it.
+                    if state != PeerState::Dead {
+                        self.log.appends.remove(AppendKey::Evict(incarnation));
+                    }
                 }
                 Effect::Evict(incarnation) => {
                     self.count(Counter::EvictionAsked);
