Links: bounded queues, writes apart from reads, backoff, counters of their own

Cause: one loop wrote and read a connection in turn, so a write that blocked for ever kept it from noticing that nothing came any more; queues had no bound; frames that a link left unwritten were dropped when it ended otherwise than by a failed dial; two nodes that dialled each other at once closed each other's connection; every dial was made at once, however often the last one had failed.

Ruled out: a timeout on each write (a large frame on a slow path is slow, not dead), pings at a fixed rate on every link (two a second on a hundred links is most of a node's control budget).

Change: reading, writing and watching are separate futures of one link; silence counts from what was asked, bytes of unfinished frames are signs of life; a queue holds 1,024 frames or 16 MB, a call that does not fit is reported as not sent, an answer that does not fit gives the link up so that its caller attaches again; unwritten frames go over the link that took this one's place or come back as unsent; a link that both ends dialled is settled by the lower incarnation; dials back off with jitter; each kind of bad input has a counter. A call that could not be attached again is tried with a backoff while its peer is not known to be gone. New setting node.advertised_addr, which the tests need to put a relay between nodes.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -18,15 +18,21 @@
 use proto::KeyHash;
 use proto::Leg;
 use proto::Outcome;
+use proto::PeerState;
 use proto::Reason;
 use proto::Request;
+use std::time::Duration;
 use stdx::Time;
 
 /// How often a call that certainly did not run may go elsewhere for free.
 const MAX_REDIRECTS: u8 = 3;
 
 /// How often a call is sent again under the same id over a new connection.
-const MAX_REATTACHES: u8 = 3;
+const MAX_REATTACHES: u8 = 5;
+
+/// How long to wait before a call is sent again that a new connection did not take either; doubles
+/// each time.
+const REATTACH_WAIT: Duration = Duration::from_millis(200);
 
 /// A call in flight.
 #[derive(Debug)]
@@ -191,7 +197,7 @@
                 continue;
             };
             if call.reattaches > 0 {
-                self.after_lost(now, call);
+                self.reattach_later(now, frame.id, call);
             } else {
                 call.account.give_back(call.lent, call.lent);
                 let refusal = self.refusal(Reason::PeerLost);
@@ -200,6 +206,35 @@
         }
     }
 
+    /// A call that may have been sent before could not be sent again. Whether it ran is known only
+    /// over there, so it is tried until the other end is known to be gone; what may just as well
+    /// run elsewhere does not wait for that.
+    fn reattach_later(&mut self, now: Time, id: CallId, mut call: Outgoing) {
+        let target = call.target.incarnation;
+        let gone = self
+            .members
+            .get(target)
+            .is_none_or(|peer| peer.state == PeerState::Dead);
+        let elsewhere = call.idempotent && call.account.left() > 0;
+        if gone || elsewhere || call.reattaches >= MAX_REATTACHES {
+            return self.after_lost(now, call);
+        }
+        let wait = REATTACH_WAIT * (1 << call.reattaches);
+        call.reattaches += 1;
+        self.timers.set(call.deadline, Timer::Deadline(id));
+        self.timers.set(now + wait, Timer::Reattach(id));
+        self.selector.on_sent(target);
+        self.calls.insert(id, call);
+    }
+
+    pub(crate) fn on_reattach_timer(&mut self, now: Time, id: CallId) {
+        if let Some(call) = self.calls.swap_remove(&id) {
+            self.count(Counter::Reattach);
+            self.send_attempt(now, id, &call);
+            self.calls.insert(id, call);
+        }
+    }
+
     /// Nobody will tell how the attempt ended. Only an idempotent call may be tried again.
     fn after_lost(&mut self, now: Time, mut call: Outgoing) {
         if call.idempotent && call.account.spend() {
--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -4,6 +4,50 @@
 use proto::Reason;
 use stdx::plain;
 
+plain! {
+    /// What happened to a connection between nodes, or to what came over one.
+    #[derive(Hash)]
+    pub enum LinkEvent {
+        /// What came is no frame.
+        BrokenFrame,
+        /// A frame is larger than any may be.
+        FrameTooLarge,
+        /// The other end speaks another version.
+        WrongVersion,
+        /// Somebody connected and did not say who it is.
+        NoHello,
+        /// What came is no datagram, or one of another version.
+        BrokenDatagram,
+        /// The other end said nothing after it was asked.
+        Silent,
+        /// A write made no progress.
+        Stalled,
+        /// A frame did not fit into a link's queue.
+        QueueFull,
+        /// No connection could be made.
+        DialFailed,
+        /// No connection was tried, because the last try failed a moment ago.
+        DialDeferred,
+    }
+}
+
+impl LinkEvent {
+    fn name(self) -> &'static str {
+        match self {
+            LinkEvent::BrokenFrame => "broken-frame",
+            LinkEvent::FrameTooLarge => "frame-too-large",
+            LinkEvent::WrongVersion => "wrong-version",
+            LinkEvent::NoHello => "no-hello",
+            LinkEvent::BrokenDatagram => "broken-datagram",
+            LinkEvent::Silent => "silent",
+            LinkEvent::Stalled => "stalled",
+            LinkEvent::QueueFull => "queue-full",
+            LinkEvent::DialFailed => "dial-failed",
+            LinkEvent::DialDeferred => "dial-deferred",
+        }
+    }
+}
+
 plain! {
     /// One thing to count; the shell passes it on to the metrics.
     #[derive(Hash)]
@@ -50,6 +94,8 @@
         LeaveUnsaid,
         /// A frame or datagram made no sense here.
         Unexpected,
+        /// Something happened to a connection between nodes.
+        Link(LinkEvent),
         /// A peer's state changed.
         PeerChanged,
         /// This node asked the log to take out a dead peer.
@@ -96,6 +142,7 @@
             Counter::AppendLeftOut => "append_left_out".to_owned(),
             Counter::LeaveUnsaid => "leave_unsaid".to_owned(),
             Counter::Unexpected => "unexpected".to_owned(),
+            Counter::Link(event) => format!("link.{}", event.name()),
             Counter::PeerChanged => "peer_changed".to_owned(),
             Counter::EvictionAsked => "eviction_asked".to_owned(),
             Counter::PeerTableFull => "peer_table_full".to_owned(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -228,6 +228,7 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Deadline(call) => self.on_deadline(now, call),
+                Timer::Reattach(call) => self.on_reattach_timer(now, call),
             }
         }
         self.tick_members(now);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub use config::Config;
 pub use counter::Counter;
+pub use counter::LinkEvent;
 pub use engine::Engine;
 pub use engine::Tables;
 pub use gauges::Gauge;
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -11,6 +11,8 @@
     pub(crate) enum Timer {
         /// A call's deadline.
         Deadline(CallId),
+        /// A call is to be sent again over a new connection.
+        Reattach(CallId),
     }
 }
 
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -164,12 +164,10 @@
                 load,
                 rumours,
             } => {
-                self.on_ack(now, &sender, seq, load);
+                self.on_ack(now, &sender, seq, digest, load);
                 self.hear_sender(now, &sender, load);
                 self.hear_all(now, &rumours);
-                if from == sender.instance.addr {
-                    self.compare(now, from, digest);
-                }
+                self.compare(now, sender.instance.addr, digest);
             }
             MemberMessage::PingReq { seq, target } => self.on_ping_req(from, seq, target),
             MemberMessage::Gossip { rumours } => self.hear_all(now, &rumours),
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -267,7 +267,14 @@
     }
 
     /// Takes an ack to a ping of this node, and passes it on if it was asked for by another.
-    pub(crate) fn on_ack(&mut self, now: Time, sender: &Rumour, seq: u64, load: LoadReport) {
+    pub(crate) fn on_ack(
+        &mut self,
+        now: Time,
+        sender: &Rumour,
+        seq: u64,
+        digest: u64,
+        load: LoadReport,
+    ) {
         let Some(addr) = self.probes.asked.get(&seq).copied() else {
             return;
         };
@@ -275,7 +282,7 @@
             let ack = MemberMessage::Ack {
                 from: sender.clone(),
                 seq,
-                digest: self.digest(),
+                digest,
                 load,
                 rumours: Vec::new(),
             };
--- a/crates/node/src/fetch.rs
+++ b/crates/node/src/fetch.rs
@@ -1,8 +1,9 @@
 //! The log's state from node to node, over a connection of its own that carries nothing else.
 
 use crate::peers;
-use crate::peers::Wire;
 use crate::shell::Shell;
+use crate::wire;
+use crate::wire::Wire;
 use bytes::Bytes;
 use engine::Input;
 use proto::Frame;
@@ -28,15 +29,15 @@
 
 async fn exchange(shell: &Shell, addr: SocketAddr, next: u64) -> Option<Bytes> {
     let stream = TcpStream::connect(addr).await.ok()?;
-    let mut wire = peers::frame_wire(stream);
-    peers::write(&mut wire, &peers::hello_frame(shell, None))
+    let mut wire = wire::frame_wire(stream);
+    wire::write(&mut wire, &peers::hello_frame(shell, None))
         .await
         .ok()?;
-    peers::read(&mut wire).await?.ok()?;
-    peers::write(&mut wire, &Frame::FetchState { next })
+    wire::read(&mut wire).await.ok()?;
+    wire::write(&mut wire, &Frame::FetchState { next })
         .await
         .ok()?;
-    match peers::read(&mut wire).await? {
+    match wire::read(&mut wire).await {
         Ok(Frame::State(state)) => Some(state),
         _ => None,
     }
@@ -44,12 +45,11 @@
 
 /// Answers one question; a node that knows nothing newer just closes.
 pub(crate) async fn answer(shell: &Shell, wire: &mut Wire) {
-    let Ok(Some(Ok(Frame::FetchState { next }))) = timeout(PATIENCE, peers::read(wire)).await
-    else {
+    let Ok(Ok(Frame::FetchState { next })) = timeout(PATIENCE, wire::read(wire)).await else {
         return shell.count_broken();
     };
     let state = shell.engine.borrow().state_after(next);
     if let Some(state) = state {
-        let _ = timeout(PATIENCE, peers::write(wire, &Frame::State(state))).await;
+        let _ = timeout(PATIENCE, wire::write(wire, &Frame::State(state))).await;
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,12 +6,14 @@
 mod backend;
 mod caller;
 mod fetch;
+mod link;
 mod log_reader;
 mod metrics;
 mod peers;
 mod settings;
 mod shell;
 mod udp;
+mod wire;
 
 pub use settings::Settings;
 pub use settings::SettingsError;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -18,6 +18,9 @@
     pub http_addr: SocketAddr,
     /// Where other nodes reach it, by TCP and UDP.
     pub peer_addr: SocketAddr,
+    /// Where other nodes are told to reach it, if that is not `peer_addr`, because that one is a
+    /// wildcard or behind a translation of addresses.
+    pub advertised_addr: Option<SocketAddr>,
     /// Hints where other nodes may be.
     pub contacts: Vec<SocketAddr>,
     /// The backend server.
@@ -94,12 +97,13 @@
 impl std::error::Error for SettingsError {}
 
 /// Every key there is.
-const KNOWN: [(&str, &str); 14] = [
+const KNOWN: [(&str, &str); 15] = [
     ("node", "service"),
     ("node", "failure_domain"),
     ("node", "region"),
     ("node", "http_addr"),
     ("node", "peer_addr"),
+    ("node", "advertised_addr"),
     ("node", "contacts"),
     ("node", "max_body"),
     ("node", "caller_header"),
@@ -147,6 +151,7 @@
             region: word(&ini, "node", "region")?,
             http_addr: required(&ini, "node", "http_addr", ADDR)?,
             peer_addr: required(&ini, "node", "peer_addr", ADDR)?,
+            advertised_addr: optional(&ini, "node", "advertised_addr", ADDR)?,
             contacts: contacts(&ini)?,
             backend_server_addr: required(&ini, backend, "addr", ADDR)?,
             refusal_header: optional(&ini, backend, "refusal_header", "a header's name")?
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -125,7 +125,7 @@
         service: settings.service.as_str().into(),
         failure_domain: settings.failure_domain.as_str().into(),
         region: settings.region.as_str().into(),
-        addr: peer_addr,
+        addr: settings.advertised_addr.unwrap_or(peer_addr),
     };
     let seed = me.incarnation.0;
     let mut cfg = Config {
--- a/crates/node/src/udp.rs
+++ b/crates/node/src/udp.rs
@@ -2,7 +2,9 @@
 
 use crate::metrics::add;
 use crate::shell::Shell;
+use engine::Counter;
 use engine::Input;
+use engine::LinkEvent;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -20,7 +22,7 @@
         add(&shell.metrics.bytes.datagrams_in, len);
         match proto::decode(&buf[..len]) {
             Ok(datagram) => shell.feed(Input::Datagram { from, datagram }),
-            Err(_) => shell.count_broken(),
+            Err(_) => shell.count(Counter::Link(LinkEvent::BrokenDatagram)),
         }
     }
 }
--- /dev/null
+++ b/crates/node/src/wire.rs
@@ -0,0 +1,123 @@
+//! Frames on a TCP connection: length-delimited `postcard`, with note of every byte that passes.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::SinkExt;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use proto::Frame;
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::ready;
+use std::task::Context;
+use std::task::Poll;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// The largest frame, in bytes.
+pub(crate) const MAX_FRAME: usize = 4 << 20;
+
+pub(crate) type Wire = Framed<Metered, LengthDelimitedCodec>;
+
+/// When bytes last passed each way. A large frame on a slow path takes long and is still a sign of
+/// life, which whole frames alone would not show.
+#[derive(Clone)]
+pub(crate) struct Progress {
+    pub(crate) heard: Rc<Cell<Instant>>,
+    pub(crate) wrote: Rc<Cell<Instant>>,
+}
+
+/// A TCP stream that notes its progress.
+pub(crate) struct Metered {
+    stream: TcpStream,
+    progress: Progress,
+}
+
+impl Metered {
+    pub(crate) fn progress(&self) -> Progress {
+        self.progress.clone()
+    }
+}
+
+/// Why there is no next frame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadError {
+    /// The connection is closed or broken, perhaps in the middle of a frame.
+    Closed,
+    /// The frame says that it is larger than any may be.
+    TooLarge,
+    /// The bytes are no frame.
+    Malformed,
+}
+
+pub(crate) fn frame_wire(stream: TcpStream) -> Wire {
+    let _ = stream.set_nodelay(true);
+    let now = Instant::now();
+    let progress = Progress {
+        heard: Rc::new(Cell::new(now)),
+        wrote: Rc::new(Cell::new(now)),
+    };
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_framed(Metered { stream, progress })
+}
+
+/// Reads one frame. A frame that was cut off is an error, never a shorter frame.
+pub(crate) async fn read<S>(stream: &mut S) -> Result<Frame, ReadError>
+where
+    S: Stream<Item = io::Result<BytesMut>> + Unpin,
+{
+    match stream.next().await {
+        None => Err(ReadError::Closed),
+        Some(Ok(bytes)) => proto::decode(&bytes).map_err(|_| ReadError::Malformed),
+        // The codec's own error is about the length; all others are the connection's.
+        Some(Err(e)) if e.kind() == io::ErrorKind::InvalidData => Err(ReadError::TooLarge),
+        Some(Err(_)) => Err(ReadError::Closed),
+    }
+}
+
+pub(crate) async fn write(wire: &mut Wire, frame: &Frame) -> io::Result<()> {
+    wire.send(Bytes::from(proto::encode(frame))).await
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        if buf.filled().len() > before {
+            self.progress.heard.set(Instant::now());
+        }
+        Poll::Ready(read)
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let wrote = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
+        self.progress.wrote.set(Instant::now());
+        Poll::Ready(wrote)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
