Membership: what the log says is not passed on as rumours; cost by size

Cause: every node read the roster and spread each entry of it. Ruled out: fewer retransmissions, which would hurt real news. Change: entries and departures from the roster are not spread; a node without the log finds the difference by digests.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -109,7 +109,8 @@
 
     /// Takes the log's word on who is there. Who was listed and is not any more is gone for good,
     /// unless the log lists it again; it is not taken for dead before it is silent, because it may
-    /// still be finishing what it has in flight.
+    /// still be finishing what it has in flight. None of this is passed on: the others read the same
+    /// log, and who cannot finds the difference by digests.
     pub fn set_roster<'a>(
         &mut self,
         now: Time,
@@ -357,7 +358,9 @@
             return self.effects.push(Effect::TableFull);
         }
         let instance = rumour.instance.clone();
+        let incarnation = instance.incarnation;
         self.enter(now, instance, rumour.state, rumour.beat);
+        self.spread(incarnation);
     }
 
     fn enter(&mut self, now: Time, instance: Instance, state: PeerState, beat: u32) {
@@ -368,6 +371,7 @@
         self.after_change(now, incarnation, state);
     }
 
+    /// Takes a peer's new state, and passes it on.
     pub(crate) fn set_state(
         &mut self,
         now: Time,
@@ -375,6 +379,11 @@
         state: PeerState,
         beat: u32,
     ) {
+        self.change(now, incarnation, state, beat);
+        self.spread(incarnation);
+    }
+
+    fn change(&mut self, now: Time, incarnation: Incarnation, state: PeerState, beat: u32) {
         let Some(entry) = self.peers.get_mut(&incarnation) else {
             return;
         };
@@ -391,14 +400,11 @@
                 self.occupants.insert(addr, incarnation);
             }
             self.after_change(now, incarnation, state);
-        } else {
-            self.spread(incarnation);
         }
     }
 
     fn after_change(&mut self, now: Time, incarnation: Incarnation, state: PeerState) {
         self.digests.invalidate();
-        self.spread(incarnation);
         if state == PeerState::Suspect {
             self.start_suspicion(now, incarnation);
         }
@@ -478,6 +484,7 @@
         let incarnation = rumour.instance.incarnation;
         if !self.peers.contains_key(&incarnation) {
             self.enter(now, rumour.instance.clone(), PeerState::Dead, rumour.beat);
+            self.spread(incarnation);
         }
         self.bury(now, incarnation);
     }
@@ -525,7 +532,7 @@
         entry.gone = true;
         let (state, beat) = (entry.peer.state, entry.beat);
         if matches!(state, PeerState::Alive | PeerState::Suspect) {
-            self.set_state(now, incarnation, PeerState::Leaving, beat);
+            self.change(now, incarnation, PeerState::Leaving, beat);
             if state == PeerState::Suspect {
                 self.start_suspicion(now, incarnation);
             }
@@ -571,7 +578,7 @@
         if let Some(entry) = self.peers.get_mut(&incarnation) {
             entry.gone = false;
             let beat = entry.beat;
-            self.set_state(now, incarnation, PeerState::Alive, beat);
+            self.change(now, incarnation, PeerState::Alive, beat);
         }
     }
 
