--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -18,15 +18,21 @@
 use proto::KeyHash;
 use proto::Leg;
 use proto::Outcome;
+use proto::PeerState;
 use proto::Reason;
 use proto::Request;
+use std::time::Duration;
 use stdx::Time;
 
 /// How often a call that certainly did not run may go elsewhere for free.
 const MAX_REDIRECTS: u8 = 3;
 
 /// How often a call is sent again under the same id over a new connection.
-const MAX_REATTACHES: u8 = 3;
+const MAX_REATTACHES: u8 = 5;
+
+/// How long to wait before a call is sent again that a new connection did not take either; doubles
+/// each time.
+const REATTACH_WAIT: Duration = Duration::from_millis(200);
 
 /// A call in flight.
 #[derive(Debug)]
@@ -79,7 +85,7 @@
     fn route(&mut self, now: Time, mut call: Outgoing) {
         let target = match call.key {
             Some((key, _)) => self.home_of(&call.request.service, key),
-            None => self.choose_server(&call),
+            None => self.choose_server(now, &call),
         };
         let Some(target) = target else {
             return self.conclude(now, call, Outcome::NotRun(self.refusal(Reason::NoInstance)));
@@ -97,6 +103,7 @@
             open.call = id;
         }
         self.timers.set(call.deadline, Timer::Deadline(id));
+        self.selector.on_sent(call.target.incarnation);
         self.send_attempt(now, id, &call);
         self.calls.insert(id, call);
     }
@@ -124,7 +131,7 @@
     }
 
     pub(crate) fn on_answer(&mut self, now: Time, from: Incarnation, id: CallId, answer: Answer) {
-        self.members.heard_load(now, from, answer.load);
+        self.hear_load(now, from, answer.load);
         // An answer to an attempt that was given up, or a second one to the same attempt, is late.
         let Some(mut call) = self.take_call(id) else {
             return;
@@ -172,6 +179,7 @@
                 self.send_attempt(now, id, &call);
                 self.calls.insert(id, call);
             } else {
+                self.selector.on_ended(peer);
                 self.timers.clear(call.deadline, Timer::Deadline(id));
                 self.after_lost(now, call);
             }
@@ -179,7 +187,8 @@
     }
 
     /// Frames could not be sent. A call's first sending certainly did not run.
-    pub(crate) fn on_unsent(&mut self, now: Time, _peer: Incarnation, unsent: Vec<Frame>) {
+    pub(crate) fn on_unsent(&mut self, now: Time, peer: Incarnation, unsent: Vec<Frame>) {
+        self.selector.on_failed(now, peer, &mut self.rng);
         for frame in unsent {
             let Frame::Call(frame) = frame else {
                 continue;
@@ -188,7 +197,7 @@
                 continue;
             };
             if call.reattaches > 0 {
-                self.after_lost(now, call);
+                self.reattach_later(now, frame.id, call);
             } else {
                 call.account.give_back(call.lent, call.lent);
                 let refusal = self.refusal(Reason::PeerLost);
@@ -197,6 +206,35 @@
         }
     }
 
+    /// A call that may have been sent before could not be sent again. Whether it ran is known only
+    /// over there, so it is tried until the other end is known to be gone; what may just as well
+    /// run elsewhere does not wait for that.
+    fn reattach_later(&mut self, now: Time, id: CallId, mut call: Outgoing) {
+        let target = call.target.incarnation;
+        let gone = self
+            .members
+            .get(target)
+            .is_none_or(|peer| peer.state == PeerState::Dead);
+        let elsewhere = call.idempotent && call.account.left() > 0;
+        if gone || elsewhere || call.reattaches >= MAX_REATTACHES {
+            return self.after_lost(now, call);
+        }
+        let wait = REATTACH_WAIT * (1 << call.reattaches);
+        call.reattaches += 1;
+        self.timers.set(call.deadline, Timer::Deadline(id));
+        self.timers.set(now + wait, Timer::Reattach(id));
+        self.selector.on_sent(target);
+        self.calls.insert(id, call);
+    }
+
+    pub(crate) fn on_reattach_timer(&mut self, now: Time, id: CallId) {
+        if let Some(call) = self.calls.swap_remove(&id) {
+            self.count(Counter::Reattach);
+            self.send_attempt(now, id, &call);
+            self.calls.insert(id, call);
+        }
+    }
+
     /// Nobody will tell how the attempt ended. Only an idempotent call may be tried again.
     fn after_lost(&mut self, now: Time, mut call: Outgoing) {
         if call.idempotent && call.account.spend() {
@@ -229,6 +267,7 @@
 
     fn take_call(&mut self, id: CallId) -> Option<Outgoing> {
         let call = self.calls.swap_remove(&id)?;
+        self.selector.on_ended(call.target.incarnation);
         self.timers.clear(call.deadline, Timer::Deadline(id));
         Some(call)
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -19,6 +19,7 @@
 use journal::State;
 use membership::Membership;
 use once::Home;
+use policy::Selector;
 use policy::Server;
 use proto::Answer;
 use proto::CallId;
@@ -67,6 +68,9 @@
     pub(crate) log: LogLink,
     pub(crate) fetch: FetchLink,
     pub(crate) members: Membership,
+    pub(crate) selector: Selector,
+    /// The views have changed since the members were told.
+    pub(crate) roster_changed: bool,
     pub(crate) home: Home,
     pub(crate) server: Server,
     /// Requests of callers and of the own backend server, in flight.
@@ -122,6 +126,8 @@
             log: LogLink::default(),
             fetch: FetchLink::default(),
             members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
+            selector: Selector::new(),
+            roster_changed: false,
             home: Home::new(cfg.once.clone(), incarnation),
             server: Server::new(
                 cfg.policy,
@@ -235,6 +241,7 @@
                 Timer::Deadline(call) => self.on_deadline(now, call),
                 Timer::Held(call) => self.on_held_too_long(call),
                 Timer::Handover => {}
+                Timer::Reattach(call) => self.on_reattach_timer(now, call),
             }
         }
         self.tick_members(now);
