--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -107,13 +107,20 @@
         index
     }
 
-    pub(crate) fn on_send(&mut self, index: usize, node: Option<usize>) {
-        if self.actions[index]
-            .end
-            .is_some_and(|(_, end)| end != End::GaveUp)
-        {
-            return;
+    /// The caller sends an action again, whatever it was told, unless it has no key to do so with.
+    pub fn send_again(&mut self, index: usize, node: Option<usize>) {
+        if self.actions[index].attempts > 0 && self.has_key(index) {
+            self.actions[index].end = None;
+            self.on_send(index, node);
         }
+    }
+
+    fn has_key(&self, index: usize) -> bool {
+        let action = &self.actions[index];
+        action.key.is_some() || self.layout.operations[action.operation].idempotent
+    }
+
+    pub(crate) fn on_send(&mut self, index: usize, node: Option<usize>) {
         let any = self.rng.random_range(0..self.nodes.len());
         let node = node.unwrap_or(any);
         let action = &mut self.actions[index];
@@ -191,6 +198,10 @@
         let asked = &self.layout.operations[operation];
         let is_root = matches!(waiter, Waiter::Caller { .. });
         self.judge.on_attempt(asked, &body, is_root);
+        if let (Some(key), false) = (&key, asked.idempotent) {
+            self.judge
+                .on_key(asked, &body, (caller.clone(), key.clone()));
+        }
         let due = asked.deadline + LATE;
         let request = Request::new(&asked.service, &asked.method, &asked.path, body);
         let patience = match waiter {
@@ -295,9 +306,7 @@
 
     /// Sends again if the caller still wants to and has a key to send again with.
     fn resend(&mut self, index: usize, wait: Duration, end: End) {
-        let action = &self.actions[index];
-        let idempotent = self.layout.operations[action.operation].idempotent;
-        let can = idempotent || action.key.is_some();
+        let can = self.has_key(index);
         self.end(index, end);
         let action = &mut self.actions[index];
         if can && action.attempts <= action.resends {
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -17,6 +17,8 @@
 /// After this long a leaving backend server gets nothing new.
 const DRAINED_AFTER: Duration = Duration::from_secs(3);
 
+type Key = (Arc<str>, Arc<str>, Arc<str>);
+
 /// What is known of one piece of work, by operation and body.
 #[derive(Debug, Default)]
 struct Known {
@@ -51,6 +53,9 @@
     pub lookups_go_first: bool,
     work: IndexMap<String, Known>,
     trees: IndexMap<String, Tree>,
+    /// The key of each piece of work that a caller named one for: caller, service, key.
+    keys: IndexMap<String, Key>,
+    key_runs: IndexMap<Key, u32>,
     files: IndexMap<u64, Arc<str>>,
     /// Calls that wait at a node: by node and body, since when.
     arrived: IndexMap<(String, String), Time>,
@@ -89,6 +94,12 @@
         }
     }
 
+    /// A caller names a key for its request.
+    pub(crate) fn on_key(&mut self, operation: &Operation, body: &[u8], key: (Arc<str>, Arc<str>)) {
+        let key = (key.0, operation.service.clone(), key.1);
+        self.keys.insert(name(operation, body), key);
+    }
+
     /// An engine hands work to its backend server.
     pub(crate) fn on_run_asked(
         &mut self,
@@ -151,6 +162,13 @@
         if known.runs > 1 && !operation.idempotent {
             return Err(format!("{name} runs {} times", known.runs));
         }
+        if let Some(key) = self.keys.get(&name) {
+            let runs = self.key_runs.entry(key.clone()).or_default();
+            *runs += 1;
+            if *runs > 1 {
+                return Err(format!("{name} runs though {key:?} has run"));
+            }
+        }
         if known.attempts == known.not_run {
             return Err(format!(
                 "{name} runs though every attempt was told not to: {known:?}"
--- a/crates/trial/src/layout.rs
+++ b/crates/trial/src/layout.rs
@@ -66,6 +66,17 @@
     /// assert_eq!(trial::Layout::small().places.len(), 9);
     /// ```
     pub fn small() -> Self {
+        Self::with_instances(3)
+    }
+
+    /// As [`Layout::small`], with this many instances a service, from one to three.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(trial::Layout::with_instances(2).places.len(), 6);
+    /// ```
+    pub fn with_instances(count: usize) -> Self {
         let services = ["order", "press", "royalty"];
         let domains = [
             ("milano-1", "lombardia"),
@@ -74,7 +85,7 @@
         ];
         let mut places = Vec::new();
         for service in services {
-            for (domain, region) in domains {
+            for (domain, region) in domains.into_iter().rev().take(count) {
                 places.push(Place {
                     service: service.into(),
                     failure_domain: domain.into(),
@@ -84,7 +95,7 @@
         }
         Self {
             operations: vec![
-                operation("order", "GET", "/list", 3, &[2]),
+                operation("order", "GET", "/list", 3, &[2, 4]),
                 operation("order", "POST", "/orders", 4, &[3]),
                 operation("press", "GET", "/days", 3, &[4]),
                 operation("press", "POST", "/slots", 4, &[5]),
@@ -114,7 +125,7 @@
         path: path.into(),
         takes: Duration::from_millis(takes),
         children: children.to_vec(),
-        parallel: false,
+        parallel: children.len() > 1,
         retries: 2,
         deadline: Duration::from_secs(4),
         idempotent: method == "GET",
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -12,6 +12,9 @@
     /// The seeds, as `FIRST..END`, the end not included.
     #[options(meta = "RANGE", default = "1..1000")]
     seeds: String,
+    /// No process ends, so each key keeps its home.
+    #[options(no_short)]
+    homes_stay: bool,
     /// Go on after a failure, and print only the violations.
     #[options()]
     all: bool,
@@ -27,7 +30,7 @@
     };
     let mut failed = 0;
     for seed in first..end {
-        let Err(report) = trial::check_seed(seed) else {
+        let Err(report) = trial::check_seed(seed, !args.homes_stay) else {
             continue;
         };
         failed += 1;
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -30,18 +30,20 @@
 }
 
 impl Plan {
-    /// The plan of a seed. One in three has a single kind of fault, the others have all.
-    pub fn new(seed: u64, layout: &Layout) -> Self {
+    /// The plan of a seed. One in three has a single kind of fault, the others have all. Without
+    /// `homes_move` no process ends, so each key keeps its home.
+    pub fn new(seed: u64, layout: &Layout, homes_move: bool) -> Self {
         let mut rng = StdRng::seed_from_u64(seed ^ 0x7472_6961_6c00);
-        let count = rng.random_range(100..400);
+        let count = rng.random_range(100..800);
         let actions = (0..count)
             .map(|nth| random_action(&mut rng, layout, nth))
             .collect();
-        let only = (seed % 3 == 0).then(|| rng.random_range(0..KINDS));
-        let count = rng.random_range(1..12);
+        let first = if homes_move { 0 } else { MOVES };
+        let only = (seed % 3 == 0).then(|| rng.random_range(first..KINDS));
+        let count = rng.random_range(1..20);
         let faults = (0..count)
             .flat_map(|_| {
-                let kind = only.unwrap_or_else(|| rng.random_range(0..KINDS));
+                let kind = only.unwrap_or_else(|| rng.random_range(first..KINDS));
                 random_faults(&mut rng, layout, kind)
             })
             .collect();
@@ -52,7 +54,12 @@
     pub fn world(&self, seed: u64, layout: Layout) -> World {
         let mut world = World::new(seed, layout);
         for (at, action) in &self.actions {
-            world.submit(*at, action.clone(), None);
+            let index = world.submit(*at, action.clone(), None);
+            // A caller that lost the answer, or its patience, sends again though all went well.
+            for _ in 0..world.rng.random_range(0..3) {
+                let wait = Duration::from_millis(world.rng.random_range(1..15_000));
+                world.at(*at + wait, move |world| world.send_again(index, None));
+            }
         }
         for (at, fault) in &self.faults {
             let fault = fault.clone();
@@ -70,8 +77,11 @@
     action.caller = format!("shop{}", rng.random_range(0..4)).into();
     action.patience = Duration::from_millis(rng.random_range(300..6000));
     action.resends = rng.random_range(0..6);
-    if rng.random_bool(0.1) {
-        action.key = None;
+    match rng.random_range(0..10) {
+        0 => action.key = None,
+        // Taken by other callers, and now and then by the same one for another body.
+        1 => action.key = Some(format!("k{}", rng.random_range(0..20)).into()),
+        _ => {}
     }
     (at, action)
 }
@@ -79,6 +89,9 @@
 /// How many kinds of faults there are.
 const KINDS: u32 = 18;
 
+/// How many of them, the first, end processes.
+const MOVES: u32 = 5;
+
 fn random_faults(rng: &mut StdRng, layout: &Layout, kind: u32) -> Vec<(Time, Fault)> {
     let at = Time::ZERO + WARM + FAULTS.mul_f64(rng.random());
     let a = rng.random_range(0..layout.places.len());
@@ -90,11 +103,11 @@
         0 => for_a_while(Fault::Kill(a), Fault::Start(a)),
         1 => vec![(at, Fault::Restart(a))],
         2 => vec![(at, Fault::Replace(a))],
-        3 => vec![(at, Fault::Pause(a, long))],
-        4 => vec![
+        3 => vec![
             (at, Fault::Stop(a)),
             (at + long + Duration::from_secs(5), Fault::Start(a)),
         ],
+        4 => vec![(at, Fault::LogLose(2)), (at, Fault::Restart(a))],
         5 => for_a_while(Fault::Cut(a, b), Fault::Heal),
         6 => for_a_while(Fault::CutOneWay(a, b), Fault::Heal),
         7 => for_a_while(
@@ -109,7 +122,7 @@
             let slow = Duration::from_millis(rng.random_range(100..8000));
             for_a_while(Fault::LogSlow(slow), Fault::LogSlow(Duration::ZERO))
         }
-        13 => vec![(at, Fault::LogLose(2)), (at, Fault::Restart(a))],
+        13 => vec![(at, Fault::Pause(a, long))],
         14 => vec![(at, Fault::Publish(rng.random_range(1..4)))],
         15 => vec![(at, Fault::Crash(a))],
         16 => for_a_while(Fault::Slow(service.clone(), 20), Fault::Slow(service, 1)),
@@ -200,14 +213,27 @@
     }
 }
 
+/// Two or three instances a service, quick or slow, with few or many slots.
+fn random_layout(seed: u64) -> Layout {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut layout = Layout::with_instances(rng.random_range(2..4));
+    let times = [1, 1, 10, 50][rng.random_range(0..4)];
+    for operation in &mut layout.operations {
+        operation.takes *= times;
+    }
+    layout.slots = rng.random_range(2..12);
+    layout.backlog = rng.random_range(0..40);
+    layout
+}
+
 /// Runs the plan of a seed.
 ///
 /// # Errors
 ///
 /// The report of the first violation and the trace that led to it.
-pub fn check_seed(seed: u64) -> Result<World, String> {
-    let layout = Layout::small();
-    let mut world = Plan::new(seed, &layout).world(seed, layout);
+pub fn check_seed(seed: u64, homes_move: bool) -> Result<World, String> {
+    let layout = random_layout(seed);
+    let mut world = Plan::new(seed, &layout, homes_move).world(seed, layout);
     world.run_for(WARM + FAULTS + Duration::from_secs(15));
     if world.judge.violations.is_empty() {
         world.settle();
--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -87,10 +87,9 @@
             Ok(())
         }
         ["again", body, "at", name] => {
-            let node = world.node(name);
+            let node = Some(world.node(name).ok_or(None)?);
             let action = find(world, body)?;
-            world.actions[action].end = None;
-            world.at(world.now, move |world| world.on_send(action, node));
+            world.send_again(action, node);
             Ok(())
         }
         ["settle"] => {
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -30,7 +30,7 @@
 use stdx::Time;
 
 /// How many lines of the trace are kept for the report of a violation.
-const TRACE_LINES: usize = 400;
+const TRACE_LINES: usize = 4000;
 
 /// Latency between a node and its own backend server.
 const LOCAL: Duration = Duration::from_micros(100);
