--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -12,6 +12,8 @@
     pub contacts: Vec<SocketAddr>,
     /// Membership.
     pub membership: membership::Config,
+    /// Which mechanisms of the policy under load are on.
+    pub policy: policy::Switches,
     /// Records and leases.
     pub once: once::Config,
     /// The most requests that may be in flight from this node.
@@ -22,6 +24,8 @@
     pub max_depth: u8,
     /// How long to wait before a lost append is tried again.
     pub append_retry: Duration,
+    /// How long a stop waits until the log has taken its `Leave`.
+    pub leave_patience: Duration,
 }
 
 impl Default for Config {
@@ -30,11 +34,13 @@
             seed: 0,
             contacts: Vec::new(),
             membership: membership::Config::default(),
+            policy: policy::Switches::ALL,
             once: once::Config::default(),
             max_calls: 10_000,
             max_key: 255,
             max_depth: 32,
             append_retry: Duration::from_secs(1),
+            leave_patience: Duration::from_secs(10),
         }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -113,7 +113,12 @@
             log: LogLink::default(),
             members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
             home: Home::new(cfg.once.clone(), incarnation),
-            server: Server::new(defaults.max_concurrency, defaults.queue),
+            server: Server::new(
+                cfg.policy,
+                defaults.min_concurrency,
+                defaults.max_concurrency,
+                defaults.queue,
+            ),
             open: IndexMap::new(),
             calls: IndexMap::new(),
             inbound: IndexMap::new(),
@@ -152,13 +157,17 @@
             Input::Records(records) => self.on_records(now, records),
             Input::LogRead => self.on_log_read(now),
             Input::LogUnreachable => self.log.reachable = false,
-            Input::Appended(number) => self.on_appended(number),
+            Input::Appended(number) => self.on_appended(now, number),
             Input::AppendLost(number) => self.on_append_lost(now, number),
             Input::Stop => self.on_stop(now),
             Input::Tick => {}
         }
         self.run_due(now);
         self.drain_loopback(now);
+        // What came from this node itself may have freed a place, or have to leave the queue.
+        self.pump_server(now);
+        self.drain_loopback(now);
+        self.pump_appends(now);
         self.check_stopped();
         std::mem::take(&mut self.out)
     }
@@ -169,6 +178,7 @@
             self.timers.next(),
             self.members.next_timer(),
             self.server.next_timer(),
+            self.log.next_timer(),
         ]
         .into_iter()
         .flatten()
@@ -205,7 +215,6 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Deadline(call) => self.on_deadline(now, call),
-                Timer::Append => self.on_append_timer(now),
             }
         }
         self.tick_members(now);
@@ -258,7 +267,7 @@
     fn on_stop(&mut self, now: Time) {
         self.stopping = true;
         self.leave_members(now);
-        self.leave_log();
+        self.leave_log(now);
     }
 
     fn check_stopped(&mut self) {
