A late copy of a call is never run for a forgotten answer

Cause: answers were kept for the last 256 calls, so that a call that comes again over a new connection gets its answer. A surge forgets them in a moment; a copy of a call that the old connection still delivers was then a new call: it ran again outside the retry allowance, or ran after its caller had been told "not run". Ruled out: free redirects and the allowance itself, by their traces, in which one call id arrives twice and is offered twice.

Change: answers are bounded by bytes, and for what is forgotten the highest number of each caller's node is kept; a call up to it that is in no table is answered unknown.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,5 +1,6 @@
 //! The engine's state, and how inputs reach the controllers.
 
+use crate::answered::Answered;
 use crate::calls::Outgoing;
 use crate::entry::OpenRequest;
 use crate::homes::KeyWork;
@@ -18,7 +19,6 @@
 use membership::Membership;
 use once::Home;
 use policy::Server;
-use proto::Answer;
 use proto::CallId;
 use proto::Frame;
 use proto::Instance;
@@ -30,12 +30,8 @@
 use rand::SeedableRng;
 use std::collections::VecDeque;
 use std::time::Duration;
-use stdx::Bounded;
 use stdx::Time;
 
-/// Answers of inbound calls that are kept for a caller whose connection was lost.
-const ANSWERS_KEPT: usize = 256;
-
 /// When a caller may come back after a refusal that says nothing more exact.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -73,7 +69,7 @@
     /// Calls from nodes (this one included) that are not answered yet.
     pub(crate) inbound: IndexMap<CallId, Inbound>,
     /// Answers given lately, for calls that attach again.
-    pub(crate) answered: Bounded<CallId, Answer>,
+    pub(crate) answered: Answered,
     /// Work for the own backend server, queued or running.
     pub(crate) jobs: IndexMap<RunId, Job>,
     /// Who waits for the run of a key.
@@ -122,7 +118,7 @@
             open: IndexMap::new(),
             calls: IndexMap::new(),
             inbound: IndexMap::new(),
-            answered: Bounded::new(ANSWERS_KEPT),
+            answered: Answered::new(),
             jobs: IndexMap::new(),
             keys: IndexMap::new(),
             timers: Timers::default(),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,6 +4,7 @@
 //! I/O and reads no clock, global or unseeded random number, so production, tests and benches run
 //! the same code, each with a clock and a network of its own.
 
+mod answered;
 mod appends;
 mod calls;
 mod config;
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -1,5 +1,6 @@
 //! Calls from other nodes, and work on the own backend server.
 
+use crate::answered::Seen;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
@@ -120,13 +121,17 @@
 impl Engine {
     pub(crate) fn on_call(&mut self, now: Time, from: Incarnation, call: Call) {
         // The id is known: the call came over a connection that was lost, or the frame came twice.
-        if let Some(answer) = self.answered.get(&call.id) {
-            let frame = Frame::Answer(call.id, Box::new(answer.clone()));
-            return self.send_to(from, frame);
-        }
         if self.inbound.contains_key(&call.id) {
             return;
         }
+        match self.answered.get(call.id) {
+            Seen::Answered(answer) => {
+                let frame = Frame::Answer(call.id, Box::new(answer.clone()));
+                return self.send_to(from, frame);
+            }
+            Seen::Forgotten => return self.answer_forgotten(from, call.id),
+            Seen::Never => {}
+        }
         match call.leg {
             Leg::Serve => self.serve(now, call),
             Leg::Home => self.on_home_call(now, call),
@@ -283,6 +288,16 @@
         self.end_job(now, run, self.not_run(Reason::CallerGone));
     }
 
+    /// Answers a call of which nobody can tell whether it was answered before.
+    fn answer_forgotten(&mut self, from: Incarnation, id: CallId) {
+        let answer = Answer {
+            outcome: Outcome::Unknown(Reason::PeerLost),
+            unspent: 0,
+            load: self.load_report(),
+        };
+        self.send_to(from, Frame::Answer(id, Box::new(answer)));
+    }
+
     /// Answers an inbound call, once.
     pub(crate) fn answer_call(&mut self, id: CallId, unspent: u16, outcome: Outcome) {
         self.inbound.swap_remove(&id);
