--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -46,8 +46,8 @@
     pub violations: Vec<String>,
     /// A body that has one of these in it crashes each backend server that runs it.
     pub poison: Vec<Arc<str>>,
-    /// Crashes by poison.
-    pub crashes: u32,
+    /// Crashes of backend servers by each of them.
+    pub crashes: IndexMap<Arc<str>, u32>,
     /// Lookups must be shed first: no lookup that waited when something else was refused for load
     /// may still be started.
     pub lookups_go_first: bool,
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -12,7 +12,7 @@
     /// The seeds, as `FIRST..END`, the end not included.
     #[options(meta = "RANGE", default = "1..1000")]
     seeds: String,
-    /// No process ends, so each key keeps its home.
+    /// No process ends or is taken for dead, so each key keeps its home.
     #[options(no_short)]
     homes_stay: bool,
     /// Go on after a failure, and print only the violations.
