--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,6 +11,7 @@
 mod counter;
 mod engine;
 mod entry;
+mod fetch;
 mod gauges;
 mod homes;
 mod io;
@@ -18,6 +19,7 @@
 mod members;
 mod routing;
 mod serve;
+mod snapshots;
 mod timers;
 
 pub use config::Config;
