Recorded traces of calls and faults, with stated outcomes

A trace is text, one event a line, and is replayed through the same engines and fakes as the random runs; one test for each file.

--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -97,24 +97,26 @@
             Ok(())
         }
         ["expect", body, ends @ ..] => {
-            let action = &world.actions[find(world, body)?];
-            let end = action
-                .end
-                .map_or("none".to_owned(), |(_, end)| end_name(end));
-            if ends.contains(&&*end) {
-                Ok(())
-            } else {
-                Err(Some(end))
-            }
+            stated(ends, end_name(world.actions[find(world, body)?].end))
         }
         ["expect-runs", method, path, body, counts @ ..] => {
             let operation = world.layout.operation(method, path).ok_or(None)?;
             let operation = &world.layout.operations[operation];
-            let runs = world.judge.runs(operation, body.as_bytes()).to_string();
-            if counts.contains(&&*runs) {
-                Ok(())
-            } else {
-                Err(Some(runs))
+            let runs = world.judge.runs(operation, body.as_bytes());
+            stated(counts, runs.to_string())
+        }
+        ["expect-crashes", poison, counts @ ..] => {
+            let crashes = world.judge.crashes.get(*poison).unwrap_or(&0);
+            stated(counts, crashes.to_string())
+        }
+        ["expect-all", ends @ ..] => {
+            let mut got = world
+                .actions
+                .iter()
+                .map(|action| (action, end_name(action.end)));
+            match got.find(|(_, end)| !ends.contains(&&**end)) {
+                None => Ok(()),
+                Some((action, end)) => Err(Some(format!("{} {end}", action.body))),
             }
         }
         ["expect-version", version] => {
@@ -172,7 +174,17 @@
         .ok_or(None)
 }
 
-fn end_name(end: End) -> String {
+fn stated(allowed: &[&str], got: String) -> Result<(), Option<String>> {
+    match allowed.contains(&&*got) {
+        true => Ok(()),
+        false => Err(Some(got)),
+    }
+}
+
+fn end_name(end: Option<(Time, End)>) -> String {
+    let Some((_, end)) = end else {
+        return "none".to_owned();
+    };
     match end {
         End::Whole => "whole".to_owned(),
         End::Failed => "failed".to_owned(),
--- /dev/null
+++ b/crates/trial/tests/traces.rs
@@ -0,0 +1,46 @@
+//! Recorded traces of calls and faults, with stated outcomes.
+
+/// One test for each trace, named as its file.
+macro_rules! traces {
+    ($($name:ident $file:literal)*) => {
+        $(
+            #[test]
+            fn $name() {
+                check(include_str!(concat!("../traces/", $file, ".trace")));
+            }
+        )*
+
+        /// A trace that no test replays would prove nothing.
+        #[test]
+        fn every_trace_is_replayed() {
+            let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/traces");
+            let files = std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().file_name());
+            let mut files: Vec<_> = files.map(|name| name.into_string().unwrap()).collect();
+            let mut replayed = [$(concat!($file, ".trace")),*];
+            files.sort();
+            replayed.sort();
+            assert_eq!(files, replayed);
+        }
+    };
+}
+
+fn check(text: &str) {
+    if let Err(e) = trial::replay(text) {
+        panic!("{e:?}");
+    }
+}
+
+traces! {
+    graceful_stop "graceful-stop"
+    log_answers_lost "log-answers-lost"
+    log_down "log-down"
+    log_slow "log-slow"
+    one_way "one-way"
+    operators_race "operators-race"
+    poison "poison"
+    quiet "quiet"
+    resets "resets"
+    server_crash "server-crash"
+    silent "silent"
+    slow_surge_retries "slow-surge-retries"
+}
