--- a/crates/trial/src/net.rs
+++ b/crates/trial/src/net.rs
@@ -187,7 +187,7 @@
         let (node, incarnation) = wire.ends[side];
         let from = wire.ends[1 - side].1;
         if let Frame::Call(call) = &frame {
-            self.judge.on_arrival(&self.nodes[node], self.now, call);
+            self.judge.on_arrival(&self.nodes[node], call);
             self.note(format!(
                 "{} gets {:?} {} {} of {}",
                 self.nodes[node].name,
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -35,6 +35,9 @@
 /// Latency between a node and its own backend server.
 const LOCAL: Duration = Duration::from_micros(100);
 
+/// How much faster or slower than the virtual clock a process's clock may run.
+const CLOCK_DRIFT: f64 = 0.001;
+
 /// How long a process takes to come up again.
 const START: Duration = Duration::from_millis(200);
 
@@ -63,10 +66,14 @@
     pub engine: Option<Engine>,
     /// Its clock's origin.
     pub started: Time,
+    /// How fast its clock runs.
+    pub clock_rate: f64,
     /// The process is frozen.
     pub paused: bool,
     /// When it was last frozen or set free.
     pub moved: Time,
+    /// The newest version that was in force anywhere when the process started.
+    pub known_version: u64,
     /// When its graceful shutdown began.
     pub stopping: Option<Time>,
     /// Its backend server.
@@ -248,6 +255,7 @@
             return;
         }
         let incarnation = Incarnation(self.rng.random());
+        let clock_rate = self.rng.random_range(1.0 - CLOCK_DRIFT..1.0 + CLOCK_DRIFT);
         let contacts = (0..2).map(|_| self.rng.random_range(0..self.nodes.len()));
         let contacts = contacts.map(|at| self.nodes[at].me.addr).collect();
         let mut cfg = Config {
@@ -257,11 +265,15 @@
         };
         cfg.membership.seed = incarnation.0;
         let now = self.now;
+        let engines = self.nodes.iter().filter_map(|node| node.engine.as_ref());
+        let known_version = engines.map(Engine::rules_version).max().unwrap_or(0);
         let place = &mut self.nodes[node];
+        place.known_version = known_version;
         place.me.incarnation = incarnation;
         place.incarnation = incarnation;
         place.engine = Some(Engine::new(cfg, place.me.clone()));
         place.started = now;
+        place.clock_rate = clock_rate;
         place.moved = now;
         place.paused = false;
         place.stopping = None;
@@ -336,7 +348,7 @@
         let Some(engine) = place.engine.as_mut().filter(|_| place.incarnation == from) else {
             return;
         };
-        let now = Time::ZERO + self.now.since(place.started);
+        let now = Time::ZERO + self.now.since(place.started).mul_f64(place.clock_rate);
         let before = engine.rules_version();
         let outputs = engine.handle(now, input);
         let (version, file) = (engine.rules_version(), engine.journal().file.clone());
@@ -363,7 +375,7 @@
             return;
         };
         // A timer that stays due would stop the clock; a shell's timers are no finer than this.
-        let due = place.started + due.since(Time::ZERO);
+        let due = place.started + due.since(Time::ZERO).div_f64(place.clock_rate);
         let at = due.max(self.now + Duration::from_micros(50));
         if place.tick.is_none_or(|tick| tick > at) {
             place.tick = Some(at);
@@ -427,7 +439,7 @@
                 other => format!("{other:?}"),
             };
             self.judge
-                .on_answer_sent(&self.nodes[node], self.now, *id, &answer.outcome);
+                .on_answer_sent(&self.nodes[node], *id, &answer.outcome);
             self.note(format!("{} answers {id} {outcome}", self.nodes[node].name));
         }
     }
@@ -467,8 +479,10 @@
             incarnation,
             engine: None,
             started: Time::ZERO,
+            clock_rate: 1.0,
             paused: false,
             moved: Time::ZERO,
+            known_version: 0,
             stopping: None,
             server: Server::new(layout),
             waiting: IndexMap::new(),
