--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -28,6 +28,7 @@
 pub use plan::Plan;
 pub use server::Server;
 pub use trace::replay;
+pub use trace::replay_all;
 pub use trace::TraceError;
 pub use world::Node;
 pub use world::World;
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -339,6 +339,7 @@
             self.violation(&cut);
         }
         self.note(format!("exit {}", self.nodes[node].name));
+        self.close_after_flush(from);
         self.kill(node);
     }
 
