--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -61,6 +61,7 @@
             let effects = self.members.set_roster(now, self.journal.instances());
             self.apply_members(now, effects);
         }
+        self.server.tick(now);
         let load = self.load_report();
         self.members.set_load(load);
         let effects = self.members.tick(now);
