--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -40,6 +40,21 @@
 /// When a caller may come back after a refusal that says nothing more exact.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// How many entries the tables of what is in flight have.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tables {
+    /// Requests of callers and of the own backend server.
+    pub requests: usize,
+    /// Calls to nodes.
+    pub calls: usize,
+    /// Calls from nodes.
+    pub inbound: usize,
+    /// Work for the own backend server, queued or running.
+    pub jobs: usize,
+    /// Runs of keys that somebody waits for.
+    pub keys: usize,
+}
+
 /// A node's decisions and state.
 #[derive(Debug)]
 pub struct Engine {
@@ -101,7 +116,12 @@
             fetch: FetchLink::default(),
             members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
             home: Home::new(cfg.once.clone(), incarnation),
-            server: Server::new(defaults.max_concurrency, defaults.queue),
+            server: Server::new(
+                cfg.policy,
+                defaults.min_concurrency,
+                defaults.max_concurrency,
+                defaults.queue,
+            ),
             open: IndexMap::new(),
             calls: IndexMap::new(),
             inbound: IndexMap::new(),
@@ -149,6 +169,9 @@
         }
         self.run_due(now);
         self.drain_loopback(now);
+        // What came from this node itself may have freed a place, or have to leave the queue.
+        self.pump_server(now);
+        self.drain_loopback(now);
         self.run_fetch(now);
         self.pump_appends(now);
         self.check_stopped();
@@ -184,6 +207,17 @@
         &self.journal
     }
 
+    /// How much is in flight.
+    pub fn tables(&self) -> Tables {
+        Tables {
+            requests: self.open.len(),
+            calls: self.calls.len(),
+            inbound: self.inbound.len(),
+            jobs: self.jobs.len(),
+            keys: self.keys.len(),
+        }
+    }
+
     fn run_due(&mut self, now: Time) {
         while let Some(timer) = self.timers.pop(now) {
             match timer {
--- a/crates/engine/tests/log/driver.rs
+++ b/crates/engine/tests/log/driver.rs
@@ -80,6 +80,13 @@
         self.now = end;
     }
 
+    /// Lets time pass until the next timer is due.
+    pub fn pass_one(&mut self) {
+        let due = self.engine.next_timer().unwrap();
+        self.now = self.now.max(due);
+        self.feed(Input::Tick);
+    }
+
     /// The records that the node asked to append since the last call.
     pub fn appended(&mut self) -> Vec<(u64, Record)> {
         std::mem::take(&mut self.appends)
--- a/crates/engine/tests/log/outage.rs
+++ b/crates/engine/tests/log/outage.rs
@@ -71,10 +71,7 @@
         datagram: Datagram::Member {
             version: PROTOCOL_VERSION,
             log_next: from.engine.next_offset(),
-            message: MemberMessage::Ack {
-                from: instance(n).incarnation,
-                seq: 0,
-                load: Default::default(),
+            message: MemberMessage::Gossip {
                 rumours: Vec::new(),
             },
         },
