--- a/crates/node/src/log_reader.rs
+++ b/crates/node/src/log_reader.rs
@@ -1,5 +1,6 @@
 //! Reads the log's stream for ever.
 
+use crate::metrics::add;
 use crate::shell::Shell;
 use engine::Input;
 use logservice::Batch;
@@ -52,6 +53,9 @@
 /// Feeds a batch; says whether the stream was read to its end.
 fn take(shell: &Rc<Shell>, batch: Batch) -> bool {
     shell.feed(Input::LogStart(batch.first));
+    for (_, record) in &batch.records {
+        add(&shell.metrics.bytes.log_in, record.len());
+    }
     let records = !batch.records.is_empty();
     shell.feed(Input::Records(batch.records));
     let next = shell.engine.borrow().next_offset();
