--- a/crates/logservice/src/lib.rs
+++ b/crates/logservice/src/lib.rs
@@ -1,16 +1,21 @@
 //! A client of the platform's append-only log service.
 //!
 //! The service's protocol, over HTTP: `POST /streams/NAME` with the record as the body answers 200
-//! and the record's offset in decimal; `GET /streams/NAME?from=OFFSET&wait_ms=WAIT` answers with a
-//! [`Batch`] in `postcard`, at once if there are records from `OFFSET` on, else as soon as there
-//! are or after `WAIT` milliseconds. This package knows nothing about what the records mean.
+//! and the record's offset in decimal; `GET /streams/NAME?from=OFFSET&wait_ms=WAIT&max_bytes=MAX`
+//! answers with a [`Batch`] in `postcard`, at once if there are records from `OFFSET` on, else as
+//! soon as there are or after `WAIT` milliseconds. A batch holds at least one record, if there is
+//! any, and no further ones past `MAX` bytes. This package knows nothing about what the records mean.
 
 use bytes::Bytes;
+use std::future::Future;
 use std::time::Duration;
 use stdx::data;
 
-/// The most bytes that one read may answer with.
-const MAX_BATCH: usize = 16 << 20;
+/// How many bytes of records one read asks for.
+const BATCH: usize = 1 << 20;
+
+/// The most bytes that an answer may have: one record of the largest size, or a batch.
+const MAX_ANSWER: usize = 8 << 20;
 
 /// How much longer than the asked wait an answer may take.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -67,7 +72,10 @@
     /// let _client = bilberry_logservice::LogClient::new("127.0.0.1:9000", "bilberry");
     /// ```
     pub fn new(addr: &str, name: &str) -> Self {
-        let client = awc::Client::builder().disable_redirects().finish();
+        let client = awc::Client::builder()
+            .disable_redirects()
+            .disable_timeout()
+            .finish();
         Self {
             client,
             url: format!("http://{addr}/streams/{name}"),
@@ -80,7 +88,11 @@
     ///
     /// [`LogError`]; unless it is a status, the append may have taken effect.
     pub async fn append(&self, record: Bytes) -> Result<u64, LogError> {
-        let req = self.client.post(&self.url).timeout(PATIENCE);
+        within(PATIENCE, self.post(record)).await
+    }
+
+    async fn post(&self, record: Bytes) -> Result<u64, LogError> {
+        let req = self.client.post(&self.url);
         let mut response = req
             .send_body(record)
             .await
@@ -99,17 +111,32 @@
     ///
     /// [`LogError`].
     pub async fn read(&self, from: u64, wait: Duration) -> Result<Batch, LogError> {
-        let url = format!("{}?from={from}&wait_ms={}", self.url, wait.as_millis());
-        let req = self.client.get(url).timeout(wait + PATIENCE);
+        within(wait + PATIENCE, self.get(from, wait)).await
+    }
+
+    async fn get(&self, from: u64, wait: Duration) -> Result<Batch, LogError> {
+        let wait = wait.as_millis();
+        let url = format!("{}?from={from}&wait_ms={wait}&max_bytes={BATCH}", self.url);
+        let req = self.client.get(url);
         let mut response = req.send().await.map_err(|_| LogError::NoAnswer)?;
         if response.status() != awc::http::StatusCode::OK {
             return Err(LogError::Status(response.status().as_u16()));
         }
         let body = response
             .body()
-            .limit(MAX_BATCH)
+            .limit(MAX_ANSWER)
             .await
             .map_err(|_| LogError::BadAnswer)?;
         proto::decode(&body).map_err(|_| LogError::BadAnswer)
     }
 }
+
+/// Bounds the whole exchange. The client's own limits end with the head of an answer; a body that
+/// stalls would keep the reader from ever trying again.
+async fn within<T>(
+    time: Duration,
+    exchange: impl Future<Output = Result<T, LogError>>,
+) -> Result<T, LogError> {
+    let done = tokio::time::timeout(time, exchange).await;
+    done.unwrap_or(Err(LogError::NoAnswer))
+}
--- a/crates/node/src/log_reader.rs
+++ b/crates/node/src/log_reader.rs
@@ -53,10 +53,10 @@
 /// Feeds a batch; says whether the stream was read to its end.
 fn take(shell: &Rc<Shell>, batch: Batch) -> bool {
     shell.feed(Input::LogStart(batch.first));
+    let records = !batch.records.is_empty();
     for (_, record) in &batch.records {
         add(&shell.metrics.bytes.log_in, record.len());
     }
-    let records = !batch.records.is_empty();
     shell.feed(Input::Records(batch.records));
     let next = shell.engine.borrow().next_offset();
     let at_end = next >= batch.end;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,6 +6,7 @@
 use log4rs::append::console::ConsoleAppender;
 use log4rs::append::console::Target;
 use log4rs::config::Appender;
+use log4rs::config::Logger;
 use log4rs::config::Root;
 use log4rs::encode::pattern::PatternEncoder;
 use std::path::PathBuf;
@@ -63,7 +64,7 @@
         return ExitCode::FAILURE;
     };
     terminate.recv().await;
-    log::info!("graceful shutdown");
+    log::info!("event=stopping");
     node.stop();
     node.stopped().await;
     ExitCode::SUCCESS
@@ -77,6 +78,9 @@
         .build();
     let cfg = log4rs::Config::builder()
         .appender(Appender::builder().build("stderr", Box::new(stderr)))
+        // It writes an error for each caller that speaks no HTTP, which the node counts and tells
+        // at debug; callers could fill the log with it.
+        .logger(Logger::builder().build("actix_http", log::LevelFilter::Off))
         .build(Root::builder().appender("stderr").build(level));
     match cfg.map(log4rs::init_config) {
         Ok(Ok(_)) => {}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -180,7 +180,7 @@
     rx: mpsc::UnboundedReceiver<Frame>,
 ) {
     let end = carry(&shell, peer, wire, rx).await;
-    log::debug!("link to {peer}: {end:?}");
+    log::debug!("event=link_ended peer={peer} end={end:?}");
     shell.peers().close(peer, number);
     if end != LinkEnd::Idle {
         shell.feed(Input::PeerLost(peer));
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -22,15 +22,27 @@
 /// A node's process; killed when dropped.
 pub struct NodeProcess {
     pub http: SocketAddr,
+    pub peer: SocketAddr,
     pub process: Process,
     settings: PathBuf,
 }
 
 impl NodeProcess {
     pub fn start(service: &str, domain: &str, backend: SocketAddr, log: SocketAddr) -> Self {
+        Self::start_with(service, domain, backend, log, "")
+    }
+
+    /// `more` are lines for the section `[node]`.
+    pub fn start_with(
+        service: &str,
+        domain: &str,
+        backend: SocketAddr,
+        log: SocketAddr,
+        more: &str,
+    ) -> Self {
         let text = format!(
             "[node]\nservice = {service}\nfailure_domain = {domain}\nregion = lombardia\n\
-             http_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n\
+             http_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n{more}\n\
              [backend_server]\naddr = {backend}\n[log_service]\naddr = {log}\n\
              [logging]\nlevel = warn\n"
         );
@@ -45,11 +57,15 @@
         BufReader::new(process.stdout.take().unwrap())
             .read_line(&mut line)
             .unwrap();
-        let http = line
-            .split_whitespace()
-            .find_map(|word| word.strip_prefix("http="));
+        let addr = |name| {
+            let value = line
+                .split_whitespace()
+                .find_map(|word| word.strip_prefix(name));
+            value.unwrap().parse().unwrap()
+        };
         Self {
-            http: http.unwrap().parse().unwrap(),
+            http: addr("http="),
+            peer: addr("peer="),
             process,
             settings,
         }
--- a/crates/trial/src/net.rs
+++ b/crates/trial/src/net.rs
@@ -103,22 +103,6 @@
         self.after_in(node, wait, move |world| world.on_dialled(node, pair.0, to));
     }
 
-    /// A node asks another for the log's state, as the shell does over a connection of its own.
-    pub(crate) fn fetch_state(&mut self, node: usize, addr: SocketAddr, next: u64) {
-        let target = self.nodes.iter().position(|other| other.me.addr == addr);
-        let Some(target) = target.filter(|target| self.answers_dial(node, *target)) else {
-            return;
-        };
-        let from = self.nodes[node].incarnation;
-        let wait = self.travel(node, target) * 4;
-        self.after_in(node, wait, move |world| {
-            let engine = world.nodes[target].engine.as_ref();
-            if let Some(state) = engine.and_then(|engine| engine.state_after(next)) {
-                world.feed(node, from, Input::PeerState(state));
-            }
-        });
-    }
-
     /// Whether an attempt to connect gets any answer, be it a refusal.
     fn answers_dial(&self, node: usize, target: usize) -> bool {
         let cut = &self.net.cut;
@@ -341,6 +325,29 @@
         self.datagram_after(target, travel, from, datagram);
     }
 
+    /// A connection of its own, which comes about only if both ways are open.
+    pub(crate) fn fetch_state(&mut self, node: usize, addr: SocketAddr, next: u64) {
+        let Some(target) = self.nodes.iter().position(|other| other.me.addr == addr) else {
+            return;
+        };
+        let cut = &self.net.cut;
+        if cut.contains(&(node, target)) || cut.contains(&(target, node)) {
+            return;
+        }
+        let there = self.travel(node, target);
+        let back = self.travel(target, node);
+        self.after_in(target, there, move |world| {
+            let engine = world.nodes[target].engine.as_ref();
+            let Some(state) = engine.and_then(|engine| engine.state_after(next)) else {
+                return;
+            };
+            world.after_in(node, back, move |world| {
+                let incarnation = world.nodes[node].incarnation;
+                world.feed(node, incarnation, Input::PeerState(state));
+            });
+        });
+    }
+
     fn datagram_after(&mut self, to: usize, wait: Duration, from: SocketAddr, datagram: Datagram) {
         // Whoever is at the address when it arrives gets it.
         self.after_in(to, wait, move |world| {
