Rules: hidden and repeated rules are refused, and explain names every asker

Cause: two rules for the same operation or bound, a rule below one that matches everything it does, and options that stand twice all passed; of each pair one was without effect and nobody was told. Names that no instance can have, paths with a query and methods in small letters passed as well and never matched. The parser had no bound on rules or faults. Nothing told which rules decide a call.

Change: all of these are faults with line and column. A file holds at most 2000 rules, and a hundred faults are reported. Rules::explain names line and asker of the operation and of each bound, or says that a bound is the default. A retry allowance on an operation that is not idempotent stays allowed: retries are spent only on what certainly did not run.

--- a/crates/rules/src/error.rs
+++ b/crates/rules/src/error.rs
@@ -45,6 +45,8 @@
     },
     /// The file holds no rule.
     Empty,
+    /// The file holds more rules than allowed.
+    TooManyRules,
     /// The file is larger than allowed.
     TooLarge,
 }
@@ -75,11 +77,10 @@
                 write!(f, "never used: line {earlier} matches first")
             }
             RuleProblem::Empty => write!(f, "the file holds no rule"),
-            RuleProblem::TooLarge => write!(
-                f,
-                "the file is larger than {} bytes",
-                crate::parse::MAX_FILE
-            ),
+            RuleProblem::TooManyRules => {
+                write!(f, "the file holds more than {} rules", crate::MAX_RULES)
+            }
+            RuleProblem::TooLarge => write!(f, "the file is larger than {} bytes", crate::MAX_FILE),
         }
     }
 }
--- /dev/null
+++ b/crates/rules/src/explain.rs
@@ -0,0 +1,135 @@
+//! Which rules decide a call, and who asked for them.
+
+use crate::Asked;
+use crate::Limit;
+use crate::Operation;
+use crate::Rules;
+use std::fmt;
+use std::time::Duration;
+use stdx::plain;
+
+plain! {
+    /// One bound of a service.
+    #[derive(Hash, PartialOrd, Ord)]
+    pub enum Bound {
+        /// Calls at a time on one backend server.
+        Concurrency,
+        /// The wait in the queue.
+        Queue,
+        /// How long the record of a key is kept.
+        KeyRetention,
+        /// A caller's own re-sends.
+        Resends,
+    }
+}
+
+impl Bound {
+    /// Every bound.
+    pub const ALL: [Bound; 4] = [
+        Bound::Concurrency,
+        Bound::Queue,
+        Bound::KeyRetention,
+        Bound::Resends,
+    ];
+}
+
+/// The rules that decide a call. Its `Display` has one line for each rule and each default.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Explanation<'a> {
+    /// The first operation in the file that matches; without one the call is refused.
+    pub operation: Option<&'a Operation>,
+    /// The bounds of the service, with who asked for each; one that nobody asked for is a default.
+    pub limit: Limit,
+}
+
+impl Rules {
+    /// Says which rules decide a call. `path` may have a query.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let text = "operation press POST /slots class=booking deadline=2s # asked by Anna";
+    /// let rules = bilberry_rules::Rules::parse(text).unwrap();
+    /// let explanation = rules.explain("press", "POST", "/slots").to_string();
+    /// let first = explanation.lines().next().unwrap();
+    /// assert_eq!(
+    ///     first,
+    ///     "line 1: operation press POST /slots class=booking deadline=2s retries=0, asked by Anna"
+    /// );
+    /// ```
+    pub fn explain(&self, service: &str, method: &str, path: &str) -> Explanation<'_> {
+        Explanation {
+            operation: self.operation(service, method, path),
+            limit: self.limit(service),
+        }
+    }
+}
+
+impl fmt::Display for Explanation<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(operation) = self.operation else {
+            return writeln!(f, "no operation matches: refused as no-such-operation");
+        };
+        let Asked { line, by } = &operation.asked;
+        writeln!(f, "line {line}: {operation}, asked by {by}")?;
+        for bound in Bound::ALL {
+            match self.limit.asked.get(&bound) {
+                Some(Asked { line, by }) => write!(f, "line {line}: ")
+                    .and_then(|()| self.limit.write(f, bound))
+                    .and_then(|()| writeln!(f, ", asked by {by}"))?,
+                None => write!(f, "default: ")
+                    .and_then(|()| self.limit.write(f, bound))
+                    .and_then(|()| writeln!(f))?,
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Limit {
+    fn write(&self, f: &mut fmt::Formatter<'_>, bound: Bound) -> fmt::Result {
+        match bound {
+            Bound::Concurrency => {
+                let (min, max) = (self.min_concurrency, self.max_concurrency);
+                write!(f, "concurrency={min}..{max}")
+            }
+            Bound::Queue => write!(f, "queue={}", Shown(self.queue)),
+            Bound::KeyRetention => write!(f, "retention={}", Shown(self.key_retention)),
+            Bound::Resends => write!(f, "percent={}", self.resend_percent),
+        }
+    }
+}
+
+impl fmt::Display for Operation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "operation {} {} {} class={} deadline={} retries={}",
+            self.service,
+            self.method,
+            self.path,
+            self.class.name(),
+            Shown(self.deadline),
+            self.retries
+        )?;
+        if self.idempotent {
+            write!(f, " idempotent")?;
+        }
+        Ok(())
+    }
+}
+
+/// A duration as rules write it, in the largest unit that has no rest.
+struct Shown(Duration);
+
+impl fmt::Display for Shown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let millis = self.0.as_millis();
+        for (unit, length) in [("h", 3_600_000), ("m", 60_000), ("s", 1_000)] {
+            if millis >= length && millis % length == 0 {
+                return write!(f, "{}{unit}", millis / length);
+            }
+        }
+        write!(f, "{millis}ms")
+    }
+}
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -5,13 +5,18 @@
 
 mod duration;
 mod error;
+mod explain;
 mod model;
 mod parse;
 
 pub use duration::parse_duration;
 pub use error::RuleError;
 pub use error::RuleProblem;
+pub use explain::Bound;
+pub use explain::Explanation;
 pub use model::Asked;
 pub use model::Limit;
 pub use model::Operation;
 pub use model::Rules;
+pub use parse::MAX_FILE;
+pub use parse::MAX_RULES;
--- a/crates/rules/src/model.rs
+++ b/crates/rules/src/model.rs
@@ -1,5 +1,6 @@
 //! The rules, parsed.
 
+use crate::Bound;
 use indexmap::IndexMap;
 use proto::Class;
 use std::sync::Arc;
@@ -51,8 +52,8 @@
         pub key_retention: Duration,
         /// A caller's own re-sends, in hundredths of its first sends, at the edge.
         pub resend_percent: u16,
-        /// The rules that set these bounds.
-        pub asked: Vec<Asked>,
+        /// Who asked for which of these bounds; the others are defaults.
+        pub asked: IndexMap<Bound, Asked>,
     }
 }
 
@@ -64,7 +65,7 @@
             queue: Duration::from_millis(100),
             key_retention: Duration::from_secs(15 * 60),
             resend_percent: 20,
-            asked: Vec::new(),
+            asked: IndexMap::new(),
         }
     }
 }
@@ -113,4 +114,14 @@
         };
         &*self.service == service && method_fits && path_fits
     }
+
+    /// Whether this rule matches every call that `later` matches.
+    pub(crate) fn covers(&self, later: &Operation) -> bool {
+        let method_covers = &*self.method == "*" || self.method == later.method;
+        let path_covers = match self.path.strip_suffix('*') {
+            Some(prefix) => later.path.starts_with(prefix),
+            None => self.path == later.path,
+        };
+        self.service == later.service && method_covers && path_covers
+    }
 }
--- /dev/null
+++ b/crates/rules/src/parse/operation.rs
@@ -0,0 +1,118 @@
+//! `operation SERVICE METHOD PATH class=CLASS deadline=TIME [retries=N] [idempotent]`
+
+use super::words::duration;
+use super::words::number;
+use super::words::options;
+use super::words::positional;
+use super::words::service;
+use super::words::LineResult;
+use super::words::Word;
+use crate::Asked;
+use crate::Operation;
+use crate::RuleProblem;
+use crate::Rules;
+use proto::Class;
+
+pub(super) fn parse(words: &[Word], end: u32, asked: Asked, rules: &mut Rules) -> LineResult<()> {
+    let service = service(words, end)?;
+    let (column, method) = positional(words, 1, "the method", end)?;
+    if !is_method(method) {
+        return Err((column, METHOD));
+    }
+    let (column, path) = positional(words, 2, "the path", end)?;
+    if !is_path(path) {
+        return Err((column, PATH));
+    }
+    let mut class = None;
+    let mut deadline = None;
+    let mut retries = 0;
+    let mut idempotent = false;
+    for (column, option, value) in options(words, 3)? {
+        match option {
+            "class" => class = Some(parse_class(value).ok_or((column, CLASS))?),
+            "deadline" => deadline = Some(duration(value).ok_or((column, DEADLINE))?),
+            "retries" => retries = number(value, 0, 10).ok_or((column, RETRIES))?,
+            "idempotent" if value.is_empty() => idempotent = true,
+            "idempotent" => return Err((column, IDEMPOTENT)),
+            _ => return Err((column, RuleProblem::UnknownOption(option.to_owned()))),
+        }
+    }
+    let operation = Operation {
+        service: service.into(),
+        method: method.into(),
+        path: path.into(),
+        class: class.ok_or((end, RuleProblem::Missing("class")))?,
+        idempotent,
+        deadline: deadline.ok_or((end, RuleProblem::Missing("deadline")))?,
+        retries,
+        asked,
+    };
+    refuse_hidden(rules, &operation)?;
+    rules.operations.push(operation);
+    Ok(())
+}
+
+/// Refuses an operation that an earlier one hides. Its author would believe it to be in force, and
+/// a payment might be treated as the lookup that stands above it.
+fn refuse_hidden(rules: &Rules, operation: &Operation) -> LineResult<()> {
+    let hides = |earlier: &&Operation| earlier.covers(operation);
+    let Some(earlier) = rules.operations.iter().find(hides) else {
+        return Ok(());
+    };
+    let same = earlier.method == operation.method && earlier.path == operation.path;
+    let earlier = earlier.asked.line;
+    Err((
+        1,
+        match same {
+            true => RuleProblem::Duplicate { earlier },
+            false => RuleProblem::Unreachable { earlier },
+        },
+    ))
+}
+
+fn is_method(method: &str) -> bool {
+    let letters = method.bytes().all(|b| b.is_ascii_uppercase() || b == b'-');
+    method == "*" || (letters && method.len() <= 16)
+}
+
+/// A path without a query; `*` only at its end.
+fn is_path(path: &str) -> bool {
+    let stem = path.strip_suffix('*').unwrap_or(path);
+    path.starts_with('/') && !stem.contains(['*', '?'])
+}
+
+fn parse_class(value: &str) -> Option<Class> {
+    let classes = [
+        Class::Lookup,
+        Class::Order,
+        Class::Booking,
+        Class::Payment,
+        Class::PrintJob,
+    ];
+    classes.into_iter().find(|class| class.name() == value)
+}
+
+const METHOD: RuleProblem = RuleProblem::BadValue {
+    option: "method",
+    allowed: "a method in capitals, or `*` for any",
+};
+const PATH: RuleProblem = RuleProblem::BadValue {
+    option: "path",
+    allowed: "a path that starts with `/`, without a query, with `*` only at its end",
+};
+const CLASS: RuleProblem = RuleProblem::BadValue {
+    option: "class",
+    allowed: "lookup, order, booking, payment or print-job",
+};
+const DEADLINE: RuleProblem = RuleProblem::BadValue {
+    option: "deadline",
+    allowed: "a duration from 1ms to 24h",
+};
+const RETRIES: RuleProblem = RuleProblem::BadValue {
+    option: "retries",
+    allowed: "a whole number from 0 to 10",
+};
+const IDEMPOTENT: RuleProblem = RuleProblem::BadValue {
+    option: "idempotent",
+    allowed: "no value",
+};
--- /dev/null
+++ b/crates/rules/tests/parse.rs
@@ -0,0 +1,215 @@
+//! Rules files with faults, and what is said of them.
+
+use bilberry_rules::Rules;
+use bilberry_rules::MAX_FILE;
+use bilberry_rules::MAX_RULES;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const GOOD: &str = "operation press POST /slots class=booking deadline=2s # asked by Anna\n";
+
+/// Parses a file that ends in `last`; gives the faults as the operator reads them.
+fn check(before: &str, last: &str, expected: &[&str]) {
+    let faults = match Rules::parse(&format!("{before}{last}")) {
+        Ok(_) => Vec::new(),
+        Err(errors) => errors.iter().map(|e| e.to_string()).collect(),
+    };
+    assert_eq!(faults, expected, "{last}");
+}
+
+#[test]
+fn each_fault_has_its_place() {
+    check("", GOOD, &[]);
+    check("", "", &["1:1: the file holds no rule"]);
+    check("", "# only a comment\n\n", &["1:1: the file holds no rule"]);
+    let nobody = "no comment says who asked for it: end the line with `# asked by NAME`";
+    check(GOOD, "limit press queue=1s", &[&format!("2:21: {nobody}")]);
+    check(
+        GOOD,
+        "limit press queue=1s # Anna",
+        &[&format!("2:22: {nobody}")],
+    );
+    check(
+        GOOD,
+        "limit press queue=1s # asked by  ",
+        &[&format!("2:22: {nobody}")],
+    );
+    check(
+        GOOD,
+        "  deny press # asked by Ugo",
+        &["2:3: `deny` is no kind of rule: use operation, limit, keys or resends"],
+    );
+    check(
+        GOOD,
+        "limit press # asked by Ugo",
+        &["2:13: concurrency or queue is missing"],
+    );
+    check(
+        GOOD,
+        "limit # asked by Ugo",
+        &["2:7: the service is missing"],
+    );
+    check(
+        GOOD,
+        "keys press # asked by Ugo",
+        &["2:12: retention is missing"],
+    );
+    check(
+        GOOD,
+        "limit press queue=1s queue=2s # asked by Ugo",
+        &["2:22: `queue` stands twice"],
+    );
+    check(
+        GOOD,
+        "keys press retention=1h percent=3 # asked by Ugo",
+        &["2:25: `percent` is no option of this rule"],
+    );
+    check(
+        GOOD,
+        "limit preß queue=1s # asked by Ugo",
+        &["2:7: `service` takes 1 to 64 letters, digits, `-`, `_` or `.`"],
+    );
+    check(
+        GOOD,
+        "limit press concurrency=9..3 # asked by Ugo\nresends press percent=x # asked by Ugo",
+        &[
+            "2:13: `concurrency` takes MIN..MAX, each from 1 to 10000",
+            "3:15: `percent` takes a whole number from 0 to 1000",
+        ],
+    );
+}
+
+#[test]
+fn operations_are_checked() {
+    let rest = "class=order deadline=1s # asked by Ugo";
+    let path =
+        "`path` takes a path that starts with `/`, without a query, with `*` only at its end";
+    check(
+        "",
+        &format!("operation a GET x {rest}"),
+        &[&format!("1:17: {path}")],
+    );
+    check(
+        "",
+        &format!("operation a GET /*/x {rest}"),
+        &[&format!("1:17: {path}")],
+    );
+    check(
+        "",
+        &format!("operation a GET /x?y {rest}"),
+        &[&format!("1:17: {path}")],
+    );
+    check(
+        "",
+        &format!("operation a get /x {rest}"),
+        &["1:13: `method` takes a method in capitals, or `*` for any"],
+    );
+    check(
+        "",
+        "operation a GET /x class=order # asked by Ugo",
+        &["1:32: deadline is missing"],
+    );
+    check(
+        "",
+        "operation a GET /x class=order deadline=1s idempotent=no # asked by Ugo",
+        &["1:44: `idempotent` takes no value"],
+    );
+    // Retries are spent only on what certainly did not run, so they do not need idempotence.
+    check("", &format!("operation a POST /x retries=2 {rest}"), &[]);
+}
+
+/// An operator adds a rule below one that already matches everything. It would never be used, and
+/// nobody would notice until a payment is treated as a lookup.
+#[test]
+fn a_hidden_rule_is_refused() {
+    let hidden = "operation press POST /slots class=payment deadline=1s # asked by Ugo";
+    check(GOOD, hidden, &["2:1: already set on line 1"]);
+    for pattern in ["* /slots", "POST /sl*", "* /*"] {
+        let first = format!("operation press {pattern} class=lookup deadline=1s # asked by Ugo\n");
+        check(&first, hidden, &["2:1: never used: line 1 matches first"]);
+    }
+    check(
+        GOOD,
+        "operation press * /* class=lookup deadline=1s # asked by Ugo",
+        &[],
+    );
+    check(GOOD, &hidden.replace(" press", " order"), &[]);
+    check(GOOD, &hidden.replace("POST", "GET"), &[]);
+    let limit = "limit press queue=1s # asked by Ugo\n";
+    check(
+        &format!("{GOOD}{limit}"),
+        limit,
+        &["3:13: already set on line 2"],
+    );
+}
+
+#[test]
+fn files_are_bounded() {
+    check(
+        "",
+        &" ".repeat(MAX_FILE + 1),
+        &["1:1: the file is larger than 262144 bytes"],
+    );
+    let rule = |n| format!("operation s GET /{n} class=lookup deadline=1s # asked by A\n");
+    let most: String = (0..MAX_RULES).map(rule).collect();
+    check(&most, "", &[]);
+    check(&most, GOOD, &["1:1: the file holds more than 2000 rules"]);
+    assert_eq!(Rules::parse(&"x\n".repeat(1000)).unwrap_err().len(), 100);
+}
+
+/// A customer complains and the operator asks why the call was treated as it was.
+#[test]
+fn every_rule_that_decides_a_call_is_named() {
+    let text = format!("{GOOD}\nkeys press retention=2h # asked by the board\n");
+    let rules = Rules::parse(&text).unwrap();
+    let explanation = rules.explain("press", "POST", "/slots?day=3").to_string();
+    let expected = "\
+line 1: operation press POST /slots class=booking deadline=2s retries=0, asked by Anna
+default: concurrency=2..400
+default: queue=100ms
+line 3: retention=2h, asked by the board
+default: percent=20
+";
+    assert_eq!(explanation, expected);
+    let explanation = rules.explain("press", "GET", "/slots").to_string();
+    assert_eq!(
+        explanation,
+        "no operation matches: refused as no-such-operation\n"
+    );
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    }
+}
+
+/// A word that is close to what a rule may hold.
+fn word() -> impl Strategy<Value = String> {
+    let words = "operation|limit|keys|resends|press|POST|/slots\\*?|class=|class=order|deadline=1s\
+        |deadline=99999999999999999999h|retries=3|idempotent|concurrency=1\\.\\.|queue=0ms|#|# asked by A\
+        |\n|=|\\.\\.|ß=é|[\\PC]{0,4}";
+    prop::string::string_regex(words).unwrap()
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// A broken file reaches a node as a record of the log. If parsing panicked, every node of the
+    /// fleet would end at the same moment.
+    #[test]
+    fn no_text_makes_it_panic(
+        words in prop::collection::vec(word(), 0..40),
+        raw in any::<String>(),
+    ) {
+        for text in [words.join(" "), raw] {
+            if let Err(errors) = Rules::parse(&text) {
+                prop_assert!(!errors.is_empty());
+                let lines = text.lines().count().max(1) as u32;
+                prop_assert!(errors.iter().all(|e| (1..=lines).contains(&e.line) && e.column >= 1));
+            }
+        }
+    }
+}
