bilberryctl: status, explain and log; races and lost answers told as they are

Cause: the tool knew check and publish only.

Nodes answer FetchStatus at the address that they announce.

Shown by nine tests over the real binary with the log's stand-in: two operators at once, answer lost, log down, outcome open, bad file, lost state.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use gumdrop::Options;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// Arguments of `bilberryctl`.
@@ -8,6 +9,8 @@
 pub(crate) struct Args {
     #[options(help = "print this help")]
     help: bool,
+    #[options(no_short, help = "print the version")]
+    pub(crate) version: bool,
     #[options(command)]
     pub(crate) command: Option<Command>,
 }
@@ -19,6 +22,12 @@
     Check(Check),
     #[options(help = "publish a rules file")]
     Publish(Publish),
+    #[options(help = "show the version, lag and refusals of nodes")]
+    Status(Status),
+    #[options(help = "show which rules decide a call, and who asked for them")]
+    Explain(Explain),
+    #[options(help = "list accepted and rejected publications")]
+    Log(Log),
 }
 
 /// Arguments of `check`.
@@ -37,10 +46,70 @@
     help: bool,
     #[options(free, required, help = "the rules file")]
     pub(crate) file: PathBuf,
-    #[options(required, meta = "IP:PORT", help = "the log service")]
-    pub(crate) log: String,
-    #[options(default = "bilberrycove", meta = "NAME", help = "the stream")]
+    #[options(no_short, required, meta = "IP:PORT", help = "the log service")]
+    pub(crate) log: Option<SocketAddr>,
+    #[options(no_short, default = "bilberrycove", meta = "NAME", help = "the stream")]
     pub(crate) stream: String,
-    #[options(meta = "NAME", help = "who publishes; $USER if not given")]
+    #[options(no_short, meta = "NAME", help = "who publishes; $USER if not given")]
     pub(crate) operator: Option<String>,
+    #[options(
+        no_short,
+        meta = "VERSION",
+        help = "publish only on top of this version; the newest one if not given"
+    )]
+    pub(crate) expect: Option<u64>,
+    #[options(
+        no_short,
+        meta = "VERSION",
+        help = "only if the log has lost its state: begin again with this version, above any before"
+    )]
+    pub(crate) begin_again: Option<u64>,
+}
+
+/// Arguments of `status`.
+#[derive(Debug, Options)]
+pub(crate) struct Status {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "the log service; names all nodes, and the version that they should have"
+    )]
+    pub(crate) log: Option<SocketAddr>,
+    #[options(no_short, default = "bilberrycove", meta = "NAME", help = "the stream")]
+    pub(crate) stream: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "the http_addr of a node; may be given several times"
+    )]
+    pub(crate) node: Vec<SocketAddr>,
+}
+
+/// Arguments of `explain`.
+#[derive(Debug, Options)]
+pub(crate) struct Explain {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        free,
+        help = "[FILE] METHOD /SERVICE/PATH; without a file, the rules in force"
+    )]
+    pub(crate) call: Vec<String>,
+    #[options(no_short, meta = "IP:PORT", help = "the log service")]
+    pub(crate) log: Option<SocketAddr>,
+    #[options(no_short, default = "bilberrycove", meta = "NAME", help = "the stream")]
+    pub(crate) stream: String,
+}
+
+/// Arguments of `log`.
+#[derive(Debug, Options)]
+pub(crate) struct Log {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, required, meta = "IP:PORT", help = "the log service")]
+    pub(crate) log: Option<SocketAddr>,
+    #[options(no_short, default = "bilberrycove", meta = "NAME", help = "the stream")]
+    pub(crate) stream: String,
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,6 +2,11 @@
 
 mod args;
 mod commands;
+mod error;
+mod nodes;
+mod publish;
+mod status;
+mod stream;
 
 use gumdrop::Options;
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/ctl/tests/ctl.rs
@@ -0,0 +1,289 @@
+//! The operator's tool as a process, with the log's stand-in and nodes in the test's own process.
+
+use node::Node;
+use node::Settings;
+use standin::Log;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+
+const RULES: &str = "\
+operation press POST /slots class=booking deadline=2s # asked by Anna
+keys press retention=1h # asked by the board
+";
+
+/// A rules file; removed when dropped.
+struct File(PathBuf);
+
+impl File {
+    fn new(text: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("ctl-{}.rules", uuid::Uuid::new_v4()));
+        std::fs::write(&path, text).unwrap();
+        Self(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Exit code, what was printed, what was complained of.
+async fn ctl(args: &[&str]) -> (i32, String, String) {
+    let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_bilberryctl"))
+        .args(args)
+        .output()
+        .await
+        .unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (
+        output.status.code().unwrap(),
+        text(output.stdout),
+        text(output.stderr),
+    )
+}
+
+async fn publish(log: &Log, file: &File, operator: &str, more: &[&str]) -> (i32, String, String) {
+    let addr = log.addr.to_string();
+    let mut args = vec!["publish", file.path(), "--log", &addr];
+    args.extend(["--operator", operator]);
+    args.extend(more);
+    ctl(&args).await
+}
+
+/// Exit code and output, publications' ids left out.
+async fn check(args: &[&str], code: i32, expected: &str) {
+    let (got, out, err) = ctl(args).await;
+    let said = out + &err;
+    let lines = said.lines().map(|line| line.split(" publication=").next());
+    let said: Vec<&str> = lines.map(Option::unwrap).collect();
+    assert_eq!((got, &*said.join("\n")), (code, expected));
+}
+
+async fn start_node(log: &Log) -> Node {
+    let text = format!(
+        "[node]\nservice = press\nfailure_domain = milano-1\nregion = lombardia\n\
+         http_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n\
+         [backend_server]\naddr = 127.0.0.1:1\n[log_service]\naddr = {}\n",
+        log.addr
+    );
+    node::start(Settings::parse(&text).unwrap()).await.unwrap()
+}
+
+#[actix_rt::test]
+async fn a_file_is_checked_without_a_log() {
+    let good = File::new(RULES);
+    check(
+        &["check", good.path()],
+        0,
+        "1 operations, 1 services with limits",
+    )
+    .await;
+    let bad = File::new("operation press POST /slots class=gift # asked by Anna\nx\n");
+    let expected = format!(
+        "{0}:1:29: `class` takes lookup, order, booking, payment or print-job\n\
+         {0}:2:2: no comment says who asked for it: end the line with `# asked by NAME`",
+        bad.path()
+    );
+    check(&["check", bad.path()], 2, &expected).await;
+    check(&["check", "/nowhere"], 2, "/nowhere cannot be read").await;
+    check(&[], 2, "no command; see bilberryctl --help").await;
+    assert_eq!(ctl(&["publish", good.path()]).await.0, 2);
+    assert_eq!(ctl(&["--help"]).await.0, 0);
+}
+
+/// A file with faults must never reach the log, where every node would have to refuse it.
+#[actix_rt::test]
+async fn a_bad_file_is_not_published() {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    let (code, ..) = publish(&log, &File::new("operation"), "anna", &[]).await;
+    assert_eq!((code, log.end()), (2, 0));
+}
+
+/// Two operators edit the same version and publish. Both must not believe that their rules are in
+/// force; the second is told who came first.
+#[actix_rt::test]
+async fn of_two_operators_one_wins_and_the_other_is_told() {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    let file = File::new(RULES);
+    assert_eq!(publish(&log, &file, "anna", &[]).await.0, 0);
+
+    let expect = ["--expect", "1"];
+    let race = [("ugo", &expect[..]), ("marco", &expect[..])];
+    let [(ugo, _), (marco, _)] = race;
+    let (first, second) = tokio::join!(
+        publish(&log, &file, ugo, &expect),
+        publish(&log, &file, marco, &expect)
+    );
+    let (won, lost, name) = match first.0 {
+        0 => (first, second, ugo),
+        _ => (second, first, marco),
+    };
+    assert_eq!((won.0, &*won.1), (0, "version 2 accepted at offset 1\n"));
+    let told = format!(
+        "rejected: published on top of version 1, but version 2 by {name} (offset 1) came first\n"
+    );
+    assert_eq!((lost.0, lost.2), (4, told));
+
+    let addr = log.addr.to_string();
+    let (_, listed, _) = ctl(&["log", "--log", &addr]).await;
+    let lines: Vec<&str> = listed.lines().collect();
+    assert!(lines[0].starts_with("offset=0 accepted version=1 operator=anna publication="));
+    assert!(lines[2].starts_with("offset=2 rejected reason=overtaken in_force=2 operator="));
+    assert_eq!(lines[3], "in force: version=2 next_offset=3");
+}
+
+/// The log takes the record, and its answer is lost. An operator who was told of a failure would
+/// publish again, and be rejected by their own publication.
+#[actix_rt::test]
+async fn a_lost_answer_is_settled_by_reading() {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    log.faults.lose_answers.set(1);
+    let (code, out, _) = publish(&log, &File::new(RULES), "anna", &[]).await;
+    assert_eq!((code, &*out), (0, "version 1 accepted at offset 0\n"));
+    assert_eq!(log.end(), 1);
+}
+
+/// The answer is lost and the log goes down, so that nobody can tell what became of the publication.
+/// Told of a failure, the operator would believe the old rules to be in force.
+#[actix_rt::test]
+async fn an_open_outcome_is_told_as_open() {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    log.faults.lose_answers.set(1);
+    let file = File::new(RULES);
+    let goes_down = async {
+        while log.end() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        log.faults.down.set(true);
+    };
+    let ((code, _, err), ()) = tokio::join!(publish(&log, &file, "anna", &[]), goes_down);
+    assert_eq!(code, 3);
+    assert!(err.starts_with("outcome open: publication "), "{err}");
+    log.faults.down.set(false);
+    let (_, out, _) = ctl(&["log", "--log", &log.addr.to_string()]).await;
+    assert!(
+        out.starts_with("offset=0 accepted version=1 operator=anna"),
+        "{out}"
+    );
+}
+
+#[actix_rt::test]
+async fn a_log_that_is_down_is_told() {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    log.faults.down.set(true);
+    let (code, _, err) = publish(&log, &File::new(RULES), "anna", &[]).await;
+    assert_eq!((code, &*err), (3, "the log service answered 503\n"));
+    let addr = log.addr.to_string();
+    assert_eq!(ctl(&["log", "--log", &addr]).await.0, 3);
+    assert_eq!(ctl(&["status", "--log", &addr]).await.0, 3);
+}
+
+/// The whole fleet was off for longer than the log keeps records. Without a way to begin again,
+/// nobody could ever publish to this stream.
+#[actix_rt::test]
+async fn a_stream_that_lost_its_state_can_begin_again() {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    let file = File::new(RULES);
+    let refused = publish(&log, &file, "anna", &["--begin-again", "9"]).await;
+    assert_eq!(refused.0, 2);
+    assert_eq!(publish(&log, &file, "anna", &[]).await.0, 0);
+    log.expire(1);
+
+    let (code, _, err) = publish(&log, &file, "anna", &[]).await;
+    assert_eq!(code, 3);
+    assert!(
+        err.starts_with("the log has lost its older records"),
+        "{err}"
+    );
+    let (code, out, _) = publish(&log, &file, "anna", &["--begin-again", "9"]).await;
+    assert_eq!((code, &*out), (0, "version 9 in force\n"));
+    let (code, out, _) = publish(&log, &file, "anna", &[]).await;
+    assert_eq!((code, &*out), (0, "version 10 accepted at offset 2\n"));
+
+    let node = start_node(&log).await;
+    until(&node, "rules_version 10").await;
+}
+
+/// Asks until the status page has the line.
+async fn until(node: &Node, line: &str) {
+    let url = format!("http://{}/-/status", node.http_addr);
+    loop {
+        let mut response = awc::Client::default().get(&url).send().await.unwrap();
+        let page = response.body().await.unwrap();
+        let page = String::from_utf8_lossy(&page).into_owned();
+        if page.lines().any(|found| found == line) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn status_finds_the_nodes_in_the_log() {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    let node = start_node(&log).await;
+    publish(&log, &File::new(RULES), "anna", &[]).await;
+    until(&node, "rules_version 1").await;
+    until(&node, "listed true").await;
+    let refused = format!("http://{}/nobody/x", node.http_addr);
+    awc::Client::default().get(refused).send().await.unwrap();
+
+    let addr = log.addr.to_string();
+    let (code, out, _) = ctl(&["status", "--log", &addr]).await;
+    let lines: Vec<&str> = out.lines().collect();
+    assert_eq!(
+        (code, lines[0]),
+        (0, "log version=1 next_offset=2 instances=1")
+    );
+    let start = format!(
+        "node={} service=press failure_domain=milano-1",
+        node.peer_addr
+    );
+    assert!(lines[1].starts_with(&start), "{out}");
+    let end = "version=1 lag=0 listed=true runs=0 not_run.no-such-operation=1";
+    assert!(lines[1].ends_with(end), "{out}");
+
+    let http = node.http_addr.to_string();
+    let (code, out, _) = ctl(&["status", "--node", &http, "--node", "127.0.0.1:1"]).await;
+    assert_eq!(code, 1);
+    assert!(out.contains("version=1 listed=true"), "{out}");
+    assert!(out.ends_with("node=127.0.0.1:1 no answer\n"), "{out}");
+    check(&["status"], 2, "neither --log nor --node is given").await;
+}
+
+#[actix_rt::test]
+async fn explain_reads_a_file_or_what_is_in_force() {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    let file = File::new(RULES);
+    publish(&log, &file, "anna", &[]).await;
+    let expected = "\
+line 1: operation press POST /slots class=booking deadline=2s retries=0, asked by Anna
+default: concurrency=2..400
+default: queue=100ms
+line 2: retention=1h, asked by the board
+default: percent=20";
+    check(
+        &["explain", file.path(), "POST", "/press/slots"],
+        0,
+        expected,
+    )
+    .await;
+    let addr = log.addr.to_string();
+    let in_force = format!("version 1\n{expected}");
+    check(
+        &["explain", "--log", &addr, "POST", "/press/slots"],
+        0,
+        &in_force,
+    )
+    .await;
+    let none = "no operation matches: refused as no-such-operation";
+    check(&["explain", file.path(), "GET", "/press/slots"], 0, none).await;
+    assert_eq!(ctl(&["explain", "GET", "/press/slots"]).await.0, 2);
+}
--- a/crates/journal/src/restore.rs
+++ b/crates/journal/src/restore.rs
@@ -99,6 +99,23 @@
         Change::Restored
     }
 
+    /// A state without a past, for a stream whose records have all expired without a snapshot.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let state = bilberry_journal::State::without_past(40, 7, "a rules file");
+    /// assert_eq!((state.next, state.version), (40, 7));
+    /// ```
+    pub fn without_past(next: u64, version: u64, file: &str) -> Self {
+        Self {
+            next,
+            version,
+            file: file.into(),
+            ..Self::default()
+        }
+    }
+
     /// Whether the state keeps the fold's own bounds, as every honest one does.
     fn is_bounded(&self) -> bool {
         self.instances().count() <= MAX_INSTANCES
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -283,7 +283,7 @@
 
 impl Shell {
     /// The status page: `key value` lines, for `bilberryctl status`.
-    fn status(&self) -> String {
+    pub(crate) fn status(&self) -> String {
         let engine = self.engine.borrow();
         let mut lines = vec![
             format!("incarnation {}", self.me.incarnation),
--- a/crates/node/src/fetch.rs
+++ b/crates/node/src/fetch.rs
@@ -1,4 +1,5 @@
-//! The log's state from node to node, over a connection of its own that carries nothing else.
+//! One question and its answer, over a connection of its own: the log's state, for a node that
+//! cannot reach the log, and the status page, for the operator's tool.
 
 use crate::peers;
 use crate::peers::Wire;
@@ -44,12 +45,14 @@
 
 /// Answers one question; a node that knows nothing newer just closes.
 pub(crate) async fn answer(shell: &Shell, wire: &mut Wire) {
-    let Ok(Some(Ok(Frame::FetchState { next }))) = timeout(PATIENCE, peers::read(wire)).await
-    else {
-        return shell.count_broken();
+    let answer = match timeout(PATIENCE, peers::read(wire)).await {
+        Ok(Some(Ok(Frame::FetchState { next }))) => {
+            shell.engine.borrow().state_after(next).map(Frame::State)
+        }
+        Ok(Some(Ok(Frame::FetchStatus))) => Some(Frame::Status(shell.status().into())),
+        _ => return shell.count_broken(),
     };
-    let state = shell.engine.borrow().state_after(next);
-    if let Some(state) = state {
-        let _ = timeout(PATIENCE, peers::write(wire, &Frame::State(state))).await;
+    if let Some(answer) = answer {
+        let _ = timeout(PATIENCE, peers::write(wire, &answer)).await;
     }
 }
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -55,6 +55,10 @@
         },
         /// The log's state as a snapshot, encoded by the journal package.
         State(Bytes),
+        /// Asks for the status page; from the operator's tool.
+        FetchStatus,
+        /// The status page: lines of a key and a value.
+        Status(Bytes),
     }
 }
 
