An evicted node stops, to be started as a new incarnation

Cause: an incarnation that was evicted is never listed again, but its node went on asking for a Join and stood beside its backend server, home to nothing.

Ruled out: letting the same incarnation in again. Others take its share of the keys for lost, and a Join that arrives late would list a process that has ended.

Before: the new test saw neither a stop nor an end to the appends.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -50,7 +50,11 @@
     pub(crate) log: Option<SocketAddr>,
     #[options(no_short, default = "bilberrycove", meta = "NAME", help = "the stream")]
     pub(crate) stream: String,
-    #[options(no_short, meta = "NAME", help = "who publishes; $USER if not given")]
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "who publishes; $USER or `unknown` if not given"
+    )]
     pub(crate) operator: Option<String>,
     #[options(
         no_short,
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -11,6 +11,9 @@
 use logservice::LogError;
 use std::time::Duration;
 
+/// The operator of a publication that names none.
+const NOBODY: &str = "unknown";
+
 /// How often a publication without an answer is sent again.
 const ATTEMPTS: u32 = 4;
 
@@ -19,10 +22,11 @@
 
 pub(crate) async fn publish(args: Publish) -> Result<(), CommandError> {
     let (file, _) = read_rules(&args.file)?;
-    let operator = args.operator.or_else(|| std::env::var("USER").ok());
-    let operator = operator
-        .filter(|name| (1..=journal::MAX_NAME).contains(&name.len()))
-        .ok_or(CommandError::OperatorName)?;
+    let user = std::env::var("USER").ok().filter(|user| !user.is_empty());
+    let operator = args.operator.or(user).unwrap_or_else(|| NOBODY.to_owned());
+    if !(1..=journal::MAX_NAME).contains(&operator.len()) {
+        return Err(CommandError::OperatorName);
+    }
     let log = args.log.ok_or(CommandError::NoAddress)?;
     if let Some(version) = args.begin_again {
         return begin_again(Stream::new(log, &args.stream), version, &file).await;
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -104,6 +104,9 @@
     let log = Log::start(LOOPBACK.into()).await.unwrap();
     let (code, ..) = publish(&log, &File::new("operation"), "anna", &[]).await;
     assert_eq!((code, log.end()), (2, 0));
+    let long = "x".repeat(65);
+    let (code, ..) = publish(&log, &File::new(RULES), &long, &[]).await;
+    assert_eq!((code, log.end()), (2, 0));
 }
 
 /// Two operators edit the same version and publish. Both must not believe that their rules are in
--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -46,6 +46,8 @@
         AppendLost,
         /// The queue of appends was full.
         AppendLeftOut,
+        /// This incarnation was evicted; the node stops, to be started as a new one.
+        SelfEvicted,
         /// The node stopped though the log had not taken its `Leave`.
         LeaveUnsaid,
         /// A frame or datagram made no sense here.
@@ -94,6 +96,7 @@
             Counter::RulesInForce => "rules_in_force".to_owned(),
             Counter::AppendLost => "append_lost".to_owned(),
             Counter::AppendLeftOut => "append_left_out".to_owned(),
+            Counter::SelfEvicted => "self_evicted".to_owned(),
             Counter::LeaveUnsaid => "leave_unsaid".to_owned(),
             Counter::Unexpected => "unexpected".to_owned(),
             Counter::PeerChanged => "peer_changed".to_owned(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -271,7 +271,7 @@
         Refusal::new(reason, RETRY_AFTER)
     }
 
-    fn on_stop(&mut self, now: Time) {
+    pub(crate) fn on_stop(&mut self, now: Time) {
         self.stopping = true;
         self.leave_members(now);
         self.leave_log(now);
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -89,6 +89,7 @@
 
     fn on_view_change(&mut self, now: Time) {
         self.update_roster(now);
+        self.stop_if_evicted(now);
         let Some(view) = self.journal.view(&self.me.service) else {
             return;
         };
@@ -100,6 +101,17 @@
         self.count(Counter::ViewTaken);
     }
 
+    /// An evicted incarnation never comes back. Left running, the node would hold a place beside its
+    /// backend server that is home to nothing, and its service would be short of an instance until
+    /// someone noticed; a new start is a new incarnation, and is let in.
+    fn stop_if_evicted(&mut self, now: Time) {
+        let evicted = self.journal.departed.contains_key(&self.me.incarnation);
+        if evicted && !self.stopping {
+            self.count(Counter::SelfEvicted);
+            self.on_stop(now);
+        }
+    }
+
     pub(crate) fn on_log_start(&mut self, first: u64) {
         self.log.first = first;
         self.journal.expired_before(first);
@@ -201,7 +213,8 @@
     /// the `Leave` is said after it.
     pub(crate) fn leave_log(&mut self, now: Time) {
         self.log.appends.remove(AppendKey::Join);
-        if self.log.join_sent || self.is_listed() {
+        let gone = self.journal.departed.contains_key(&self.me.incarnation);
+        if !gone && (self.log.join_sent || self.is_listed()) {
             self.append(&Record::Leave(self.me.incarnation));
             // In an outage of the log a stop would never end. The views go on naming this node
             // then, until another one evicts it.
--- a/crates/engine/tests/log/appends.rs
+++ b/crates/engine/tests/log/appends.rs
@@ -50,6 +50,23 @@
     assert_eq!(d.engine.next_timer().filter(|due| *due <= d.now), None);
 }
 
+/// A node was paused for so long that the others evicted it. It wakes, and is in no view any more;
+/// with the same incarnation it can never be again, so it has to end and be started anew.
+#[test]
+fn an_evicted_node_stops() {
+    let mut d = Driver::new();
+    d.show(&Record::Join(instance(1)));
+    d.show(&Record::Join(instance(2)));
+    d.show(&Record::Evict {
+        incarnation: Incarnation(1),
+        by: Incarnation(2),
+    });
+    d.pass(Duration::from_secs(60));
+    assert!(d.stopped);
+    assert_eq!(d.count(Counter::SelfEvicted), 1);
+    assert_eq!(d.appended(), []);
+}
+
 /// The answer to an append is lost, but the record stands in the stream. Appending it once more
 /// would spend the log's budget for nothing.
 #[test]
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -56,6 +56,7 @@
         Counter::RejectedPublication => log::info!("event=publication_rejected"),
         Counter::BrokenRecord => log::warn!("event=broken_record"),
         Counter::NoSnapshot => log::warn!("event=no_snapshot next_offset={}", journal.next),
+        Counter::SelfEvicted => log::warn!("event=evicted"),
         Counter::LeaveUnsaid => log::warn!("event=leave_unsaid"),
         _ => {}
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -17,6 +17,10 @@
 /// The exit code for bad arguments or settings.
 const USAGE: u8 = 2;
 
+/// The exit code of a node that stopped because the others had evicted it. Whoever keeps the process
+/// running should start it again.
+const EVICTED: u8 = 3;
+
 const LOG_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {t} {m}{n}";
 
 #[derive(Debug, Options)]
@@ -63,7 +67,10 @@
         eprintln!("no handler for SIGTERM");
         return ExitCode::FAILURE;
     };
-    terminate.recv().await;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        () = node.stopped() => return ExitCode::from(EVICTED),
+    }
     log::info!("event=stopping");
     node.stop();
     node.stopped().await;
