--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -144,3 +144,21 @@
         "{said}"
     );
 }
+
+/// The text between the first fence that opens with `fence` and its end.
+fn block(page: &'static str, fence: &str) -> &'static str {
+    let start = page.find(fence).unwrap() + fence.len();
+    let end = page[start..].find("```").unwrap();
+    &page[start..start + end]
+}
+
+/// An operator copies the examples of the configuration page.
+#[test]
+fn the_examples_of_the_page_are_right() {
+    const PAGE: &str = include_str!("../../../docs/CONFIGURATION.md");
+    let settings = Settings::parse(block(PAGE, "```ini\n")).unwrap();
+    assert_eq!(settings.contacts.len(), 2);
+    let rules = PAGE.split("## Rules").nth(1).unwrap();
+    let rules = rules::Rules::parse(block(rules, "```\n")).unwrap();
+    assert_eq!(rules.operations.len(), 5);
+}
