--- a/crates/engine/tests/log/appends.rs
+++ b/crates/engine/tests/log/appends.rs
@@ -50,6 +50,23 @@
     assert_eq!(d.engine.next_timer().filter(|due| *due <= d.now), None);
 }
 
+/// A node was paused for so long that the others evicted it. It wakes, and is in no view any more;
+/// with the same incarnation it can never be again, so it has to end and be started anew.
+#[test]
+fn an_evicted_node_stops() {
+    let mut d = Driver::new();
+    d.show(&Record::Join(instance(1)));
+    d.show(&Record::Join(instance(2)));
+    d.show(&Record::Evict {
+        incarnation: Incarnation(1),
+        by: Incarnation(2),
+    });
+    d.pass(Duration::from_secs(60));
+    assert!(d.stopped);
+    assert_eq!(d.count(Counter::Expelled), 1);
+    assert_eq!(d.appended(), []);
+}
+
 /// The answer to an append is lost, but the record stands in the stream. Appending it once more
 /// would spend the log's budget for nothing.
 #[test]
@@ -74,10 +91,8 @@
         let (number, _) = d.one_append();
         d.feed(Input::AppendLost(number));
         let lost = d.now;
-        // Other controllers have timers too; what counts is when the append comes again.
         while d.appends.is_empty() {
-            let due = d.engine.next_timer().unwrap();
-            d.pass(d.now.until(due));
+            d.pass_one();
         }
         gaps.push(d.now.since(lost));
     }
--- a/crates/membership/tests/common/mod.rs
+++ b/crates/membership/tests/common/mod.rs
@@ -175,7 +175,7 @@
     fn send(&mut self, from: usize, to: SocketAddr, message: MemberMessage) {
         let bytes = proto::encode(&Datagram::Member {
             version: PROTOCOL_VERSION,
-            log_next: 0,
+            log_next: 1 << 20,
             message: message.clone(),
         });
         let receiver = self
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,9 @@
 //! for is done. One thread, one `actix-rt` system.
 
 mod backend;
+mod body;
 mod caller;
+mod events;
 mod fetch;
 mod link;
 mod log_reader;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,6 +6,7 @@
 use log4rs::append::console::ConsoleAppender;
 use log4rs::append::console::Target;
 use log4rs::config::Appender;
+use log4rs::config::Logger;
 use log4rs::config::Root;
 use log4rs::encode::pattern::PatternEncoder;
 use std::path::PathBuf;
@@ -16,6 +17,10 @@
 /// The exit code for bad arguments or settings.
 const USAGE: u8 = 2;
 
+/// The exit code of a node that stopped because the others had evicted it. Whoever keeps the process
+/// running should start it again.
+const EVICTED: u8 = 3;
+
 const LOG_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {t} {m}{n}";
 
 #[derive(Debug, Options)]
@@ -62,8 +67,11 @@
         eprintln!("no handler for SIGTERM");
         return ExitCode::FAILURE;
     };
-    terminate.recv().await;
-    log::info!("graceful shutdown");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        () = node.stopped() => return ExitCode::from(EVICTED),
+    }
+    log::info!("event=stopping");
     node.stop();
     node.stopped().await;
     ExitCode::SUCCESS
@@ -77,6 +85,9 @@
         .build();
     let cfg = log4rs::Config::builder()
         .appender(Appender::builder().build("stderr", Box::new(stderr)))
+        // It writes an error for each caller that speaks no HTTP, which the node counts and tells
+        // at debug; callers could fill the log with it.
+        .logger(Logger::builder().build("actix_http", log::LevelFilter::Off))
         .build(Root::builder().appender("stderr").build(level));
     match cfg.map(log4rs::init_config) {
         Ok(Ok(_)) => {}
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -1,7 +1,9 @@
 //! The node as one `actix-rt` system: starts everything, and carries inputs and outputs.
 
 use crate::backend::Backend;
+use crate::body::Budget;
 use crate::caller;
+use crate::events;
 use crate::fetch;
 use crate::log_reader;
 use crate::metrics::add;
@@ -97,6 +99,7 @@
     pub(crate) log: LogClient,
     pub(crate) read_log: Notify,
     pub(crate) metrics: Metrics,
+    pub(crate) bodies: Budget,
     origin: Instant,
     waiting: RefCell<IndexMap<Token, oneshot::Sender<Reply>>>,
     next_token: Cell<u64>,
@@ -131,6 +134,7 @@
     let mut cfg = Config {
         seed,
         contacts: settings.contacts.clone(),
+        log_retention: settings.log_retention,
         ..Config::default()
     };
     cfg.membership.seed = seed;
@@ -140,6 +144,7 @@
         log: LogClient::new(&settings.log_addr.to_string(), &settings.log_stream),
         read_log: Notify::new(),
         metrics: Metrics::new(settings.metrics_addr).map_err(StartError::Metrics)?,
+        bodies: Budget::new(settings.max_bodies),
         origin: Instant::now(),
         waiting: RefCell::default(),
         next_token: Cell::new(0),
@@ -152,7 +157,7 @@
         settings,
     });
     log::info!(
-        "incarnation {} of {}",
+        "event=started incarnation={} service={} http={http_addr} peer={peer_addr}",
         shell.me.incarnation,
         shell.me.service
     );
@@ -254,6 +259,7 @@
     }
 
     fn perform(self: &Rc<Self>, output: Output) {
+        events::note(self, &output);
         match output {
             Output::Answer {
                 token,
@@ -292,7 +298,7 @@
             match shell.log.append(record).await {
                 Ok(_) => shell.feed(Input::Appended(number)),
                 Err(e) => {
-                    log::warn!("append {number}: {e}");
+                    log::warn!("event=append_lost number={number} error=\"{e}\"");
                     shell.feed(Input::AppendLost(number));
                 }
             }
--- /dev/null
+++ b/crates/node/tests/bad_input.rs
@@ -0,0 +1,208 @@
+//! What callers may send that is wrong, to a real process: a typed answer, a counter, and it goes on.
+
+mod common;
+
+use common::call;
+use common::publish;
+use common::status;
+use common::until_status;
+use common::NodeProcess;
+use common::LOOPBACK;
+use standin::Backend;
+use standin::Log;
+use standin::Work;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+const RULES: &str = "\
+operation press POST /slots class=booking deadline=60s # asked by Marco
+operation press POST /free class=lookup idempotent deadline=60s # asked by Marco
+";
+
+const BOUNDS: &str = "max_body = 1000\nmax_bodies = 1500\nbody_timeout = 200ms";
+
+async fn start() -> (NodeProcess, Backend) {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    let backend = Backend::start(LOOPBACK.into(), Work::default())
+        .await
+        .unwrap();
+    let node = NodeProcess::start_with("press", "milano-1", backend.addr, log.addr, BOUNDS);
+    publish(&log, RULES).await;
+    until_status(node.http, "rules_version", "1").await;
+    until_status(node.http, "listed", "true").await;
+    (node, backend)
+}
+
+/// Sends bytes as they are; gives the status line's code and the values of two headers.
+async fn send_raw(node: SocketAddr, bytes: &[u8]) -> (String, String, String) {
+    let mut stream = TcpStream::connect(node).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    read_answer(&mut stream).await
+}
+
+async fn read_answer(stream: &mut TcpStream) -> (String, String, String) {
+    let mut answer = Vec::new();
+    while !answer.windows(4).any(|end| end == b"\r\n\r\n") {
+        if stream.read_buf(&mut answer).await.unwrap_or(0) == 0 {
+            break;
+        }
+    }
+    let head = String::from_utf8_lossy(&answer).into_owned();
+    let header = |name: &str| {
+        let value = head.lines().find_map(|line| line.strip_prefix(name));
+        value.unwrap_or("").trim().to_owned()
+    };
+    let status = head.split(' ').nth(1).unwrap_or("").to_owned();
+    (
+        status,
+        header("bilberry-outcome:"),
+        header("bilberry-reason:"),
+    )
+}
+
+/// The answer to a raw request, and that its reason was counted once more.
+async fn check(node: SocketAddr, raw: &[u8], status_code: &str, reason: &str) {
+    let name = format!("counter.not_run.{reason} ");
+    let before: u64 = status(node, &name).await.parse().unwrap_or(0);
+    let answer = send_raw(node, raw).await;
+    let expected = (status_code.into(), "not-run".into(), reason.into());
+    assert_eq!(answer, expected, "{}", String::from_utf8_lossy(raw));
+    assert_eq!(status(node, &name).await, (before + 1).to_string());
+}
+
+fn post(path: &str, more: &str, body: &str) -> Vec<u8> {
+    let len = body.len();
+    format!("POST {path} HTTP/1.1\r\nhost: x\r\n{more}content-length: {len}\r\n\r\n{body}").into()
+}
+
+#[actix_rt::test]
+async fn each_mistake_has_its_answer_and_counter() {
+    let (node, backend) = start().await;
+    let http = node.http;
+    let slots = "/press/slots";
+    check(
+        http,
+        &post("/nobody/slots", "", "x"),
+        "404",
+        "no-such-operation",
+    )
+    .await;
+    check(
+        http,
+        &post("/press/other", "", "x"),
+        "404",
+        "no-such-operation",
+    )
+    .await;
+    check(http, &post("/press", "", "x"), "404", "no-such-operation").await;
+    check(
+        http,
+        &post(slots, "idempotency-key:\r\n", "x"),
+        "400",
+        "bad-key",
+    )
+    .await;
+    let long = format!("idempotency-key: {}\r\n", "k".repeat(256));
+    check(http, &post(slots, &long, "x"), "400", "bad-key").await;
+    let twice = "idempotency-key: a\r\nidempotency-key: b\r\n";
+    check(http, &post(slots, twice, "x"), "400", "bad-key").await;
+    check(
+        http,
+        &post(slots, "bilberry-context: ?\r\n", "x"),
+        "400",
+        "bad-request",
+    )
+    .await;
+    check(
+        http,
+        &post(slots, "bilberry-deadline-ms: soon\r\n", "x"),
+        "400",
+        "bad-request",
+    )
+    .await;
+    check(
+        http,
+        &post(slots, "", &"x".repeat(1001)),
+        "413",
+        "too-large",
+    )
+    .await;
+    assert_eq!(backend.runs.borrow().len(), 0);
+
+    let whole = call(http, "POST", slots, "k", "ink").await;
+    assert_eq!(whole, (200, "whole".into(), "ink/slots".into()));
+}
+
+/// A run has ended, and something that it left behind in its backend server still makes calls in
+/// its name. They have no deadline and no allowance any more, so nobody would ever stop them.
+#[actix_rt::test]
+async fn a_run_that_is_over_has_no_children() {
+    let (node, backend) = start().await;
+    let stale = "bilberry-context: 1-1\r\n";
+    check(
+        node.http,
+        &post("/press/slots", stale, "x"),
+        "503",
+        "parent-gone",
+    )
+    .await;
+    assert_eq!(backend.runs.borrow().len(), 0);
+}
+
+/// Something that is no HTTP reaches the port. The library answers it by itself, without an outcome
+/// header; the process counts it and goes on.
+#[actix_rt::test]
+async fn what_is_no_http_is_counted() {
+    let (node, _backend) = start().await;
+    let (code, ..) = send_raw(node.http, b"\x16\x03\x01 hello\r\n\r\n").await;
+    assert_eq!(code, "400");
+    until_status(node.http, "counter.not_run.bad-request ", "1").await;
+    let head = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(200_000));
+    let (code, ..) = send_raw(node.http, head.as_bytes()).await;
+    assert_eq!(code, "431");
+    until_status(node.http, "counter.not_run.too-large ", "1").await;
+}
+
+/// A caller announces a body and stalls. It would hold its place in the node's memory for ever.
+#[actix_rt::test]
+async fn a_stalled_body_has_a_time_limit() {
+    let (node, _backend) = start().await;
+    let stalled = b"POST /press/slots HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nabc";
+    check(node.http, stalled, "503", "deadline").await;
+}
+
+/// Many callers send bodies at once. Each is small enough, but together they would take more than
+/// the instance has, and the kernel would kill the process.
+#[actix_rt::test]
+async fn bodies_in_flight_are_bounded_together() {
+    let (node, backend) = start().await;
+    backend.work.borrow_mut().takes = Duration::from_secs(60);
+    let body = "x".repeat(900);
+    let mut first = TcpStream::connect(node.http).await.unwrap();
+    first
+        .write_all(&post("/press/free", "", &body))
+        .await
+        .unwrap();
+    while backend.runs.borrow().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    check(
+        node.http,
+        &post("/press/free", "", &body),
+        "503",
+        "table-full",
+    )
+    .await;
+
+    // When the first caller goes, its work is cancelled and its place is free again.
+    drop(first);
+    until_status(node.http, "runs", "0").await;
+    backend.work.borrow_mut().takes = Duration::ZERO;
+    assert_eq!(
+        call(node.http, "POST", "/press/free", "", &body).await.0,
+        200
+    );
+}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -42,7 +42,7 @@
     ) -> Self {
         let text = format!(
             "[node]\nservice = {service}\nfailure_domain = {domain}\nregion = lombardia\n\
-             http_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n{more}\
+             http_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n{more}\n\
              [backend_server]\naddr = {backend}\n[log_service]\naddr = {log}\n\
              [logging]\nlevel = warn\n"
         );
@@ -58,9 +58,10 @@
             .read_line(&mut line)
             .unwrap();
         let addr = |name| {
-            let mut words = line.split_whitespace();
-            let addr = words.find_map(|word| word.strip_prefix(name));
-            addr.unwrap().parse().unwrap()
+            let value = line
+                .split_whitespace()
+                .find_map(|word| word.strip_prefix(name));
+            value.unwrap().parse().unwrap()
         };
         Self {
             http: addr("http="),
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -89,7 +89,12 @@
         }
         let from = http::query(&req, "from").unwrap_or(0);
         let wait = Duration::from_millis(http::query(&req, "wait_ms").unwrap_or(0));
-        let batch = self.read(from, wait).await;
+        let max = http::query(&req, "max_bytes").unwrap_or(usize::MAX);
+        let batch = self.read(from, wait, max).await;
+        // A read that was waiting when the service went down gets nothing either.
+        if self.faults.down.get() {
+            return Response::new(StatusCode::SERVICE_UNAVAILABLE);
+        }
         Response::build(StatusCode::OK)
             .body(proto::encode(&batch))
             .map_into_boxed_body()
@@ -109,21 +114,26 @@
             .map_into_boxed_body()
     }
 
-    async fn read(&self, from: u64, wait: Duration) -> Batch {
+    async fn read(&self, from: u64, wait: Duration, max_bytes: usize) -> Batch {
         if from >= self.end() {
             let _ = tokio::time::timeout(wait, self.stream.appended.notified()).await;
         }
         let first = self.stream.first.get();
         let records = self.stream.records.borrow();
         let skip = from.saturating_sub(first) as usize;
-        let with_offset = records.iter().cloned().zip(first..);
-        Batch {
+        let mut batch = Batch {
             first,
             end: self.end(),
-            records: with_offset
-                .skip(skip)
-                .map(|(record, offset)| (offset, record))
-                .collect(),
+            records: Vec::new(),
+        };
+        let mut bytes = 0;
+        for (offset, record) in (first..).zip(records.iter()).skip(skip) {
+            bytes += record.len();
+            if bytes > max_bytes && !batch.records.is_empty() {
+                break;
+            }
+            batch.records.push((offset, record.clone()));
         }
+        batch
     }
 }
--- a/crates/trial/src/log.rs
+++ b/crates/trial/src/log.rs
@@ -3,6 +3,7 @@
 use crate::World;
 use bytes::Bytes;
 use engine::Input;
+use proto::Incarnation;
 use std::time::Duration;
 
 /// How long a node waits for the log service's answer.
@@ -112,15 +113,26 @@
             self.log.waiting.push((node, number));
             return self.after(READ_WAIT, move |world| world.on_read_timeout(node, number));
         }
+        let (first, end) = (self.log.first, self.log.end());
+        self.input(node, latency, Input::LogStart(first));
         if !batch.is_empty() {
             self.input(node, latency, Input::Records(batch));
         }
         if read_to_end {
-            self.input(node, latency, Input::LogRead);
+            let from = self.nodes[node].incarnation;
+            self.after_in(node, latency, move |world| world.on_end(node, from, end));
         }
         self.after(latency * 2, move |world| world.read(node, number));
     }
 
+    /// The end of the stream was read, unless a snapshot sent the reader back before it.
+    fn on_end(&mut self, node: usize, from: Incarnation, end: u64) {
+        let engine = self.nodes[node].engine.as_ref();
+        if engine.is_some_and(|engine| engine.next_offset() >= end) {
+            self.feed(node, from, Input::LogRead);
+        }
+    }
+
     /// A read waited long enough and is answered with nothing.
     fn on_read_timeout(&mut self, node: usize, number: u64) {
         let before = self.log.waiting.len();
