--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -32,6 +32,9 @@
 /// The most peers that are told directly; the others hear it by gossip.
 const MAX_TOLD: usize = 64;
 
+/// The most suspects that are asked after a pause.
+const MAX_ASKED_AFTER_PAUSE: usize = 32;
+
 /// What the driver has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
@@ -464,18 +467,25 @@
     }
 
     /// A node that was paused finds all its timers run out, and the acks and refutations that came
-    /// meanwhile unread. Without this it would hold live peers for dead when it wakes up.
+    /// meanwhile unread or lost. Without this it would hold live peers for dead when it wakes up.
+    /// Suspects get their time anew, and are asked, because their refutations are old news.
     fn excuse_pause(&mut self, now: Time) {
         let due = self.next_timer().unwrap_or(now);
         if now.since(due) < self.cfg.probe_interval || due == Time::ZERO {
             return;
         }
         self.probes.abandon();
-        for (_, incarnation) in std::mem::take(&mut self.suspects) {
-            if let Some(entry) = self.peers.get_mut(&incarnation) {
-                entry.dead_at = None;
-            }
+        let suspects = std::mem::take(&mut self.suspects);
+        for (asked, (_, incarnation)) in suspects.into_iter().enumerate() {
+            let Some(entry) = self.peers.get_mut(&incarnation) else {
+                continue;
+            };
+            entry.dead_at = None;
+            let addr = entry.peer.instance.addr;
             self.start_suspicion(now, incarnation);
+            if asked < MAX_ASKED_AFTER_PAUSE {
+                self.ping(addr);
+            }
         }
     }
 
--- a/crates/membership/tests/common/mod.rs
+++ b/crates/membership/tests/common/mod.rs
@@ -26,6 +26,10 @@
     pub members: Membership,
     pub up: bool,
     pub evictions: Vec<Incarnation>,
+    /// Verdicts that this node came to or heard of.
+    pub suspected: u32,
+    pub died: u32,
+    pub last_ping: u64,
     pub sent: u64,
     pub sent_bytes: u64,
     pub far_bytes: u64,
@@ -92,6 +96,9 @@
             instance,
             up: true,
             evictions: Vec::new(),
+            suspected: 0,
+            died: 0,
+            last_ping: 0,
             sent: 0,
             sent_bytes: 0,
             far_bytes: 0,
@@ -167,7 +174,12 @@
             match effect {
                 Effect::Send { to, message } => self.send(number, to, message),
                 Effect::Evict(incarnation) => self.nodes[number].evictions.push(incarnation),
-                Effect::Changed { .. } | Effect::TableFull => {}
+                Effect::Changed { state, .. } => {
+                    let node = &mut self.nodes[number];
+                    node.suspected += u32::from(state == PeerState::Suspect);
+                    node.died += u32::from(state == PeerState::Dead);
+                }
+                Effect::TableFull => {}
             }
         }
     }
@@ -185,6 +197,9 @@
         let far = receiver
             .is_some_and(|to| self.nodes[to].instance.region != self.nodes[from].instance.region);
         let node = &mut self.nodes[from];
+        if let MemberMessage::Ping { seq, .. } = &message {
+            node.last_ping = *seq;
+        }
         node.sent += 1;
         node.sent_bytes += bytes.len() as u64;
         node.far_bytes += if far { bytes.len() as u64 } else { 0 };
--- a/crates/membership/tests/evict.rs
+++ b/crates/membership/tests/evict.rs
@@ -41,7 +41,8 @@
     while fleet.evicted().is_empty() {
         fleet.run(Duration::from_millis(100));
     }
-    // All nodes read the log at once; the roster does not name the dead instance any more.
+    // The log takes a while; then the roster does not name the dead instance any more.
+    fleet.run(Duration::from_millis(900));
     fleet.list_all();
     fleet.run(secs(30));
     assert_eq!(fleet.evicted(), incarnations(&fleet, [5].into_iter()));
@@ -90,6 +91,19 @@
     assert_eq!(fleet.evicted(), minority);
 }
 
+#[test]
+fn a_small_minority_evicts_nobody_before_it_has_found_out() {
+    // Six of sixty instances are cut off. They find the others dead one by one, and for a while
+    // hold most of them for alive: going by its table alone each would evict the first ones.
+    let mut fleet = Fleet::listed(7, 60);
+    fleet.run(secs(5));
+    fleet.cut = Box::new(|from, to| (from < 6) != (to < 6));
+    fleet.run(secs(60));
+    for node in &fleet.nodes[..6] {
+        assert_eq!(node.evictions, []);
+    }
+}
+
 #[test]
 fn two_halves_evict_nobody() {
     let mut fleet = Fleet::listed(5, 12);
--- a/crates/membership/tests/probes.rs
+++ b/crates/membership/tests/probes.rs
@@ -6,6 +6,8 @@
 use common::instance;
 use common::Fleet;
 use proto::Incarnation;
+use proto::Instance;
+use proto::LoadReport;
 use proto::MemberMessage;
 use proto::PeerState;
 use proto::Rumour;
@@ -68,7 +70,7 @@
     fleet.run(secs(60));
     check(&fleet, 2, &[ALIVE]);
     check(&fleet, 0, &[ALIVE]);
-    assert_eq!(fleet.evicted(), []);
+    assert!(fleet.nodes.iter().all(|node| node.suspected == 0));
 }
 
 #[test]
@@ -149,10 +151,52 @@
     check(&fleet, newcomer, &[ALIVE]);
 }
 
+#[test]
+fn an_answer_from_another_incarnation_ends_the_earlier_one() {
+    // A newcomer says that it is at a known peer's address. That alone may be an old message; its
+    // answer to a ping is not, and from then on nobody may count on the earlier one.
+    let mut fleet = Fleet::listed(14, 2);
+    fleet.run(Duration::from_millis(100));
+    fleet.nodes[1].up = false;
+    let from = Rumour {
+        instance: Instance {
+            incarnation: Incarnation(77),
+            ..instance(1, 2, 2)
+        },
+        state: PeerState::Alive,
+        beat: 0,
+    };
+    let (digest, load, rumours) = (0, LoadReport::default(), Vec::new());
+    let ping = MemberMessage::Ping {
+        from: from.clone(),
+        seq: 1,
+        digest,
+        load,
+        rumours: rumours.clone(),
+    };
+    fleet.deliver(0, addr(1), ping);
+    assert_eq!(fleet.state(0, 1), ALIVE);
+    let seq = fleet.nodes[0].last_ping + 1;
+    while fleet.nodes[0].last_ping < seq {
+        fleet.run(Duration::from_millis(10));
+    }
+    let ack = MemberMessage::Ack {
+        from,
+        seq,
+        digest,
+        load,
+        rumours,
+    };
+    fleet.deliver(0, addr(1), ack);
+    assert_eq!(fleet.state(0, 1), DEAD);
+    let newcomer = fleet.nodes[0].members.get(Incarnation(77));
+    assert!(newcomer.is_some_and(|peer| peer.state == PeerState::Alive));
+}
+
 #[test]
 fn a_late_rumour_of_an_ended_incarnation_is_not_believed() {
     // News of an incarnation arrives after it was replaced at its address. Taking the newest rumour
-    // for the newest incarnation would bury the live one.
+    // for the newest incarnation would send calls to one that is not there.
     let mut fleet = Fleet::listed(10, 6);
     fleet.run(secs(5));
     let mut old = instance(4, 2, 2);
@@ -171,10 +215,54 @@
             },
         );
     }
+    for _ in 0..100 {
+        let stale = |at: usize| fleet.nodes[at].members.get(Incarnation(3));
+        assert!((0..6).all(|at| stale(at).is_none_or(|peer| peer.state == PeerState::Dead)));
+        check(&fleet, 4, &[ALIVE]);
+        fleet.run(Duration::from_millis(200));
+    }
+}
+
+#[test]
+fn a_newcomer_knows_everybody_within_seconds() {
+    // An instance starts in an outage of the log. All news about the others is long over, and its
+    // calls can go only where it knows somebody.
+    let mut fleet = Fleet::new(15);
+    for number in 0..48 {
+        fleet.start(instance(number, 20, 2), &[0]);
+    }
+    fleet.run(secs(60));
+    let newcomer = fleet.start(instance(48, 20, 2), &[7]);
+    fleet.run(secs(8));
+    assert_eq!(fleet.nodes[newcomer].members.peers().count(), 48);
+}
+
+#[test]
+fn who_was_paused_does_not_take_others_for_dead() {
+    // A process is frozen while it suspects others, and wakes up when all the time that they had
+    // is over. Their answers are still in its socket; its first act would be to declare them dead.
+    let mut fleet = Fleet::listed(16, 24);
+    fleet.run(secs(5));
+    fleet.loss = 0.6;
+    fleet.run(secs(4));
+    fleet.loss = 0.0;
+    let suspects = (1..24).filter(|about| fleet.state(0, *about) == Some(PeerState::Suspect));
+    assert!(suspects.count() > 0);
+    let died = fleet.nodes[0].died;
+    fleet.nodes[0].up = false;
     fleet.run(secs(20));
-    check(&fleet, 4, &[ALIVE]);
-    let stale = |at: usize| fleet.nodes[at].members.get(Incarnation(3));
-    assert!((0..6).all(|at| stale(at).is_none_or(|peer| peer.state == PeerState::Dead)));
+    fleet.nodes[0].up = true;
+    fleet.run(secs(10));
+    assert_eq!(fleet.nodes[0].died, died);
+}
+
+#[test]
+fn who_leaves_tells_those_in_touch_at_once() {
+    let mut fleet = Fleet::listed(17, 12);
+    fleet.run(secs(20));
+    fleet.leave(7);
+    fleet.run(Duration::from_millis(25));
+    check(&fleet, 7, &[LEAVING]);
 }
 
 #[test]
