New rules spread at once among nodes that do not reach the log

Cause: a node heard of newer state only by the one probe a second, and waited another second before it asked.

Ruled out: sending the file itself around (256 KiB to three others from each node, most of it twice); more probes, which cost all the time.

Change: a node in which new rules come in force tells three others, chosen at random, how far it has read, in a datagram without rumours; who is behind waits half a second for the log and then asks. A node that has just started counts the log as up until a read fails.

--- a/crates/engine/src/fetch.rs
+++ b/crates/engine/src/fetch.rs
@@ -6,17 +6,23 @@
 use bytes::Bytes;
 use journal::Change;
 use journal::State;
+use proto::Datagram;
+use proto::MemberMessage;
+use proto::PROTOCOL_VERSION;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use stdx::Time;
 
 /// How long a node that reaches the log waits for the log itself before it asks a peer.
-const GRACE: Duration = Duration::from_secs(1);
+const GRACE: Duration = Duration::from_millis(500);
 
 /// The longest wait between two fetches.
 const INTERVAL: Duration = Duration::from_secs(1);
 
+/// How many others a node tells that new rules are in force.
+const FANOUT: usize = 3;
+
 /// What is missing and who has it.
 #[derive(Debug, Default)]
 pub(crate) struct FetchLink {
@@ -44,16 +50,34 @@
         }
         // Each publication reaches some nodes a little earlier. Asking at once would have all the
         // others fetch what the log is about to give them.
-        let grace = if self.log.reachable {
-            GRACE
-        } else {
+        let grace = if self.log.down {
             Duration::ZERO
+        } else {
+            GRACE
         };
         self.schedule_fetch(now, grace);
     }
 
+    /// Tells a few others at once how far this node is. Probes tell as well, but only one peer a
+    /// second; while few nodes reach the log, old and new rules would stand side by side for long.
+    pub(crate) fn spread_offset(&mut self) {
+        let others = self.journal.instances().map(|instance| instance.addr);
+        let mut addrs: Vec<SocketAddr> = others.filter(|addr| *addr != self.me.addr).collect();
+        for _ in 0..FANOUT.min(addrs.len()) {
+            let to = addrs.swap_remove(self.rng.random_range(0..addrs.len()));
+            let datagram = Datagram::Member {
+                version: PROTOCOL_VERSION,
+                log_next: self.journal.next,
+                message: MemberMessage::Gossip {
+                    rumours: Vec::new(),
+                },
+            };
+            self.out.push(Output::Datagram { to, datagram });
+        }
+    }
+
     pub(crate) fn on_log_unreachable(&mut self, now: Time) {
-        self.log.reachable = false;
+        self.log.down = true;
         if !self.log.ready {
             self.schedule_fetch(now, Duration::ZERO);
         }
@@ -108,6 +132,7 @@
             Change::Restored => {
                 self.log.ready = true;
                 self.on_restored(now);
+                self.spread_offset();
                 self.out.push(Output::ReadLog);
             }
             Change::Broken => self.count(Counter::BrokenRecord),
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -23,7 +23,8 @@
 /// What this node has to say to the log and whether it got through.
 #[derive(Debug, Default)]
 pub(crate) struct LogLink {
-    pub(crate) reachable: bool,
+    /// The last read got no answer.
+    pub(crate) down: bool,
     /// The log was read to its end once, or its state came from a peer. Before that the rules and
     /// views may be older than what this address had in force when it was last up.
     pub(crate) ready: bool,
@@ -54,6 +55,15 @@
 
 impl Engine {
     pub(crate) fn on_records(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
+        let before = self.journal.version;
+        self.fold(now, records);
+        // What is read at the start is no news to anybody.
+        if self.log.ready && self.journal.version > before {
+            self.spread_offset();
+        }
+    }
+
+    fn fold(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
         for (offset, record) in records {
             match self.journal.apply(offset, &record) {
                 Change::Nothing | Change::Old => {}
@@ -118,7 +128,7 @@
     }
 
     pub(crate) fn on_log_read(&mut self, now: Time) {
-        self.log.reachable = true;
+        self.log.down = false;
         if self.journal.is_scanning() {
             // The records that this node lacks have expired, and no snapshot stands in for them.
             self.count(Counter::NoSnapshot);
--- a/crates/engine/tests/log/main.rs
+++ b/crates/engine/tests/log/main.rs
@@ -4,3 +4,4 @@
 mod driver;
 mod outage;
 mod snapshots;
+mod spread;
