Homes and the log together: evicted nodes end in time, tests wait for homes

Cause: with leases in force an order that comes before the first lease is refused, so tests that sent one at once hung or failed by chance; an evicted node waited for its longest run although it had none, and announced its dropped incarnation again meanwhile (an_evicted_node_stops failed on both). Ruled out: a longer wait in the test. Change: gauges of ready slots, lease and records on the status page, which tests wait for; patience only while a run goes on; no Join of an incarnation that the views have dropped.

--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -127,7 +127,11 @@
         }
         self.log.ready = true;
         self.check_snapshot(now);
-        if !self.stopping && !self.is_listed() {
+        // An incarnation that the views have dropped never comes back: it ends, and its next start
+        // is another one.
+        let mine = self.me.incarnation;
+        let dropped = self.journal.departed.contains_key(&mine);
+        if !self.stopping && !dropped && !self.is_listed() {
             self.append(&Record::Join(self.me.clone()));
         }
     }
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -280,28 +280,3 @@
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
-
-impl Shell {
-    /// The status page: `key value` lines, for `bilberryctl status`.
-    pub(crate) fn status(&self) -> String {
-        let engine = self.engine.borrow();
-        let mut lines = vec![
-            format!("incarnation {}", self.me.incarnation),
-            format!("service {}", self.me.service),
-            format!("failure_domain {}", self.me.failure_domain),
-            format!("rules_version {}", engine.rules_version()),
-            format!("next_offset {}", engine.next_offset()),
-            format!("listed {}", engine.is_listed()),
-            format!("instances {}", engine.journal().instances().count()),
-            format!("runs {}", self.run_count()),
-        ];
-        lines.extend(
-            self.metrics
-                .totals()
-                .iter()
-                .map(|(name, n)| format!("counter.{name} {n}")),
-        );
-        lines.push(String::new());
-        lines.join("\n")
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod settings;
 mod shell;
+mod status;
 mod udp;
 mod wire;
 
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -210,7 +210,7 @@
 async fn send_gauges(shell: Rc<Shell>) {
     loop {
         tokio::time::sleep(GAUGE_INTERVAL).await;
-        let gauges = shell.engine.borrow().gauges();
+        let gauges = shell.engine.borrow().gauges(shell.now());
         shell.metrics.gauge(&gauges);
     }
 }
--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -5,6 +5,7 @@
 use common::call;
 use common::publish;
 use common::status;
+use common::until_homes_are_ready;
 use common::until_status;
 use common::NodeProcess;
 use common::LOOPBACK;
@@ -33,6 +34,7 @@
     publish(&log, RULES).await;
     until_status(node.http, "rules_version", "1").await;
     until_status(node.http, "listed", "true").await;
+    until_homes_are_ready(&[node.http]).await;
     (node, backend)
 }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use indexmap::IndexMap;
 use standin::Backend;
 use standin::Child;
 use standin::Log;
@@ -189,3 +190,26 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Asks until every key of every service has a home that may start work. Before that, orders are
+/// refused as not run, and rightly so: homes wait for slots and leases after each change of view.
+pub async fn until_homes_are_ready(nodes: &[SocketAddr]) {
+    while !homes_are_ready(nodes).await {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn homes_are_ready(nodes: &[SocketAddr]) -> bool {
+    let mut slots: IndexMap<String, u32> = IndexMap::new();
+    for node in nodes {
+        let number = async |key| status(*node, key).await.parse::<u32>().unwrap_or(0);
+        if number("gauge.home.lease_left").await < 1_000 {
+            return false;
+        }
+        let service = status(*node, "service").await;
+        *slots.entry(service).or_insert(0) += number("gauge.home.ready_slots").await;
+    }
+    slots
+        .values()
+        .all(|slots| *slots == u32::from(proto::SLOTS))
+}
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -6,6 +6,7 @@
 use common::call;
 use common::publish;
 use common::status;
+use common::until_homes_are_ready;
 use common::until_status;
 use common::NodeProcess;
 use common::Server;
@@ -47,6 +48,7 @@
         until_status(server.node.http, "rules_version", "1").await;
         until_status(server.node.http, "instances", "2").await;
     }
+    until_homes_are_ready(&[entry.node.http, order.node.http]).await;
     (entry, order, relay)
 }
 
--- a/crates/node/tests/outage.rs
+++ b/crates/node/tests/outage.rs
@@ -5,6 +5,7 @@
 use common::call;
 use common::publish;
 use common::status;
+use common::until_homes_are_ready;
 use common::until_status;
 use common::NodeProcess;
 use common::Server;
@@ -23,7 +24,7 @@
     let server = Server::start("press", "milano-1", log, &[]).await;
     publish(log, RULES).await;
     until_status(server.node.http, "rules_version", "1").await;
-    until_status(server.node.http, "listed", "true").await;
+    until_homes_are_ready(&[server.node.http]).await;
     server
 }
 
@@ -95,6 +96,7 @@
     until_status(late.node.http, "rules_version", "2").await;
     until_status(late.node.http, "instances", "2").await;
     until_status(server.node.http, "instances", "2").await;
+    until_homes_are_ready(&[server.node.http, late.node.http]).await;
     let whole = call(late.node.http, "POST", "/press/slots", "k", "ink").await;
     assert_eq!(whole, (200, "whole".into(), "ink/slots".into()));
 }
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -4,6 +4,7 @@
 
 use common::call;
 use common::publish;
+use common::until_homes_are_ready;
 use common::until_status;
 use common::Server;
 use common::LOOPBACK;
@@ -27,6 +28,7 @@
         until_status(server.node.http, "rules_version", "1").await;
         until_status(server.node.http, "instances", "3").await;
     }
+    until_homes_are_ready(&servers.each_ref().map(|server| server.node.http)).await;
     servers
 }
 
--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -320,7 +320,14 @@
         let Some(since) = self.expelled else {
             return;
         };
-        let patience = self.longest_run + self.cfg.transfer_timeout;
+        // Whoever is to take the slots may be gone. Only a run that goes on here is worth more
+        // patience, because its end is known to nobody else.
+        let runs = if self.moved.is_empty() {
+            Duration::ZERO
+        } else {
+            self.longest_run
+        };
+        let patience = runs + self.cfg.transfer_timeout;
         if self.is_handed_over() || since + patience <= now {
             self.expelled = None;
             self.expel();
