--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -1,6 +1,7 @@
 //! Requests from callers and from the own backend server: the filter chain.
 
 use crate::engine::RETRY_AFTER;
+use crate::serve::JobOwner;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
@@ -179,7 +180,10 @@
         let fingerprint = Fingerprint::of(&draft.request);
         let service = draft.request.service.clone();
         let key = match (draft.parent, key) {
-            (Some(run), key) => self.child_key(run, service, fingerprint, key),
+            (Some(run), key) => {
+                draft.fresh = key.is_none() && self.is_first_run(run);
+                self.child_key(run, service, fingerprint, key)
+            }
             (None, Some(text)) => IdempotencyKey {
                 caller: caller.into(),
                 service,
@@ -203,6 +207,13 @@
         Ok(draft)
     }
 
+    /// Whether no other run of the same call can have made child calls: it has a key itself, and its
+    /// home starts one run. If that run is refused after it made some, see `on_run_ended`.
+    fn is_first_run(&self, run: RunId) -> bool {
+        let owner = self.jobs.get(&run).map(|job| job.owner);
+        matches!(owner, Some(JobOwner::Key(_)))
+    }
+
     /// A child's key comes from its action and its place among like calls of the same run, so that
     /// a second run of the same action makes the same keys and no second child.
     fn child_key(
--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -235,7 +235,7 @@
         let Some(view) = self.journal.view(&self.me.service) else {
             return;
         };
-        if view.number <= self.home.view() {
+        if self.home.view() >= Some(view.number) {
             return;
         }
         let effects = if next {
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -242,10 +242,14 @@
             return self.count(Counter::Unexpected);
         };
         let class = job.class;
+        let made_calls = matches!(job.owner, JobOwner::Key(_)) && !job.children.is_empty();
         let ended = job.ended(now, &end);
         self.server.finished(now, class, ended);
         let outcome = match end {
             RunEnd::Response(response) => Outcome::Whole(response),
+            // The next run would make the same child keys, which would not be new then. So a run
+            // that made child calls is never taken for one that did not run.
+            RunEnd::Refused { .. } if made_calls => Outcome::Unknown(Reason::ServerRefused),
             RunEnd::Refused { retry_after } => {
                 let retry_after = retry_after.unwrap_or(crate::engine::RETRY_AFTER);
                 Outcome::NotRun(Refusal::new(Reason::ServerRefused, retry_after))
--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -70,7 +70,7 @@
     /// use bilberry_once::{Config, Home};
     ///
     /// let home = Home::new(Config::default(), proto::Incarnation(1));
-    /// assert_eq!(home.view(), 0);
+    /// assert_eq!(home.view(), None);
     /// ```
     pub fn new(cfg: Config, me: Incarnation) -> Self {
         Self {
@@ -102,9 +102,14 @@
         self.longest_run = longest_run;
     }
 
-    /// The number of the newest view that was taken; 0 before the first.
-    pub fn view(&self) -> u64 {
-        self.view.as_ref().map_or(0, |view| view.number)
+    /// The number of the newest view that was taken. The first record of a stream makes view 0.
+    pub fn view(&self) -> Option<u64> {
+        self.view.as_ref().map(|view| view.number)
+    }
+
+    /// Whether this node knows no view, or only older ones.
+    pub(crate) fn is_behind(&self, view: u64) -> bool {
+        self.view().is_none_or(|mine| mine < view)
     }
 
     /// All views below this one are fenced, as far as this node knows.
@@ -148,11 +153,7 @@
 
     /// Takes the next view of this node's service from the log. None may be left out.
     pub fn on_view(&mut self, now: Time, view: &View) -> Vec<Effect> {
-        if self
-            .view
-            .as_ref()
-            .is_some_and(|old| old.number >= view.number)
-        {
+        if !self.is_behind(view.number) {
             return Vec::new();
         }
         self.learn(view);
--- a/crates/once/src/transfers.rs
+++ b/crates/once/src/transfers.rs
@@ -25,7 +25,7 @@
     pub fn on_transfer(&mut self, now: Time, transfer: SlotTransfer) -> Vec<Effect> {
         let slot = usize::from(transfer.slot);
         // A view that is not known here yet: the giver sends again.
-        if slot >= self.slots.len() || transfer.view > self.view() {
+        if slot >= self.slots.len() || self.is_behind(transfer.view) {
             self.out.push(Effect::Behind);
             return std::mem::take(&mut self.out);
         }
--- a/crates/once/src/votes.rs
+++ b/crates/once/src/votes.rs
@@ -104,14 +104,14 @@
         self.lease.grant(from, sent);
         // The granter read the log up to no newer view than ours.
         let heard = sent.since(Time::ZERO + log_age);
-        if view <= self.view() && !heard.is_zero() {
+        if !self.is_behind(view) && !heard.is_zero() {
             self.log_heard = self.log_heard.max(Some(Time::ZERO + heard));
         }
     }
 
     fn heard_view(&mut self, from: Incarnation, view: u64) {
         self.fence.heard(from, view);
-        if view > self.view() {
+        if self.is_behind(view) {
             self.out.push(Effect::Behind);
         }
     }
--- a/crates/once/tests/common/mod.rs
+++ b/crates/once/tests/common/mod.rs
@@ -163,7 +163,7 @@
     }
 
     fn append(&mut self, members: Vec<Instance>, departed: Vec<(Incarnation, Departure)>) {
-        let number = self.log.len() as u64 * 10 + 5;
+        let number = self.log.len() as u64 * 10;
         self.log.push(View {
             number,
             members,
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -141,7 +141,7 @@
     let mut cluster = Cluster::new(3);
     cluster.join(9, 3);
     let now = cluster.now;
-    let view = cluster.home(9).view();
+    let view = cluster.home(9).view().unwrap();
     let grant = |from: u64, to: u64| LeaseMessage::Grant {
         from: proto::Incarnation(from),
         to: proto::Incarnation(to),
