--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -413,6 +413,7 @@
             }
             Output::CancelRun(run) => self.cancel_run(node, run),
             Output::Append { number, record } => self.append_from(node, number, record),
+            Output::FetchState { from, next } => self.fetch_state(node, from, next),
             Output::ReadLog => self.read_now(node),
             Output::Count(counter) => *self.counters.entry(counter.name()).or_insert(0) += 1,
             Output::Stopped => self.after_in(node, EXIT, move |world| world.on_exit(node, from)),
