Leases: quick first rounds, and calls wait for a lease that is on its way

After a change of view a home asked for its lease once a second only, and a member that had not read the view yet did not grant. Orders in that second were refused, and in crates/node/tests/stop.rs a service of two never ran any, so that the test went on for ever.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,5 +1,6 @@
 //! The engine's state, and how inputs reach the controllers.
 
+use crate::answered::Answered;
 use crate::calls::Outgoing;
 use crate::entry::OpenRequest;
 use crate::fetch::FetchLink;
@@ -19,8 +20,8 @@
 use journal::State;
 use membership::Membership;
 use once::Home;
+use policy::Selector;
 use policy::Server;
-use proto::Answer;
 use proto::CallId;
 use proto::Frame;
 use proto::Instance;
@@ -32,12 +33,8 @@
 use rand::SeedableRng;
 use std::collections::VecDeque;
 use std::time::Duration;
-use stdx::Bounded;
 use stdx::Time;
 
-/// Answers of inbound calls that are kept for a caller whose connection was lost.
-const ANSWERS_KEPT: usize = 256;
-
 /// When a caller may come back after a refusal that says nothing more exact.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -67,6 +64,9 @@
     pub(crate) log: LogLink,
     pub(crate) fetch: FetchLink,
     pub(crate) members: Membership,
+    pub(crate) selector: Selector,
+    /// The views have changed since the members were told.
+    pub(crate) roster_changed: bool,
     pub(crate) home: Home,
     pub(crate) server: Server,
     /// Requests of callers and of the own backend server, in flight.
@@ -76,7 +76,7 @@
     /// Calls from nodes (this one included) that are not answered yet.
     pub(crate) inbound: IndexMap<CallId, Inbound>,
     /// Answers given lately, for calls that attach again.
-    pub(crate) answered: Bounded<CallId, Answer>,
+    pub(crate) answered: Answered,
     /// Work for the own backend server, queued or running.
     pub(crate) jobs: IndexMap<RunId, Job>,
     /// Who waits for the run of a key.
@@ -122,6 +122,8 @@
             log: LogLink::default(),
             fetch: FetchLink::default(),
             members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
+            selector: Selector::new(),
+            roster_changed: false,
             home: Home::new(cfg.once.clone(), incarnation),
             server: Server::new(
                 cfg.policy,
@@ -132,7 +134,7 @@
             open: IndexMap::new(),
             calls: IndexMap::new(),
             inbound: IndexMap::new(),
-            answered: Bounded::new(ANSWERS_KEPT),
+            answered: Answered::new(),
             jobs: IndexMap::new(),
             keys: IndexMap::new(),
             held: HeldCalls::new(),
@@ -235,6 +237,7 @@
                 Timer::Deadline(call) => self.on_deadline(now, call),
                 Timer::Held(call) => self.on_held_too_long(call),
                 Timer::Handover => {}
+                Timer::Reattach(call) => self.on_reattach_timer(now, call),
             }
         }
         self.tick_members(now);
--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -136,11 +136,11 @@
         }
     }
 
-    /// Calls that waited for a slot begin again.
-    fn release(&mut self, now: Time, slot: u16) {
+    /// Calls that waited begin again.
+    fn release(&mut self, now: Time, may_go_on: impl Fn(KeyHash) -> bool) {
         let waiting = self.held.iter();
         let waiting: Vec<CallId> = waiting
-            .filter(|(_, held)| held.key.slot() == slot)
+            .filter(|(_, held)| may_go_on(held.key))
             .map(|(id, _)| *id)
             .collect();
         for id in waiting {
@@ -289,7 +289,8 @@
             }
             Effect::Finished { to, record } => self.send(&to, Frame::Finished(Box::new(record))),
             Effect::FinishedDone { to, key } => self.send(&to, Frame::FinishedDone(key)),
-            Effect::Settled(slot) => self.release(now, slot),
+            Effect::Settled(slot) => self.release(now, |key| key.slot() == slot),
+            Effect::Leased => self.release(now, |_| true),
             Effect::Ended(key) => self.on_ended_elsewhere(now, key),
             Effect::Recall(key) => self.recall(now, key),
             Effect::Behind => self.out.push(Output::ReadLog),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,6 +4,7 @@
 //! I/O and reads no clock, global or unseeded random number, so production, tests and benches run
 //! the same code, each with a clock and a network of its own.
 
+mod answered;
 mod appends;
 mod calls;
 mod config;
@@ -23,6 +24,7 @@
 
 pub use config::Config;
 pub use counter::Counter;
+pub use counter::LinkEvent;
 pub use engine::Engine;
 pub use engine::Tables;
 pub use gauges::Gauge;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -202,7 +202,8 @@
     /// the `Leave` is said after it.
     pub(crate) fn leave_log(&mut self, now: Time) {
         self.log.appends.remove(AppendKey::Join);
-        if self.log.join_sent || self.is_listed() {
+        let gone = self.journal.departed.contains_key(&self.me.incarnation);
+        if !gone && (self.log.join_sent || self.is_listed()) {
             self.append(&Record::Leave(self.me.incarnation));
             // In an outage of the log a stop would never end. The views go on naming this node
             // then, until another one evicts it.
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -15,6 +15,8 @@
         Held(CallId),
         /// A stopping node has waited long enough for its slots to be taken.
         Handover,
+        /// A call is to be sent again over a new connection.
+        Reattach(CallId),
     }
 }
 
--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -47,6 +47,10 @@
     expelled: Option<Time>,
     pub(crate) lease: Lease,
     pub(crate) next_round: Option<Time>,
+    /// Rounds since the lease was lost, or the view changed.
+    pub(crate) rounds_without: u32,
+    /// Until then a lease that is lacking is waited for.
+    pub(crate) lease_awaited: Time,
     pub(crate) fence: Fence,
     /// A time at which the log's stream held no newer view; `None` before the first reading.
     pub(crate) log_heard: Option<Time>,
@@ -83,6 +87,8 @@
             expelled: None,
             lease: Lease::default(),
             next_round: None,
+            rounds_without: 0,
+            lease_awaited: Time::ZERO,
             fence: Fence::default(),
             log_heard: None,
             slots: (0..SLOTS).map(|_| Slot::default()).collect(),
@@ -170,6 +176,8 @@
         if is_member(&view.members, self.me) {
             self.joined = true;
             self.next_round = Some(now);
+            self.rounds_without = 0;
+            self.lease_awaited = now + self.cfg.hold;
         } else if self.joined {
             self.next_round = None;
             self.expelled = Some(now).filter(|_| !self.leaving);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,9 +14,9 @@
 
 pub use account::Account;
 pub use budget::Budget;
-pub use choose::choose;
-pub use choose::Candidate;
 pub use choose::Place;
+pub use choose::Selector;
+pub use choose::Standing;
 pub use level::admission_value;
 pub use server::Ended;
 pub use server::Offer;
--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -43,27 +43,39 @@
 /// assert!(trial::replay("5s expect a1 whole").is_err());
 /// ```
 pub fn replay(text: &str) -> Result<World, TraceError> {
+    let (world, result) = replay_all(text);
+    result.map(|()| world)
+}
+
+/// Replays a trace; gives the world at its end, or where it was not as stated.
+pub fn replay_all(text: &str) -> (World, Result<(), TraceError>) {
     let mut world = World::new(1, Layout::small());
+    let mut result = Ok(());
     for (nth, line) in text.lines().enumerate() {
         let line = line.split('#').next().unwrap_or_default();
         let words: Vec<&str> = line.split_whitespace().collect();
-        let Some((at, words)) = words.split_first() else {
-            continue;
-        };
-        let at = Time::ZERO + duration(at).ok_or(TraceError::BadLine(nth + 1))?;
-        world.run_until(at);
-        if let Some(violation) = world.judge.violations.first() {
-            return Err(TraceError::Violation(violation.clone()));
+        result = run_line(&mut world, nth + 1, &words);
+        if result.is_err() {
+            break;
         }
-        step(&mut world, words).map_err(|problem| match problem {
-            None => TraceError::BadLine(nth + 1),
-            Some(got) => TraceError::Unexpected(nth + 1, got),
-        })?;
     }
-    match world.judge.violations.first() {
-        None => Ok(world),
-        Some(violation) => Err(TraceError::Violation(violation.clone())),
+    (world, result)
+}
+
+fn run_line(world: &mut World, number: usize, words: &[&str]) -> Result<(), TraceError> {
+    let Some((at, words)) = words.split_first() else {
+        return Ok(());
+    };
+    let at = duration(at).ok_or(TraceError::BadLine(number))?;
+    world.run_until(Time::ZERO + at);
+    let step = step(world, words);
+    if let Some(violation) = world.judge.violations.first() {
+        return Err(TraceError::Violation(violation.clone()));
     }
+    step.map_err(|problem| match problem {
+        None => TraceError::BadLine(number),
+        Some(got) => TraceError::Unexpected(number, got),
+    })
 }
 
 /// `None` as an error stands for a line that makes no sense, else it says what was found.
@@ -87,10 +99,9 @@
             Ok(())
         }
         ["again", body, "at", name] => {
-            let node = world.node(name);
+            let node = Some(world.node(name).ok_or(None)?);
             let action = find(world, body)?;
-            world.actions[action].end = None;
-            world.at(world.now, move |world| world.on_send(action, node));
+            world.send_again(action, node);
             Ok(())
         }
         ["settle"] => {
@@ -98,24 +109,26 @@
             Ok(())
         }
         ["expect", body, ends @ ..] => {
-            let action = &world.actions[find(world, body)?];
-            let end = action
-                .end
-                .map_or("none".to_owned(), |(_, end)| end_name(end));
-            if ends.contains(&&*end) {
-                Ok(())
-            } else {
-                Err(Some(end))
-            }
+            stated(ends, end_name(world.actions[find(world, body)?].end))
         }
         ["expect-runs", method, path, body, counts @ ..] => {
             let operation = world.layout.operation(method, path).ok_or(None)?;
             let operation = &world.layout.operations[operation];
-            let runs = world.judge.runs(operation, body.as_bytes()).to_string();
-            if counts.contains(&&*runs) {
-                Ok(())
-            } else {
-                Err(Some(runs))
+            let runs = world.judge.runs(operation, body.as_bytes());
+            stated(counts, runs.to_string())
+        }
+        ["expect-crashes", poison, counts @ ..] => {
+            let crashes = world.judge.crashes.get(*poison).unwrap_or(&0);
+            stated(counts, crashes.to_string())
+        }
+        ["expect-all", ends @ ..] => {
+            let mut got = world
+                .actions
+                .iter()
+                .map(|action| (action, end_name(action.end)));
+            match got.find(|(_, end)| !ends.contains(&&**end)) {
+                None => Ok(()),
+                Some((action, end)) => Err(Some(format!("{} {end}", action.body))),
             }
         }
         ["expect-version", version] => {
@@ -173,7 +186,17 @@
         .ok_or(None)
 }
 
-fn end_name(end: End) -> String {
+fn stated(allowed: &[&str], got: String) -> Result<(), Option<String>> {
+    match allowed.contains(&&*got) {
+        true => Ok(()),
+        false => Err(Some(got)),
+    }
+}
+
+fn end_name(end: Option<(Time, End)>) -> String {
+    let Some((_, end)) = end else {
+        return "none".to_owned();
+    };
     match end {
         End::Whole => "whole".to_owned(),
         End::Failed => "failed".to_owned(),
