--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -47,6 +47,10 @@
     expelled: Option<Time>,
     pub(crate) lease: Lease,
     pub(crate) next_round: Option<Time>,
+    /// Rounds since the lease was lost, or the view changed.
+    pub(crate) rounds_without: u32,
+    /// Until then a lease that is lacking is waited for.
+    pub(crate) lease_awaited: Time,
     pub(crate) fence: Fence,
     /// A time at which the log's stream held no newer view; `None` before the first reading.
     pub(crate) log_heard: Option<Time>,
@@ -70,7 +74,7 @@
     /// use bilberry_once::{Config, Home};
     ///
     /// let home = Home::new(Config::default(), proto::Incarnation(1));
-    /// assert_eq!(home.view(), 0);
+    /// assert_eq!(home.view(), None);
     /// ```
     pub fn new(cfg: Config, me: Incarnation) -> Self {
         Self {
@@ -83,6 +87,8 @@
             expelled: None,
             lease: Lease::default(),
             next_round: None,
+            rounds_without: 0,
+            lease_awaited: Time::ZERO,
             fence: Fence::default(),
             log_heard: None,
             slots: (0..SLOTS).map(|_| Slot::default()).collect(),
@@ -102,9 +108,14 @@
         self.longest_run = longest_run;
     }
 
-    /// The number of the newest view that was taken; 0 before the first.
-    pub fn view(&self) -> u64 {
-        self.view.as_ref().map_or(0, |view| view.number)
+    /// The number of the newest view that was taken. The first record of a stream makes view 0.
+    pub fn view(&self) -> Option<u64> {
+        self.view.as_ref().map(|view| view.number)
+    }
+
+    /// Whether this node knows no view, or only older ones.
+    pub(crate) fn is_behind(&self, view: u64) -> bool {
+        self.view().is_none_or(|mine| mine < view)
     }
 
     /// All views below this one are fenced, as far as this node knows.
@@ -148,11 +159,7 @@
 
     /// Takes the next view of this node's service from the log. None may be left out.
     pub fn on_view(&mut self, now: Time, view: &View) -> Vec<Effect> {
-        if self
-            .view
-            .as_ref()
-            .is_some_and(|old| old.number >= view.number)
-        {
+        if !self.is_behind(view.number) {
             return Vec::new();
         }
         self.learn(view);
@@ -169,6 +176,8 @@
         if is_member(&view.members, self.me) {
             self.joined = true;
             self.next_round = Some(now);
+            self.rounds_without = 0;
+            self.lease_awaited = now + self.cfg.hold;
         } else if self.joined {
             self.next_round = None;
             self.expelled = Some(now).filter(|_| !self.leaving);
