Membership: a suspect that was heard dies like any other

Cause: a guard kept a suspect alive that had been heard since. Change: the guard stays only for peers that are leaving, which cannot refute.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -441,15 +441,14 @@
                 continue;
             };
             entry.dead_at = None;
-            let began = self.cfg.suspicion_timeout;
-            // It spoke to this node meanwhile; it only has not heard of the suspicion yet.
-            let spoke = entry.heard.is_some_and(|heard| now.since(heard) < began);
-            let beat = entry.beat;
-            match (spoke, entry.peer.state) {
-                (true, PeerState::Suspect) => self.start_suspicion(now, incarnation),
-                (true, _) => {}
-                (false, _) => self.set_state(now, incarnation, PeerState::Dead, beat),
+            let heard = |at: Time| now.since(at) < self.cfg.suspicion_timeout;
+            // Who is leaving is not suspected aloud, so it cannot refute; being heard will do.
+            let leaving = entry.peer.state == PeerState::Leaving;
+            if leaving && entry.heard.is_some_and(heard) {
+                continue;
             }
+            let beat = entry.beat;
+            self.set_state(now, incarnation, PeerState::Dead, beat);
         }
     }
 
