Peers pass records on, not only states

Cause: a node that took a peer's whole state knew nothing of the views in between and ended its incarnation, records and all; a slow log would have restarted every node that is a view behind. Seen failing: a_listed_node_catches_up_record_by_record (expelled once before, never after). Change: nodes keep the newest records, 640 KiB at most, and answer a peer with those that it lacks; the state only where they are gone. Conclusion: the fold is the same whether a record came from the log or from a peer.

--- a/crates/engine/src/fetch.rs
+++ b/crates/engine/src/fetch.rs
@@ -10,8 +10,10 @@
 use proto::MemberMessage;
 use proto::PROTOCOL_VERSION;
 use rand::RngExt;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
+use stdx::data;
 use stdx::Time;
 
 /// How long a node that reaches the log waits for the log itself before it asks a peer.
@@ -23,6 +25,55 @@
 /// How many others a node tells that new rules are in force.
 const FANOUT: usize = 3;
 
+/// The most bytes of records that are kept for peers: two of the largest rules files fit.
+const MAX_TAIL: usize = 640 * 1024;
+
+data! {
+    /// What a node tells a peer that lacks records.
+    enum News {
+        /// The records that it lacks, so that it takes every view in turn.
+        Records(Vec<(u64, Bytes)>),
+        /// The state, where those records are not at hand any more.
+        State(Box<State>),
+    }
+}
+
+/// The newest records, without a gap.
+#[derive(Debug, Default)]
+pub(crate) struct Tail {
+    records: VecDeque<(u64, Bytes)>,
+    bytes: usize,
+}
+
+impl Tail {
+    /// Takes a record that was folded.
+    pub(crate) fn push(&mut self, offset: u64, record: Bytes) {
+        if self
+            .records
+            .back()
+            .is_some_and(|(last, _)| last + 1 != offset)
+        {
+            self.records.clear();
+            self.bytes = 0;
+        }
+        self.bytes += record.len();
+        self.records.push_back((offset, record));
+        while self.bytes > MAX_TAIL {
+            let Some((_, oldest)) = self.records.pop_front() else {
+                return;
+            };
+            self.bytes -= oldest.len();
+        }
+    }
+
+    /// The records from `next` on, if all of them are here.
+    fn after(&self, next: u64) -> Option<Vec<(u64, Bytes)>> {
+        let (first, _) = self.records.front()?;
+        let skip = usize::try_from(next.checked_sub(*first)?).ok()?;
+        Some(self.records.iter().skip(skip).cloned().collect())
+    }
+}
+
 /// What is missing and who has it.
 #[derive(Debug, Default)]
 pub(crate) struct FetchLink {
@@ -32,11 +83,17 @@
 }
 
 impl Engine {
-    /// The state for a peer that lacks the records from `next` on, encoded; nothing if this node
+    /// News for a peer that lacks the records from `next` on, encoded; nothing if this node
     /// knows no more itself.
     pub fn state_after(&self, next: u64) -> Option<Bytes> {
-        let newer = self.log.ready && self.journal.next > next;
-        newer.then(|| Bytes::from(proto::encode(&self.journal)))
+        if !self.log.ready || self.journal.next <= next {
+            return None;
+        }
+        let news = match self.log.tail.after(next) {
+            Some(records) => News::Records(records),
+            None => News::State(Box::new(self.journal.clone())),
+        };
+        Some(Bytes::from(proto::encode(&news)))
     }
 
     /// A peer says how far it has read the log.
@@ -119,9 +176,10 @@
     }
 
     /// A peer's state, as [`Engine::state_after`] gave it there.
-    pub(crate) fn on_peer_state(&mut self, now: Time, state: &[u8]) {
-        let change = match proto::decode::<State>(state) {
-            Ok(state) => self.journal.adopt(state),
+    pub(crate) fn on_peer_state(&mut self, now: Time, news: &[u8]) {
+        let change = match proto::decode(news) {
+            Ok(News::Records(records)) => return self.on_peer_records(now, records),
+            Ok(News::State(state)) => self.journal.adopt(*state),
             Err(_) => Change::Broken,
         };
         match change {
@@ -135,4 +193,11 @@
             _ => {}
         }
     }
+
+    fn on_peer_records(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
+        let before = self.journal.next;
+        self.on_records(now, records);
+        // From the start of the stream on, it is the same as having read the log.
+        self.log.ready |= before == 0 && self.journal.next > 0;
+    }
 }
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -2,6 +2,7 @@
 
 use crate::appends::AppendKey;
 use crate::appends::AppendQueue;
+use crate::fetch::Tail;
 use crate::snapshots::SnapshotClock;
 use crate::Counter;
 use crate::Engine;
@@ -31,6 +32,8 @@
     pub(crate) snapshots: SnapshotClock,
     /// The oldest record that the log still has.
     pub(crate) first: u64,
+    /// The newest records, for peers that lack them.
+    pub(crate) tail: Tail,
     pub(crate) appends: AppendQueue,
     /// A `Join` may stand in the stream, now or later.
     join_sent: bool,
@@ -68,7 +71,11 @@
 
     fn fold(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
         for (offset, record) in records {
-            match self.journal.apply(offset, &record) {
+            let change = self.journal.apply(offset, &record);
+            if self.journal.next == offset + 1 && change != Change::Old {
+                self.log.tail.push(offset, record);
+            }
+            match change {
                 Change::Nothing | Change::Old => {}
                 Change::Broken => self.count(Counter::BrokenRecord),
                 Change::Rejected => self.count(Counter::RejectedPublication),
--- a/crates/engine/tests/log/outage.rs
+++ b/crates/engine/tests/log/outage.rs
@@ -148,3 +148,21 @@
     assert_eq!(d.count(Counter::BrokenRecord), 1);
     assert_eq!(d.count(Counter::Restored), 0);
 }
+
+/// The log answers some nodes and not others while instances come and go. A node that took the
+/// state whole from a peer would not know the views in between, and would have to end, with all its
+/// records of orders: a slow log would restart the fleet.
+#[test]
+fn a_listed_node_catches_up_record_by_record() {
+    let mut peer = reader(2, 1);
+    let mut d = reader(2, 1);
+    let known = d.engine.next_offset();
+    for n in 3..6 {
+        peer.show(&Record::Join(instance(n)));
+    }
+    d.feed(Input::PeerState(peer.engine.state_after(known).unwrap()));
+    assert_eq!(d.engine.next_offset(), peer.engine.next_offset());
+    d.pass(Duration::from_secs(60));
+    assert_eq!(d.count(Counter::Expelled), 0);
+    assert!(!d.stopped);
+}
