Views remember their last steps; departed nodes end

The home could not tell what moved in between and gave its incarnation up, and a service of two lost both members at once. A view now carries its last 16 steps, and the home takes the missed views one by one. A node that departed before it saw itself in a view ends and no longer asks to join.

--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -229,22 +229,30 @@
         }
     }
 
-    /// Takes the service's view from the log's state, if it is newer than the home's. `next` says
-    /// that it follows the home's view with none between them.
-    pub(crate) fn update_home(&mut self, now: Time, next: bool) {
+    /// Takes the service's views from the log's state, if they are newer than the home's. A
+    /// `restored` state may have skipped more views than it remembers.
+    pub(crate) fn update_home(&mut self, now: Time, restored: bool) {
         let Some(view) = self.journal.view(&self.me.service) else {
             return;
         };
         if self.home.view() >= Some(view.number) {
             return;
         }
-        let effects = if next {
-            self.home.on_view(now, view)
-        } else {
-            self.home.on_baseline(now, view)
+        let view = view.clone();
+        let missed = match self.home.newest() {
+            Some(known) => view.since(known),
+            None if restored => None,
+            None => Some(vec![view.clone()]),
         };
-        self.count(Counter::ViewTaken);
-        self.apply_home(now, effects);
+        let Some(missed) = missed else {
+            let effects = self.home.on_baseline(now, &view);
+            return self.apply_home(now, effects);
+        };
+        for view in missed {
+            self.count(Counter::ViewTaken);
+            let effects = self.home.on_view(now, &view);
+            self.apply_home(now, effects);
+        }
     }
 
     /// Stops starting work as a home, before the log is told that this node leaves.
@@ -330,6 +338,15 @@
         self.end_job(now, run, Outcome::NotRun(refusal));
     }
 
+    /// An incarnation that departed never comes back. One that never saw itself in a view has
+    /// nothing to hand over and ends at once; left running, it would ask to join for ever.
+    pub(crate) fn check_departed(&mut self, now: Time) {
+        let departed = self.journal.departed.contains_key(&self.me.incarnation);
+        if departed && !self.home.has_joined() && !self.stopping {
+            self.on_expelled(now);
+        }
+    }
+
     /// The log's views leave this incarnation out for good. It takes nothing new, ends what is in
     /// flight, and the shell starts another incarnation.
     fn on_expelled(&mut self, now: Time) {
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -102,12 +102,12 @@
         self.count(Counter::Restored);
         self.on_rules(now);
         // Views before the one in the state may have been missed.
-        self.update_home(now, false);
+        self.update_home(now, true);
     }
 
     fn on_view_change(&mut self, now: Time) {
         self.update_roster(now);
-        self.update_home(now, true);
+        self.update_home(now, false);
     }
 
     pub(crate) fn on_log_start(&mut self, first: u64) {
@@ -124,8 +124,10 @@
         }
         self.log.ready = true;
         self.home.on_log_read(now);
+        self.check_departed(now);
         self.check_snapshot(now);
-        if !self.stopping && !self.is_listed() {
+        let departed = self.journal.departed.contains_key(&self.me.incarnation);
+        if !self.stopping && !departed && !self.is_listed() {
             self.append(&Record::Join(self.me.clone()));
         }
     }
--- a/crates/journal/src/fold.rs
+++ b/crates/journal/src/fold.rs
@@ -8,7 +8,6 @@
 use crate::SnapshotMark;
 use crate::State;
 use crate::Verdict;
-use crate::View;
 use proto::Incarnation;
 use proto::Instance;
 use rules::Rules;
@@ -145,16 +144,8 @@
             return Change::Broken;
         }
         self.replace_at_address(offset, &instance);
-        let view = self.views.entry(service.clone()).or_insert_with(|| View {
-            number: offset,
-            members: Vec::new(),
-            departed: Vec::new(),
-        });
-        if view.number != offset {
-            view.number = offset;
-            view.departed.clear();
-        }
-        view.members.push(instance);
+        let view = self.views.entry(service.clone()).or_default();
+        view.join(offset, instance);
         Change::View(service)
     }
 
@@ -184,12 +175,7 @@
 
     fn depart(&mut self, offset: u64, incarnation: Incarnation, how: Departure) -> Change {
         for (service, view) in &mut self.views {
-            let before = view.members.len();
-            view.members
-                .retain(|member| member.incarnation != incarnation);
-            if view.members.len() < before {
-                view.number = offset;
-                view.departed = vec![(incarnation, how)];
+            if view.depart(offset, incarnation, how) {
                 let service = service.clone();
                 self.remember_departed(incarnation, how);
                 return Change::View(service);
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -6,14 +6,16 @@
 mod record;
 mod restore;
 mod state;
+mod view;
 
 pub use fold::MAX_NAME;
 pub use fold::MAX_RECORD;
 pub use record::Record;
 pub use state::Change;
-pub use state::Departure;
 pub use state::Rejection;
 pub use state::SnapshotMark;
 pub use state::State;
 pub use state::Verdict;
-pub use state::View;
+pub use view::Departure;
+pub use view::Step;
+pub use view::View;
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -1,5 +1,7 @@
 //! What the stream says, and the questions that it answers.
 
+use crate::view::Departure;
+use crate::view::View;
 use indexmap::IndexMap;
 use proto::Incarnation;
 use proto::Instance;
@@ -8,28 +10,6 @@
 use stdx::data;
 use stdx::plain;
 
-data! {
-    /// The order in which a service's instances came and went. The number only rises.
-    pub struct View {
-        /// The offset of the record that made this view.
-        pub number: u64,
-        /// The members, oldest first.
-        pub members: Vec<Instance>,
-        /// Who went with this view, and how.
-        pub departed: Vec<(Incarnation, Departure)>,
-    }
-}
-
-plain! {
-    /// How a member went.
-    pub enum Departure {
-        /// As planned; it hands its records over.
-        Left,
-        /// Taken for dead.
-        Evicted,
-    }
-}
-
 data! {
     /// What became of a publication.
     pub struct Verdict {
--- /dev/null
+++ b/crates/journal/src/view.rs
@@ -0,0 +1,117 @@
+//! The views of a service, and how one that skipped some of them catches up.
+
+use proto::Incarnation;
+use proto::Instance;
+use stdx::data;
+use stdx::plain;
+
+/// How many of its last steps a view remembers.
+const MAX_STEPS: usize = 16;
+
+data! {
+    /// The order in which a service's instances came and went. The number only rises.
+    #[derive(Default)]
+    pub struct View {
+        /// The offset of the record that made this view.
+        pub number: u64,
+        /// The members, oldest first.
+        pub members: Vec<Instance>,
+        /// Who went with this view, and how.
+        pub departed: Vec<(Incarnation, Departure)>,
+        /// The last steps that led here, oldest first.
+        pub steps: Vec<Step>,
+    }
+}
+
+data! {
+    /// One step from view to view.
+    pub struct Step {
+        /// The number of the view before; `None` for a service's first.
+        pub previous: Option<u64>,
+        /// The number of the view that it made.
+        pub number: u64,
+        /// Who went.
+        pub departed: Vec<(Incarnation, Departure)>,
+        /// Who came.
+        pub joined: Vec<Instance>,
+    }
+}
+
+plain! {
+    /// How a member went.
+    pub enum Departure {
+        /// As planned; it hands its records over.
+        Left,
+        /// Taken for dead.
+        Evicted,
+    }
+}
+
+impl View {
+    /// Takes a member out, by the record at `offset`; `false` if it is none.
+    pub(crate) fn depart(&mut self, offset: u64, who: Incarnation, how: Departure) -> bool {
+        let before = self.members.len();
+        self.members.retain(|member| member.incarnation != who);
+        if self.members.len() == before {
+            return false;
+        }
+        self.step(offset).departed.push((who, how));
+        self.departed.push((who, how));
+        true
+    }
+
+    /// Takes a member in, by the record at `offset`.
+    pub(crate) fn join(&mut self, offset: u64, instance: Instance) {
+        self.step(offset).joined.push(instance.clone());
+        self.members.push(instance);
+    }
+
+    /// The views after `known` up to this one, oldest first; `None` if the steps do not reach back
+    /// so far.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let view = bilberry_journal::View::default();
+    /// assert_eq!(view.since(&view), Some(Vec::new()));
+    /// ```
+    pub fn since(&self, known: &View) -> Option<Vec<View>> {
+        if known.number == self.number {
+            return Some(Vec::new());
+        }
+        let start = self
+            .steps
+            .iter()
+            .position(|step| step.previous == Some(known.number))?;
+        let mut view = known.clone();
+        let views = self.steps[start..].iter().map(|step| {
+            let gone = |who| step.departed.iter().any(|(gone, _)| *gone == who);
+            view.members.retain(|member| !gone(member.incarnation));
+            view.members.extend(step.joined.iter().cloned());
+            view.number = step.number;
+            view.departed = step.departed.clone();
+            view.clone()
+        });
+        Some(views.collect())
+    }
+
+    /// The step of the record at `offset`, which may take one member out and another in.
+    fn step(&mut self, offset: u64) -> &mut Step {
+        if self.steps.last().is_none_or(|step| step.number != offset) {
+            let previous = self.steps.last().map(|step| step.number);
+            if self.steps.len() == MAX_STEPS {
+                self.steps.remove(0);
+            }
+            self.steps.push(Step {
+                previous,
+                number: offset,
+                departed: Vec::new(),
+                joined: Vec::new(),
+            });
+            self.number = offset;
+            self.departed.clear();
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+}
--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -113,6 +113,11 @@
         self.view.as_ref().map(|view| view.number)
     }
 
+    /// The newest view that was taken.
+    pub fn newest(&self) -> Option<&View> {
+        self.view.as_ref()
+    }
+
     /// Whether this node knows no view, or only older ones.
     pub(crate) fn is_behind(&self, view: u64) -> bool {
         self.view().is_none_or(|mine| mine < view)
@@ -123,6 +128,11 @@
         self.fence.below()
     }
 
+    /// Whether this incarnation is or was a member, as far as this node knows.
+    pub fn has_joined(&self) -> bool {
+        self.joined
+    }
+
     /// How many slots are ready here.
     pub fn ready_slots(&self) -> usize {
         self.slots.iter().filter(|slot| slot.is_ready()).count()
@@ -329,7 +339,10 @@
         let Some(since) = self.expelled else {
             return;
         };
-        let patience = self.longest_run + self.cfg.transfer_timeout;
+        let patience = match self.moved.values().any(Moved::is_running) {
+            true => self.longest_run + self.cfg.transfer_timeout,
+            false => self.cfg.transfer_timeout,
+        };
         if self.is_handed_over() || since + patience <= now {
             self.expelled = None;
             self.expel();
--- a/crates/once/src/runs.rs
+++ b/crates/once/src/runs.rs
@@ -297,6 +297,11 @@
 }
 
 impl Moved {
+    /// Whether the run has not ended yet.
+    pub(crate) fn is_running(&self) -> bool {
+        self.end.is_none()
+    }
+
     fn begin(&self, fingerprint: Fingerprint) -> Begin {
         if self.fingerprint != fingerprint {
             return Begin::NotRun(Reason::KeyMismatch);
--- a/crates/once/tests/common/mod.rs
+++ b/crates/once/tests/common/mod.rs
@@ -168,6 +168,7 @@
             number,
             members,
             departed,
+            steps: Vec::new(),
         });
         self.read_log();
     }
--- a/crates/trial/src/log.rs
+++ b/crates/trial/src/log.rs
@@ -84,6 +84,7 @@
     pub(crate) fn read_now(&mut self, node: usize) {
         let number = self.nodes[node].read + 1;
         self.nodes[node].read = number;
+        self.nodes[node].read_to_end = false;
         self.read(node, number);
     }
 
@@ -140,6 +141,8 @@
             .waiting
             .retain(|waiting| *waiting != (node, number));
         if self.log.waiting.len() < before {
+            // The log service answers a read that waited in vain: nothing new up to now.
+            self.nodes[node].read_to_end = false;
             self.read(node, number);
         }
     }
