--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -218,6 +218,10 @@
         };
         // The deadline counts from when the node takes the request, which may be frozen now.
         self.after_in(node, travel, move |world| {
+            let place = &mut world.nodes[node];
+            if place.waiting.contains_key(&token) {
+                place.taken.insert(token);
+            }
             world.after_in(node, due, move |world| world.on_due(node, from, token));
             world.feed(node, from, input);
         });
@@ -231,6 +235,7 @@
         outcome: Outcome,
         made_key: Option<Arc<str>>,
     ) {
+        self.nodes[node].taken.swap_remove(&token);
         let Some(waiter) = self.nodes[node].waiting.swap_remove(&token) else {
             return self.violation(&format!("a second answer to {token:?}: {outcome:?}"));
         };
--- a/crates/trial/src/fault.rs
+++ b/crates/trial/src/fault.rs
@@ -120,8 +120,12 @@
         if place.engine.is_none() || place.stopping.is_some() {
             return;
         }
-        place.stopping = Some(self.now);
-        self.input(node, Duration::ZERO, Input::Stop);
+        // A process that is frozen hears of it when it is set free.
+        let from = place.incarnation;
+        self.after_in(node, Duration::ZERO, move |world| {
+            world.nodes[node].stopping = Some(world.now);
+            world.feed(node, from, Input::Stop);
+        });
     }
 
     fn cut_region(&mut self, region: &str) {
--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -15,6 +15,9 @@
 use std::time::Duration;
 use stdx::Time;
 
+/// As long as records are kept without a rule.
+const SETTLE: Duration = Duration::from_secs(15 * 60);
+
 /// Why a trace cannot be replayed, or did not end as it says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TraceError {
@@ -105,7 +108,7 @@
             Ok(())
         }
         ["settle"] => {
-            world.settle();
+            world.settle(SETTLE);
             Ok(())
         }
         ["expect", body, ends @ ..] => {
