Random runs and traces in which homes move

Seven more traces lose homes or freeze them, or part the regions; they pass. A lookup that crashes servers runs seven times.

--- a/crates/trial/src/fault.rs
+++ b/crates/trial/src/fault.rs
@@ -120,10 +120,10 @@
         if place.engine.is_none() || place.stopping.is_some() {
             return;
         }
-        // A process that is frozen hears of it when it is set free.
         let from = place.incarnation;
+        place.stopping = Some(self.now);
         self.after_in(node, Duration::ZERO, move |world| {
-            world.nodes[node].stopping = Some(world.now);
+            world.nodes[node].heard_stop = Some(world.now);
             world.feed(node, from, Input::Stop);
         });
     }
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -113,7 +113,7 @@
         req: &Request,
     ) -> Result<(), String> {
         if node
-            .stopping
+            .heard_stop
             .is_some_and(|at| now.since(at) > DRAINED_AFTER)
         {
             return Err(format!("{} starts work while it is leaving", node.name));
--- a/crates/trial/src/log.rs
+++ b/crates/trial/src/log.rs
@@ -3,6 +3,7 @@
 use crate::World;
 use bytes::Bytes;
 use engine::Input;
+use journal::Record;
 use proto::Incarnation;
 use std::time::Duration;
 
@@ -41,9 +42,12 @@
         self.first + self.records.len() as u64
     }
 
-    /// Forgets all but the newest records, as the service does after its retention.
+    /// Forgets all but the newest records, as the service does after its retention; never the last
+    /// snapshot, which nodes write again long before it is that old.
     pub fn expire(&mut self, keep: usize) {
-        let gone = self.records.len().saturating_sub(keep);
+        let is_snapshot = |r: &Bytes| matches!(proto::decode(r), Ok(Record::Snapshot(_)));
+        let snapshot = self.records.iter().rposition(is_snapshot).unwrap_or(0);
+        let gone = self.records.len().saturating_sub(keep).min(snapshot);
         self.records.drain(..gone);
         self.first += gone as u64;
     }
@@ -65,6 +69,13 @@
     /// An append of a node is on its way to the log service.
     pub(crate) fn append_from(&mut self, node: usize, number: u64, record: Bytes) {
         let from = self.nodes[node].incarnation;
+        let what = proto::decode::<Record>(&record).map(|record| format!("{record:?}"));
+        let what = what
+            .unwrap_or_default()
+            .chars()
+            .take(60)
+            .collect::<String>();
+        self.note(format!("{} appends {what}", self.nodes[node].name));
         self.after(self.log.latency(), move |world| {
             let log = &mut world.log;
             let lost = log.down || log.lose_answers > 0 || log.slow >= PATIENCE;
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -77,6 +77,8 @@
     pub known_version: u64,
     /// When its graceful shutdown began.
     pub stopping: Option<Time>,
+    /// When the process heard of it, which may be frozen.
+    pub heard_stop: Option<Time>,
     /// Its backend server.
     pub server: Server,
     /// Requests without an answer.
@@ -280,6 +282,7 @@
         place.moved = now;
         place.paused = false;
         place.stopping = None;
+        place.heard_stop = None;
         place.read_to_end = false;
         place.tick = None;
         place.held.clear();
@@ -493,6 +496,7 @@
             moved: Time::ZERO,
             known_version: 0,
             stopping: None,
+            heard_stop: None,
             server: Server::new(layout),
             waiting: IndexMap::new(),
             taken: IndexSet::new(),
--- a/crates/trial/tests/traces.rs
+++ b/crates/trial/tests/traces.rs
@@ -31,16 +31,24 @@
 }
 
 traces! {
+    all_instances_lost "all-instances-lost"
     graceful_stop "graceful-stop"
+    graceful_stop_log_down "graceful-stop-log-down"
+    killed_after "killed-after"
+    killed_home "killed-home"
     log_answers_lost "log-answers-lost"
     log_down "log-down"
     log_slow "log-slow"
     one_way "one-way"
     operators_race "operators-race"
+    paused_home "paused-home"
     poison "poison"
+    poison_lookup "poison-lookup"
     quiet "quiet"
+    regions_apart "regions-apart"
     resets "resets"
     server_crash "server-crash"
     silent "silent"
     slow_surge_retries "slow-surge-retries"
+    together "together"
 }
