--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -76,7 +76,7 @@
                     self.count(Counter::RulesInForce);
                     self.on_rules(now);
                 }
-                Change::View(service) => self.on_view_change(now, &service),
+                Change::View(_) => self.on_view_change(now),
                 Change::Restored => {
                     self.on_restored(now);
                     // What follows here comes after records that the snapshot does not cover.
@@ -101,15 +101,13 @@
     pub(crate) fn on_restored(&mut self, now: Time) {
         self.count(Counter::Restored);
         self.on_rules(now);
-        // The views between the last one taken and this one are not known.
+        // Views before the one in the state may have been missed.
         self.update_home(now, false);
     }
 
-    fn on_view_change(&mut self, now: Time, service: &str) {
+    fn on_view_change(&mut self, now: Time) {
         self.update_roster(now);
-        if *service == *self.me.service {
-            self.update_home(now, true);
-        }
+        self.update_home(now, true);
     }
 
     pub(crate) fn on_log_start(&mut self, first: u64) {
@@ -118,7 +116,6 @@
     }
 
     pub(crate) fn on_log_read(&mut self, now: Time) {
-        self.home.on_log_read(now);
         self.log.down = false;
         if self.journal.is_scanning() {
             // The records that this node lacks have expired, and no snapshot stands in for them.
@@ -126,8 +123,13 @@
             return self.schedule_fetch(now, Duration::ZERO);
         }
         self.log.ready = true;
+        self.home.on_log_read(now);
         self.check_snapshot(now);
-        if !self.stopping && !self.is_listed() {
+        // An incarnation that the views have dropped never comes back: it ends, and its next start
+        // is another one.
+        let mine = self.me.incarnation;
+        let dropped = self.journal.departed.contains_key(&mine);
+        if !self.stopping && !dropped && !self.is_listed() {
             self.append(&Record::Join(self.me.clone()));
         }
     }
--- a/crates/once/src/runs.rs
+++ b/crates/once/src/runs.rs
@@ -63,7 +63,7 @@
             return begin;
         }
         if self.lease_left(now).is_zero() {
-            return Begin::NotRun(Reason::NoLease);
+            return self.await_lease(now);
         }
         if self.records.bytes() + RECORD_BYTES + self.cfg.reserve_bytes > self.cfg.max_bytes {
             return Begin::NotRun(Reason::TableFull);
@@ -179,6 +179,15 @@
         }
     }
 
+    /// After a change of view, grants are some milliseconds away.
+    fn await_lease(&self, now: Time) -> Begin {
+        if now < self.lease_awaited && !self.leaving {
+            Begin::Wait
+        } else {
+            Begin::NotRun(Reason::NoLease)
+        }
+    }
+
     fn await_slot(&self, now: Time, receive: &Receive) -> Begin {
         if receive.lost.is_some_and(|lost| lost <= now) {
             Begin::NotRun(Reason::NoLease)
--- a/crates/once/src/votes.rs
+++ b/crates/once/src/votes.rs
@@ -18,6 +18,12 @@
 /// Rounds within the length of a lease.
 const ROUNDS_PER_LEASE: u32 = 3;
 
+/// Half the time between the first two rounds of a node without a lease.
+const FIRST_WAIT: Duration = Duration::from_millis(25);
+
+/// How often that time doubles at most.
+const MAX_DOUBLINGS: u32 = 8;
+
 /// Members that are asked beside a quorum, so that the loss of one costs no round.
 const SPARE: usize = 1;
 
@@ -61,7 +67,7 @@
                 self.heard_view(from, view);
                 self.fence.heard_below(fenced_below);
                 if granted {
-                    self.on_grant(from, view, round, from_ms(log_age_ms));
+                    self.on_grant(now, from, view, round, from_ms(log_age_ms));
                 }
             }
         }
@@ -81,8 +87,6 @@
         let Some(mine) = &self.view else {
             return;
         };
-        // A node that has left granted its last vote before it told the log.
-        let member = is_member(&mine.members, self.me) && !self.leaving;
         let message = LeaseMessage::Grant {
             from: self.me,
             to: asker,
@@ -92,26 +96,33 @@
             log_age_ms: self
                 .log_heard
                 .map_or(u32::MAX, |heard| to_ms(now.since(heard))),
-            granted: member && view >= mine.number,
+            // A node that leaves granted its last vote before it told the log. One that is not yet
+            // a member by what it knows is behind, and has seen nothing newer than the asker.
+            granted: !self.leaving && view >= mine.number,
         };
         self.out.push(Effect::Lease { to: addr, message });
     }
 
-    fn on_grant(&mut self, from: Incarnation, view: u64, round: u64, log_age: Duration) {
+    fn on_grant(&mut self, now: Time, from: Incarnation, view: u64, round: u64, log_age: Duration) {
+        let had_none = self.lease_left(now).is_zero();
         let Some(sent) = self.lease.sent_at(round) else {
             return;
         };
         self.lease.grant(from, sent);
         // The granter read the log up to no newer view than ours.
         let heard = sent.since(Time::ZERO + log_age);
-        if view <= self.view() && !heard.is_zero() {
+        if !self.is_behind(view) && !heard.is_zero() {
             self.log_heard = self.log_heard.max(Some(Time::ZERO + heard));
         }
+        if had_none && !self.lease_left(now).is_zero() {
+            self.rounds_without = 0;
+            self.out.push(Effect::Leased);
+        }
     }
 
     fn heard_view(&mut self, from: Incarnation, view: u64) {
         self.fence.heard(from, view);
-        if view > self.view() {
+        if self.is_behind(view) {
             self.out.push(Effect::Behind);
         }
     }
@@ -124,8 +135,7 @@
         let Some(view) = self.view.take() else {
             return;
         };
-        let every = self.cfg.lease / ROUNDS_PER_LEASE;
-        self.next_round = Some(now + every);
+        self.next_round = Some(now + self.round_interval(now, &view.members));
         let asked = self.choose_granters(now, &view.members);
         let round = self.lease.next_round(now);
         for to in asked {
@@ -139,6 +149,20 @@
         self.view = Some(view);
     }
 
+    /// The time to the next round. Without a lease the first rounds follow quickly, because a
+    /// datagram may just have been lost or a member be a little behind; then ever more slowly, so
+    /// that a cut is not filled with requests.
+    fn round_interval(&mut self, now: Time, members: &[Instance]) -> Duration {
+        let every = self.cfg.lease / ROUNDS_PER_LEASE;
+        let leased = self.lease.until(now, members, self.me, self.cfg.lease);
+        if leased.is_some_and(|until| until > now + self.cfg.margin) {
+            return every;
+        }
+        self.rounds_without = self.rounds_without.saturating_add(1);
+        let wait = FIRST_WAIT * 2_u32.saturating_pow(self.rounds_without.min(MAX_DOUBLINGS));
+        wait.min(every)
+    }
+
     /// The nearest members that make up a quorum, and a spare one. If these did not answer, and
     /// while views are not fenced, everybody: only those who are asked tell what they have seen.
     fn choose_granters(&self, now: Time, members: &[Instance]) -> Vec<SocketAddr> {
