--- a/crates/trial/src/fault.rs
+++ b/crates/trial/src/fault.rs
@@ -120,8 +120,12 @@
         if place.engine.is_none() || place.stopping.is_some() {
             return;
         }
+        let from = place.incarnation;
         place.stopping = Some(self.now);
-        self.input(node, Duration::ZERO, Input::Stop);
+        self.after_in(node, Duration::ZERO, move |world| {
+            world.nodes[node].heard_stop = Some(world.now);
+            world.feed(node, from, Input::Stop);
+        });
     }
 
     fn cut_region(&mut self, region: &str) {
