Links: a write that hangs counts as asking; tests fit the bounds of records and bodies

Cause: a link whose write hung was given up after 5 s instead of 2 s, if the other end had been heard after that write began: what was asked counted as answered by then. Two tests of links failed since records and bodies are bounded: 12 orders of 1 MB fill the table of records and are refused, and an entry takes no more than about 8 MB, so a link's queue of 16 MB cannot be filled from outside. Ruled out: waiting for the stall, whose 5 s are for an end that is alive and does not read. Change: a hanging write counts as asking since it last got on. The blocked write is provoked by 7 MB and a relay that takes in little, and has to end by silence; the bounds of a queue have a unit test, which is stricter than the counter that the test over sockets looked at.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -29,6 +29,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// The most frames that wait for a link.
 const MAX_FRAMES: usize = 1024;
 
@@ -294,10 +297,11 @@
             return LinkEnd::Stalled;
         }
         let awaits = !queue.awaited.borrow().is_empty();
-        let asked = times
-            .asked
-            .get()
-            .map(|at| writing.map_or(at, |on| at.max(on)));
+        // A write that hangs has asked something too, though the end was heard after it began.
+        let asked = match (times.asked.get(), writing) {
+            (Some(asked), Some(got_on)) => Some(asked.max(got_on)),
+            (asked, writing) => asked.or(writing),
+        };
         match asked {
             Some(asked) if now - asked >= SILENT_AFTER => return LinkEnd::Silent,
             Some(asked) if now - asked >= PING_AFTER => queue.send_ping(),
