--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -229,9 +229,9 @@
         }
     }
 
-    /// Takes the service's views from the log's state, if they are newer than the home's. A
-    /// `restored` state may have skipped more views than it remembers.
-    pub(crate) fn update_home(&mut self, now: Time, restored: bool) {
+    /// Takes the service's views from the log's state, if they are newer than the home's, one by
+    /// one. A state that was taken from a snapshot or a peer may have skipped more than it remembers.
+    pub(crate) fn update_home(&mut self, now: Time) {
         let Some(view) = self.journal.view(&self.me.service) else {
             return;
         };
@@ -241,8 +241,7 @@
         let view = view.clone();
         let missed = match self.home.newest() {
             Some(known) => view.since(known),
-            None if restored => None,
-            None => Some(vec![view.clone()]),
+            None => view.history(),
         };
         let Some(missed) = missed else {
             let effects = self.home.on_baseline(now, &view);
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -102,12 +102,12 @@
         self.count(Counter::Restored);
         self.on_rules(now);
         // Views before the one in the state may have been missed.
-        self.update_home(now, true);
+        self.update_home(now);
     }
 
     fn on_view_change(&mut self, now: Time) {
         self.update_roster(now);
-        self.update_home(now, false);
+        self.update_home(now);
     }
 
     pub(crate) fn on_log_start(&mut self, first: u64) {
--- a/crates/journal/src/view.rs
+++ b/crates/journal/src/view.rs
@@ -83,16 +83,21 @@
             .steps
             .iter()
             .position(|step| step.previous == Some(known.number))?;
-        let mut view = known.clone();
-        let views = self.steps[start..].iter().map(|step| {
-            let gone = |who| step.departed.iter().any(|(gone, _)| *gone == who);
-            view.members.retain(|member| !gone(member.incarnation));
-            view.members.extend(step.joined.iter().cloned());
-            view.number = step.number;
-            view.departed = step.departed.clone();
-            view.clone()
-        });
-        Some(views.collect())
+        Some(replay(known.clone(), &self.steps[start..]))
+    }
+
+    /// All views from the service's first up to this one; `None` if the steps do not reach back so
+    /// far.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(bilberry_journal::View::default().history(), None);
+    /// ```
+    pub fn history(&self) -> Option<Vec<View>> {
+        let first = self.steps.first()?;
+        let whole = first.previous.is_none();
+        whole.then(|| replay(View::default(), &self.steps))
     }
 
     /// The step of the record at `offset`, which may take one member out and another in.
@@ -115,3 +120,16 @@
         &mut self.steps[last]
     }
 }
+
+/// The views that the steps make, one after the other.
+fn replay(mut view: View, steps: &[Step]) -> Vec<View> {
+    let views = steps.iter().map(|step| {
+        let gone = |who| step.departed.iter().any(|(gone, _)| *gone == who);
+        view.members.retain(|member| !gone(member.incarnation));
+        view.members.extend(step.joined.iter().cloned());
+        view.number = step.number;
+        view.departed = step.departed.clone();
+        view.clone()
+    });
+    views.collect()
+}
