--- a/crates/trial/src/layout.rs
+++ b/crates/trial/src/layout.rs
@@ -132,8 +132,8 @@
     }
 }
 
-/// Keys are kept for twice as long as a caller goes on sending again, and for less than the world is
-/// given to settle: after a crash its keys are in doubt for that long.
+/// Keys are kept for longer than a caller goes on sending again, and for less than the world is given
+/// to settle: after a crash its keys are in doubt for that long.
 const RULES: &str = "\
 operation order GET /list class=lookup idempotent deadline=4s retries=2 # asked by Giulia
 operation order POST /orders class=order deadline=4s retries=2 # asked by Marco
@@ -144,7 +144,7 @@
 limit order concurrency=2..12 queue=100ms # asked by Marco
 limit press concurrency=2..12 queue=100ms # asked by Marco
 limit royalty concurrency=2..12 queue=100ms # asked by the board
-keys order retention=40s # asked by Marco
-keys press retention=40s # asked by Marco
-keys royalty retention=40s # asked by the board
+keys order retention=90s # asked by Marco
+keys press retention=90s # asked by Marco
+keys royalty retention=90s # asked by the board
 ";
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -19,10 +19,7 @@
 
 /// How long everything is given to settle when all faults are mended. Keys whose home was lost are
 /// in doubt for as long as records are kept.
-const SETTLE: Duration = Duration::from_secs(120);
-
-/// How long records are kept in random runs: longer than callers send again.
-const RETENTION: &str = "90s";
+pub(crate) const SETTLE: Duration = Duration::from_secs(120);
 
 /// What is asked and what goes wrong, and when.
 #[derive(Debug, Clone)]
@@ -242,9 +239,6 @@
     }
     layout.slots = rng.random_range(2..12);
     layout.backlog = rng.random_range(0..40);
-    for service in ["order", "press", "royalty"] {
-        layout.rules += &format!("keys {service} retention={RETENTION} # asked by the board\n");
-    }
     layout
 }
 
--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -7,6 +7,7 @@
 //! 30s   expect-runs POST /order/orders a1 1
 //! ```
 
+use crate::plan::SETTLE;
 use crate::Action;
 use crate::End;
 use crate::Fault;
@@ -15,9 +16,6 @@
 use std::time::Duration;
 use stdx::Time;
 
-/// As long as records are kept without a rule.
-const SETTLE: Duration = Duration::from_secs(15 * 60);
-
 /// Why a trace cannot be replayed, or did not end as it says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TraceError {
