--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -133,14 +133,15 @@
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
         let ini = Ini::load_from_str(text).map_err(|e| SettingsError::Syntax(e.to_string()))?;
         refuse_unknown(&ini)?;
+        let told = ADVERTISED_ADDR.is_set(&ini);
         let max_body = MAX_BODY_KEY.or(&ini, 1 << 20, bytes(1, MAX_BODY))?;
         Ok(Self {
             service: SERVICE.required(&ini, service)?,
             failure_domain: FAILURE_DOMAIN.required(&ini, word)?,
             region: REGION.required(&ini, word)?,
             http_addr: HTTP_ADDR.required(&ini, bound)?,
-            peer_addr: PEER_ADDR.required(&ini, advertised)?,
-            advertised_addr: ADVERTISED_ADDR.optional(&ini, advertised)?,
+            peer_addr: PEER_ADDR.required(&ini, if told { bound } else { advertised })?,
+            advertised_addr: ADVERTISED_ADDR.optional(&ini, reachable)?,
             contacts: CONTACTS.or(&ini, Vec::new(), contacts)?,
             backend_server_addr: BACKEND_ADDR.required(&ini, reachable)?,
             refusal_header: REFUSAL_HEADER.or(&ini, "x-not-run".to_owned(), header)?,
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -23,6 +23,10 @@
 }
 
 impl Key<'static> {
+    pub(super) fn is_set(self, ini: &Ini) -> bool {
+        ini.get_from(Some(self.section), self.key).is_some()
+    }
+
     pub(super) fn optional<T>(
         self,
         ini: &Ini,
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -117,6 +117,19 @@
     }
 }
 
+/// Listening everywhere is fine as long as the others are told one address.
+#[test]
+fn a_wildcard_needs_an_address_to_tell() {
+    let told = with("[node]", "advertised_addr = 10.0.0.1:7000");
+    let told = told.replace("peer_addr = 127.0.0.1:8081", "peer_addr = 0.0.0.0:8081");
+    let settings = Settings::parse(&told).unwrap();
+    assert!(settings.peer_addr.ip().is_unspecified());
+    for addr in ["0.0.0.0:1", "10.0.0.1:0"] {
+        let line = format!("advertised_addr = {addr}");
+        check("[node]", &line, &format!("[node] {line}: takes IP:PORT"));
+    }
+}
+
 /// A key is misspelt, or set twice. Passed over in silence, the node would run by a default, or by
 /// one of the two, and the operator would not know which.
 #[test]
