--- a/crates/membership/examples/cost.rs
+++ b/crates/membership/examples/cost.rs
@@ -80,10 +80,37 @@
              {dead_bytes:9.0} {dead:8} {known:9}"
         );
     }
+    lost();
     join_storm();
     rolling();
 }
 
+/// A failure domain is lost, then the regions lose each other. Evictions do not reach the log.
+fn lost() {
+    println!(
+        "\none of 6 failure domains lost, then regions apart: sent per node and second over 30 s"
+    );
+    for size in [24, 96, 192] {
+        let mut fleet = Fleet::new(4);
+        for number in 0..size {
+            fleet.start(instance(number, 20, 2), &[]);
+        }
+        fleet.list_all();
+        fleet.run(Duration::from_secs(30));
+        for node in &mut fleet.nodes {
+            node.up = *node.instance.failure_domain != *"domain-0";
+        }
+        let [messages, bytes, _] = measure(&mut fleet, 30);
+        let evictions = fleet.evicted().len();
+        fleet.cut = Box::new(|from, to| from % 2 != to % 2);
+        let [cut_messages, cut_bytes, _] = measure(&mut fleet, 30);
+        println!(
+            "{size:5} {messages:10.2} {bytes:9.0} bytes, {evictions} evicted; \
+             {cut_messages:10.2} {cut_bytes:9.0} bytes"
+        );
+    }
+}
+
 /// All nodes start at once without a roster and with one contact.
 fn join_storm() {
     println!(
