--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -2,6 +2,7 @@
 
 use crate::appends::AppendKey;
 use crate::appends::AppendQueue;
+use crate::fetch::Tail;
 use crate::snapshots::SnapshotClock;
 use crate::Counter;
 use crate::Engine;
@@ -31,6 +32,8 @@
     pub(crate) snapshots: SnapshotClock,
     /// The oldest record that the log still has.
     pub(crate) first: u64,
+    /// The newest records, for peers that lack them.
+    pub(crate) tail: Tail,
     pub(crate) appends: AppendQueue,
     /// A `Join` may stand in the stream, now or later.
     join_sent: bool,
@@ -68,7 +71,11 @@
 
     fn fold(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
         for (offset, record) in records {
-            match self.journal.apply(offset, &record) {
+            let change = self.journal.apply(offset, &record);
+            if self.journal.next == offset + 1 && change != Change::Old {
+                self.log.tail.push(offset, record);
+            }
+            match change {
                 Change::Nothing | Change::Old => {}
                 Change::Broken => self.count(Counter::BrokenRecord),
                 Change::Rejected => self.count(Counter::RejectedPublication),
@@ -102,12 +109,12 @@
         self.count(Counter::Restored);
         self.on_rules(now);
         // Views before the one in the state may have been missed.
-        self.update_home(now, false);
+        self.update_home(now);
     }
 
     fn on_view_change(&mut self, now: Time) {
         self.update_roster(now);
-        self.update_home(now, true);
+        self.update_home(now);
     }
 
     pub(crate) fn on_log_start(&mut self, first: u64) {
@@ -124,6 +131,7 @@
         }
         self.log.ready = true;
         self.home.on_log_read(now);
+        self.check_departed(now);
         self.check_snapshot(now);
         // An incarnation that the views have dropped never comes back: it ends, and its next start
         // is another one.
