--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -13,7 +13,9 @@
 mod members;
 mod pick;
 mod probe;
+mod roster;
 mod rumours;
+mod suspects;
 mod table;
 
 pub use config::Config;
