--- a/crates/trial/tests/members.rs
+++ b/crates/trial/tests/members.rs
@@ -8,6 +8,7 @@
 use trial::World;
 
 const LOOKUP_PRESS: usize = 2;
+const CHARGE: usize = 5;
 
 /// A world that has run a while, then these faults.
 fn world(seed: u64, faults: &[Fault]) -> World {
@@ -134,3 +135,25 @@
     let first = look_up(&mut world, 2);
     check(&mut world, first, 8, 0);
 }
+
+#[test]
+fn a_call_attaches_again_when_the_path_is_back() {
+    // The path to an order's home is gone for three seconds while the order runs there: first the
+    // connection goes silent, then no new one can be made. The order was done, and the shop would
+    // be told that nobody knows.
+    let mut world = world(6, &[Fault::Slow("royalty".into(), 200)]);
+    for home in 6..9 {
+        let cut = Fault::Cut(0, home);
+        world.after(Duration::from_millis(100), move |world| world.strike(cut));
+    }
+    world.after(Duration::from_millis(3300), |world| {
+        world.strike(Fault::Heal);
+    });
+    let first = world.actions.len();
+    let mut action = Action::new(CHARGE, "charge");
+    action.resends = 0;
+    world.submit(world.now, action, Some(0));
+    check(&mut world, first, 8, 0);
+    let charge = world.layout.operations[CHARGE].clone();
+    assert_eq!(world.judge.runs(&charge, b"charge"), 1);
+}
