Datagrams of another version have the counter of wrong versions

Cause: they were counted as unexpected, like anything that makes no sense, so that an upgrade looked like nonsense from the network. Change: link.wrong-version, as for connections. The test was written with the change and was not run against the code before it.

--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -16,7 +16,7 @@
         WrongVersion,
         /// Somebody connected and did not say who it is.
         NoHello,
-        /// What came is no datagram, or one of another version.
+        /// What came is no datagram.
         BrokenDatagram,
         /// The other end said nothing after it was asked.
         Silent,
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -3,6 +3,7 @@
 use crate::appends::AppendKey;
 use crate::Counter;
 use crate::Engine;
+use crate::LinkEvent;
 use crate::Output;
 use journal::Record;
 use membership::Effect;
@@ -31,7 +32,10 @@
                 version: PROTOCOL_VERSION,
                 message,
             } => self.on_lease_message(now, from, message),
-            _ => self.count(Counter::Unexpected),
+            // A node of another version, in the middle of an upgrade for example.
+            Datagram::Member { .. } | Datagram::Lease { .. } => {
+                self.count(Counter::Link(LinkEvent::WrongVersion));
+            }
         }
     }
 
--- /dev/null
+++ b/crates/engine/tests/datagrams.rs
@@ -0,0 +1,51 @@
+//! Datagrams that a node cannot take.
+
+use bilberry_engine::Config;
+use bilberry_engine::Counter;
+use bilberry_engine::Engine;
+use bilberry_engine::Input;
+use bilberry_engine::LinkEvent;
+use bilberry_engine::Output;
+use proto::Datagram;
+use proto::Incarnation;
+use proto::Instance;
+use proto::MemberMessage;
+use proto::PROTOCOL_VERSION;
+use stdx::Time;
+
+/// What an engine counts for a pull of this version, and whether it answers.
+fn check(version: u16, counted: &[Counter], answers: bool) {
+    let me = Instance {
+        incarnation: Incarnation(1),
+        service: "press".into(),
+        failure_domain: "milano-1".into(),
+        region: "lombardia".into(),
+        addr: ([127, 0, 0, 1], 7000).into(),
+    };
+    let datagram = Datagram::Member {
+        version,
+        log_next: 0,
+        message: MemberMessage::Pull {
+            digests: Vec::new(),
+        },
+    };
+    let from = ([127, 0, 0, 1], 7001).into();
+    let mut engine = Engine::new(Config::default(), me);
+    let outputs = engine.handle(Time::ZERO, Input::Datagram { from, datagram });
+    let counters = outputs.iter().filter_map(|output| match output {
+        Output::Count(counter) => Some(*counter),
+        _ => None,
+    });
+    assert_eq!(counters.collect::<Vec<_>>(), counted);
+    let answered = |output: &Output| matches!(output, Output::Datagram { to, .. } if *to == from);
+    assert_eq!(outputs.iter().any(answered), answers);
+}
+
+/// Nodes of two versions run side by side during an upgrade. What the other version means is not
+/// known, and an operator has to be able to tell this from nonsense.
+#[test]
+fn a_datagram_of_another_version_is_counted_and_not_answered() {
+    check(PROTOCOL_VERSION, &[], true);
+    let wrong = Counter::Link(LinkEvent::WrongVersion);
+    check(PROTOCOL_VERSION + 1, &[wrong], false);
+}
