--- a/crates/once/src/config.rs
+++ b/crates/once/src/config.rs
@@ -13,6 +13,10 @@
     /// What must be free to start work, for the response to come. A larger response is passed on
     /// to whoever waits, but only kept if it fits.
     pub reserve_bytes: usize,
+    /// The largest response that is kept for re-sends. A few larger ones would fill the table, and
+    /// new work would be refused for the whole retention; re-sends of their keys are told that the
+    /// answer is unknown, once the run has ended.
+    pub max_response_bytes: usize,
     /// How long a lease lasts after the round that won it was sent.
     pub lease: Duration,
     /// The least of the lease that must be left to start work. It also covers clocks that run at
@@ -37,6 +41,7 @@
         Self {
             max_bytes: 8 << 20,
             reserve_bytes: 4 << 10,
+            max_response_bytes: 64 << 10,
             lease: Duration::from_secs(3),
             margin: Duration::from_millis(300),
             max_log_silence: Duration::from_secs(2 * 60 * 60),
--- a/crates/once/src/runs.rs
+++ b/crates/once/src/runs.rs
@@ -218,7 +218,8 @@
     }
 
     fn fits(&self, size: usize) -> bool {
-        self.records.bytes() + RECORD_BYTES + size <= self.cfg.max_bytes
+        size <= self.cfg.max_response_bytes
+            && self.records.bytes() + RECORD_BYTES + size <= self.cfg.max_bytes
     }
 
     /// A slot is here again: its runs that are still under way here, or just ended, are records
