--- a/crates/trial/tests/seeds.rs
+++ b/crates/trial/tests/seeds.rs
@@ -24,5 +24,7 @@
 /// passed, orders have to be served again.
 #[test]
 fn a_service_that_lost_every_instance_serves_again() {
-    [2, 59, 226, 248, 367].into_iter().for_each(|seed| check(seed, true));
+    [2, 59, 226, 248, 367]
+        .into_iter()
+        .for_each(|seed| check(seed, true));
 }
