--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -43,6 +43,21 @@
 /// When a caller may come back after a refusal that says nothing more exact.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// How many entries the tables of what is in flight have.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tables {
+    /// Requests of callers and of the own backend server.
+    pub requests: usize,
+    /// Calls to nodes.
+    pub calls: usize,
+    /// Calls from nodes.
+    pub inbound: usize,
+    /// Work for the own backend server, queued or running.
+    pub jobs: usize,
+    /// Runs of keys that somebody waits for.
+    pub keys: usize,
+}
+
 /// A node's decisions and state.
 #[derive(Debug)]
 pub struct Engine {
@@ -159,7 +174,7 @@
             Input::Records(records) => self.on_records(now, records),
             Input::LogRead => self.on_log_read(now),
             Input::LogUnreachable => self.log.reachable = false,
-            Input::Appended(number) => self.on_appended(number),
+            Input::Appended(number) => self.on_appended(now, number),
             Input::AppendLost(number) => self.on_append_lost(now, number),
             Input::Stop => self.on_stop(now),
             Input::Tick => {}
@@ -169,6 +184,7 @@
         // What came from this node itself may have freed a place, or have to leave the queue.
         self.pump_server(now);
         self.drain_loopback(now);
+        self.pump_appends(now);
         self.check_stopped();
         std::mem::take(&mut self.out)
     }
@@ -179,6 +195,7 @@
             self.timers.next(),
             self.members.next_timer(),
             self.server.next_timer(),
+            self.log.next_timer(),
         ]
         .into_iter()
         .flatten()
@@ -200,11 +217,21 @@
         &self.journal
     }
 
+    /// How much is in flight.
+    pub fn tables(&self) -> Tables {
+        Tables {
+            requests: self.open.len(),
+            calls: self.calls.len(),
+            inbound: self.inbound.len(),
+            jobs: self.jobs.len(),
+            keys: self.keys.len(),
+        }
+    }
+
     fn run_due(&mut self, now: Time) {
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Deadline(call) => self.on_deadline(now, call),
-                Timer::Append => self.on_append_timer(now),
             }
         }
         self.tick_members(now);
@@ -257,7 +284,7 @@
     fn on_stop(&mut self, now: Time) {
         self.stopping = true;
         self.leave_members(now);
-        self.leave_log();
+        self.leave_log(now);
     }
 
     fn check_stopped(&mut self) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,6 +5,7 @@
 //! the same code, each with a clock and a network of its own.
 
 mod admission;
+mod appends;
 mod calls;
 mod config;
 mod counter;
@@ -22,6 +23,7 @@
 pub use config::Config;
 pub use counter::Counter;
 pub use engine::Engine;
+pub use engine::Tables;
 pub use io::Input;
 pub use io::Output;
 pub use io::RunEnd;
