Requests that crash backend servers are refused; cancels and deadlines down the tree

Cause: a request that crashes each server that runs it was run again for each re-send; a cancelled run's child calls went on, and work whose cancel was lost ran past its deadline.

Ruled out: refusing whatever was in flight at two crashes (an innocent lookup that is retried beside the guilty one is in flight at both); counting every broken connection of a run that this node itself cancelled.

Change: what is in flight when a connection breaks is a suspect, told to the service's nodes by a frame of its own; suspects run one at a time on a server, so the second crash names the guilty one; a whole answer clears. Cancelled runs cancel their child calls; idempotent work is cancelled at its deadline; the time that is left shrinks by the way back.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -9,6 +9,7 @@
 use crate::Engine;
 use crate::Token;
 use policy::Account;
+use policy::Place;
 use proto::ActionId;
 use proto::Answer;
 use proto::Below;
@@ -24,6 +25,7 @@
 use proto::Outcome;
 use proto::Reason;
 use proto::Request;
+use std::time::Duration;
 use stdx::Time;
 
 /// How often a call that certainly did not run may go elsewhere for free.
@@ -138,7 +140,7 @@
             dice: call.dice,
             class: call.class,
             leg,
-            remaining_ms: u32::try_from(now.until(call.deadline).as_millis()).unwrap_or(u32::MAX),
+            remaining_ms: self.remaining_ms(now, call),
             allowance: call.lent,
             again: call.again,
             key: call.key,
@@ -149,6 +151,17 @@
         self.send(&call.target.clone(), frame);
     }
 
+    /// What is left for the callee: its answer has to travel back.
+    fn remaining_ms(&self, now: Time, call: &Outgoing) -> u32 {
+        let travel = match self.place(&call.target) {
+            Place::SameDomain => Duration::from_millis(1),
+            Place::SameRegion => Duration::from_millis(2),
+            Place::OtherRegion => Duration::from_millis(25),
+        };
+        let remaining = now.until(call.deadline).saturating_sub(travel);
+        u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX)
+    }
+
     pub(crate) fn on_answer(&mut self, now: Time, from: Incarnation, id: CallId, answer: Answer) {
         self.members.heard_load(now, from, answer.load);
         self.admission.hear_instance(now, from, answer.load.level);
--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -30,6 +30,8 @@
         Replayed,
         /// Work was started on the own backend server.
         Run(Class),
+        /// A request was in flight when the backend server broke off.
+        Suspected,
         /// A run ended without a whole response.
         RunLost,
         /// A record of the log could not be read.
@@ -82,6 +84,7 @@
             Counter::Reattach => "reattach".to_owned(),
             Counter::Attached => "attached".to_owned(),
             Counter::Replayed => "replayed".to_owned(),
+            Counter::Suspected => "suspected".to_owned(),
             Counter::RunLost => "run_lost".to_owned(),
             Counter::BrokenRecord => "broken_record".to_owned(),
             Counter::RejectedPublication => "rejected_publication".to_owned(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -5,6 +5,7 @@
 use crate::entry::OpenRequest;
 use crate::homes::KeyWork;
 use crate::log::LogLink;
+use crate::quarantine::Suspects;
 use crate::resends::Resends;
 use crate::serve::Inbound;
 use crate::serve::Job;
@@ -88,6 +89,7 @@
     pub(crate) run_below: Below,
     pub(crate) admission: Admission,
     pub(crate) resends: Resends,
+    pub(crate) suspects: Suspects,
     /// Retries of this node's calls, as a ratio of its calls.
     pub(crate) retry_budget: Budget,
     pub(crate) timers: Timers,
@@ -141,6 +143,7 @@
             run_below: Below::default(),
             admission: Admission::default(),
             resends: Resends::new(),
+            suspects: Suspects::new(),
             retry_budget: Budget::new(),
             timers: Timers::default(),
             stopping: false,
@@ -232,6 +235,7 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Deadline(call) => self.on_deadline(now, call),
+                Timer::Run(run) => self.on_run_deadline(now, run),
             }
         }
         self.tick_members(now);
@@ -251,6 +255,11 @@
             Frame::Call(call) => self.on_call(now, from, *call),
             Frame::Answer(id, answer) => self.on_answer(now, from, id, *answer),
             Frame::Cancel(id) => self.on_cancel(now, from, id),
+            Frame::Suspect {
+                service,
+                request,
+                crashes,
+            } => self.on_suspect(now, from, &service, request, crashes),
             // The shell answers the frames that are about the connection itself.
             _ => self.count(Counter::Unexpected),
         }
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -270,7 +270,7 @@
         };
         self.open.insert(token, open);
         if let Some(job) = draft.parent.and_then(|run| self.jobs.get_mut(&run)) {
-            job.child_began(now);
+            job.child_began(now, token);
         }
         self.route_first(now, draft);
     }
@@ -288,7 +288,7 @@
         };
         if let Some(job) = open.parent.and_then(|run| self.jobs.get_mut(&run)) {
             job.account.give_back(open.lent, unspent);
-            job.child_ended(now);
+            job.child_ended(now, token);
         }
         if let Some(sent) = open.sent {
             self.resends.ended(now, sent, &outcome);
--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -105,7 +105,7 @@
         };
         work.waiting.retain(|waiting| *waiting != id);
         let run = work.run;
-        if work.waiting.is_empty() && self.server.withdraw(run.number) {
+        if work.waiting.is_empty() && self.withdraw(run) {
             self.withdraw_job(now, run);
         }
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -15,6 +15,7 @@
 mod io;
 mod log;
 mod members;
+mod quarantine;
 mod resends;
 mod routing;
 mod serve;
--- /dev/null
+++ b/crates/engine/src/quarantine.rs
@@ -0,0 +1,148 @@
+//! Requests that crash the backend server: who is suspected, and that the service's nodes hear of it.
+
+use crate::Counter;
+use crate::Engine;
+use policy::Quarantine;
+use policy::Verdict;
+use proto::Fingerprint;
+use proto::Frame;
+use proto::Incarnation;
+use proto::Instance;
+use proto::Outcome;
+use proto::Reason;
+use proto::Refusal;
+use proto::RunId;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use stdx::Time;
+
+/// Suspects that may wait for their turn.
+const MAX_WAITING: usize = 64;
+
+/// Reports that this node sends in a second. A server that breaks off every connection must not
+/// make a flood of them.
+const MAX_REPORTS: u32 = 200;
+
+/// Suspects of this node's service.
+#[derive(Debug)]
+pub(crate) struct Suspects {
+    known: Quarantine<Fingerprint>,
+    /// The suspect that runs or is in the server's queue; only one at a time is.
+    running: Option<RunId>,
+    waiting: VecDeque<RunId>,
+    reports: u32,
+    reports_since: Time,
+}
+
+impl Suspects {
+    pub(crate) fn new() -> Self {
+        Self {
+            known: Quarantine::new(),
+            running: None,
+            waiting: VecDeque::new(),
+            reports: 0,
+            reports_since: Time::ZERO,
+        }
+    }
+
+    fn may_report(&mut self, now: Time) -> bool {
+        if now.since(self.reports_since) >= Duration::from_secs(1) {
+            self.reports_since = now;
+            self.reports = 0;
+        }
+        self.reports += 1;
+        self.reports <= MAX_REPORTS
+    }
+
+    /// Takes work out that waits for its turn.
+    pub(crate) fn withdraw(&mut self, run: RunId) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|waiting| *waiting != run);
+        self.waiting.len() < before
+    }
+}
+
+impl Engine {
+    /// Whether a job may be offered to the server now. If not, it was refused or waits.
+    pub(crate) fn pass_quarantine(&mut self, now: Time, run: RunId, request: Fingerprint) -> bool {
+        if !self.cfg.policy.quarantine {
+            return true;
+        }
+        match self.suspects.known.verdict(now, &request) {
+            Verdict::Clear => true,
+            Verdict::Refused(left) => {
+                let refusal = Refusal::new(Reason::Quarantined, left);
+                self.end_job(now, run, Outcome::NotRun(refusal));
+                false
+            }
+            Verdict::Suspect if self.suspects.running.is_none() => {
+                self.suspects.running = Some(run);
+                true
+            }
+            Verdict::Suspect if self.suspects.waiting.len() < MAX_WAITING => {
+                self.suspects.waiting.push_back(run);
+                false
+            }
+            Verdict::Suspect => {
+                self.end_job(now, run, self.not_run(Reason::TableFull));
+                false
+            }
+        }
+    }
+
+    /// A run of the request was answered whole.
+    pub(crate) fn clear_suspect(&mut self, now: Time, request: Fingerprint) {
+        self.suspects.known.answered(now, request);
+    }
+
+    /// The connection broke while the request ran. The nodes of the service hear of it before the
+    /// entry does, so that they know when its retry comes.
+    pub(crate) fn suspect(&mut self, now: Time, request: Fingerprint) {
+        let me = self.me.incarnation;
+        let crashes = self.suspects.known.crashed(now, request, me);
+        let Some(crashes) = crashes.filter(|_| self.suspects.may_report(now)) else {
+            return;
+        };
+        self.count(Counter::Suspected);
+        let service = self.me.service.clone();
+        let peers = self.members.usable(&service);
+        let peers: Vec<Instance> = peers.map(|peer| peer.instance.clone()).collect();
+        for peer in peers {
+            let frame = Frame::Suspect {
+                service: service.clone(),
+                request,
+                crashes,
+            };
+            self.send(&peer, frame);
+        }
+    }
+
+    pub(crate) fn on_suspect(
+        &mut self,
+        now: Time,
+        from: Incarnation,
+        service: &Arc<str>,
+        request: Fingerprint,
+        crashes: u32,
+    ) {
+        if *service == self.me.service && from != self.me.incarnation {
+            self.suspects.known.heard(now, request, from, crashes);
+        }
+    }
+
+    /// A job has ended; if it was the suspect, the next one has its turn.
+    pub(crate) fn next_suspect(&mut self, now: Time, ended: RunId) {
+        self.suspects.withdraw(ended);
+        if self.suspects.running != Some(ended) {
+            return;
+        }
+        self.suspects.running = None;
+        while self.suspects.running.is_none() {
+            let Some(run) = self.suspects.waiting.pop_front() else {
+                return;
+            };
+            self.offer(now, run);
+        }
+    }
+}
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -50,7 +50,7 @@
             .count() as u32
     }
 
-    fn place(&self, peer: &Instance) -> Place {
+    pub(crate) fn place(&self, peer: &Instance) -> Place {
         if peer.failure_domain == self.me.failure_domain {
             Place::SameDomain
         } else if peer.region == self.me.region {
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -3,10 +3,12 @@
 use crate::admission::operation_key;
 use crate::admission::shed;
 use crate::admission::OperationKey;
+use crate::timers::Timer;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
 use crate::RunEnd;
+use crate::Token;
 use indexmap::IndexMap;
 use policy::admission_value;
 use policy::Account;
@@ -61,6 +63,11 @@
     /// Each child call counts as a retry.
     pub(crate) again: bool,
     operation: Option<OperationKey>,
+    fingerprint: Fingerprint,
+    /// Running it twice is the same as running it once, so it may be cancelled.
+    idempotent: bool,
+    /// The backend server was asked to stop it, so a connection that breaks is no crash.
+    cancelled: bool,
     /// What the run met in its child calls.
     pub(crate) below: Below,
     /// Stands for the place in the call tree, as the scope of child keys.
@@ -71,7 +78,7 @@
     class: Class,
     started: Option<Time>,
     /// Child calls in flight, since when there are any, and how long there were some.
-    waiting: u32,
+    waiting: Vec<Token>,
     waiting_since: Time,
     waited: Duration,
     request: Request,
@@ -96,16 +103,16 @@
         }
     }
 
-    pub(crate) fn child_began(&mut self, now: Time) {
-        if self.waiting == 0 {
+    pub(crate) fn child_began(&mut self, now: Time, child: Token) {
+        if self.waiting.is_empty() {
             self.waiting_since = now;
         }
-        self.waiting += 1;
+        self.waiting.push(child);
     }
 
-    pub(crate) fn child_ended(&mut self, now: Time) {
-        self.waiting = self.waiting.saturating_sub(1);
-        if self.waiting == 0 {
+    pub(crate) fn child_ended(&mut self, now: Time, child: Token) {
+        self.waiting.retain(|waiting| *waiting != child);
+        if self.waiting.is_empty() {
             self.waited += now.since(self.waiting_since);
         }
     }
@@ -178,16 +185,22 @@
             account: Account::new(call.allowance),
             again: call.again,
             operation: operation.map(operation_key),
+            fingerprint: Fingerprint::of(&request),
+            idempotent: call.key.is_none(),
+            cancelled: false,
             below: Below::default(),
             path: child_scope(call.action, call.key.map(|(key, _)| key)),
             children: IndexMap::new(),
             class: call.class,
             started: None,
-            waiting: 0,
+            waiting: Vec::new(),
             waiting_since: now,
             waited: Duration::ZERO,
             request,
         };
+        if job.idempotent {
+            self.timers.set(job.deadline, Timer::Run(run));
+        }
         self.jobs.insert(run, job);
         run
     }
@@ -197,6 +210,7 @@
         let Some(job) = self.jobs.get(&run) else {
             return;
         };
+        let fingerprint = job.fingerprint;
         let ticket = Ticket {
             id: run.number,
             class: job.class,
@@ -204,6 +218,9 @@
             deadline: job.deadline,
             arrived: now,
         };
+        if !self.pass_quarantine(now, run, fingerprint) {
+            return;
+        }
         let level = self.path_level(now, run);
         let offer = if admission_value(ticket.class, ticket.dice) < level {
             Offer::Refused(shed(level, ticket.class, ticket.dice))
@@ -258,11 +275,15 @@
         let Some(job) = self.jobs.get(&run) else {
             return self.count(Counter::Unexpected);
         };
-        let class = job.class;
+        let (class, fingerprint) = (job.class, job.fingerprint);
+        let cancelled = job.cancelled;
         let ended = job.ended(now, &end);
         self.server.finished(now, class, ended);
         let outcome = match end {
-            RunEnd::Response(response) => Outcome::Whole(response),
+            RunEnd::Response(response) => {
+                self.clear_suspect(now, fingerprint);
+                Outcome::Whole(response)
+            }
             RunEnd::Refused { retry_after } => {
                 let retry_after = retry_after.unwrap_or(crate::engine::RETRY_AFTER);
                 Outcome::NotRun(Refusal::new(Reason::ServerRefused, retry_after))
@@ -270,16 +291,20 @@
             RunEnd::NeverSent => self.not_run(Reason::ServerLost),
             RunEnd::Lost => {
                 self.count(Counter::RunLost);
+                if !cancelled {
+                    self.suspect(now, fingerprint);
+                }
                 Outcome::Unknown(Reason::ServerLost)
             }
         };
         self.end_job(now, run, outcome);
     }
 
-    fn end_job(&mut self, now: Time, run: RunId, outcome: Outcome) {
+    pub(crate) fn end_job(&mut self, now: Time, run: RunId, outcome: Outcome) {
         let Some(job) = self.jobs.swap_remove(&run) else {
             return;
         };
+        self.timers.clear(job.deadline, Timer::Run(run));
         let unspent = job.account.left();
         if let Some(operation) = job.operation.as_ref().filter(|_| job.started.is_some()) {
             self.admission.hear_path(now, operation, job.below);
@@ -290,6 +315,7 @@
             JobOwner::Key(key) => self.end_key(now, key, unspent, outcome),
         }
         self.run_below = Below::default();
+        self.next_suspect(now, run);
     }
 
     pub(crate) fn on_cancel(&mut self, now: Time, _from: Incarnation, id: CallId) {
@@ -302,13 +328,32 @@
         }
     }
 
-    /// Takes work out of the queue, or asks the backend server to stop it.
+    /// Takes work out of the queue, or asks the backend server to stop it. Nobody waits for what
+    /// its child calls would give.
     pub(crate) fn cancel_run(&mut self, now: Time, run: RunId) {
-        if self.server.withdraw(run.number) {
-            self.withdraw_job(now, run);
-        } else {
-            self.out.push(Output::CancelRun(run));
+        if self.withdraw(run) {
+            return self.withdraw_job(now, run);
         }
+        self.out.push(Output::CancelRun(run));
+        let Some(job) = self.jobs.get_mut(&run) else {
+            return;
+        };
+        job.cancelled = true;
+        for child in job.waiting.clone() {
+            self.on_caller_gone(now, child);
+        }
+    }
+
+    /// The cancel of a call may be lost, or its node; its work would go on for nobody.
+    pub(crate) fn on_run_deadline(&mut self, now: Time, run: RunId) {
+        if self.jobs.contains_key(&run) {
+            self.cancel_run(now, run);
+        }
+    }
+
+    /// Takes work back that has not started; `false` if it has.
+    pub(crate) fn withdraw(&mut self, run: RunId) -> bool {
+        self.server.withdraw(run.number) || self.suspects.withdraw(run)
     }
 
     /// Ends a job that was taken out of the queue.
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -1,6 +1,7 @@
 //! What is due when.
 
 use proto::CallId;
+use proto::RunId;
 use std::collections::BTreeSet;
 use stdx::plain;
 use stdx::Time;
@@ -11,6 +12,8 @@
     pub(crate) enum Timer {
         /// A call's deadline.
         Deadline(CallId),
+        /// The deadline of work for the own backend server.
+        Run(RunId),
     }
 }
 
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -48,6 +48,16 @@
             /// The view that moved it.
             view: u64,
         },
+        /// The sender's backend server broke off while this request ran: to the nodes of the
+        /// service, so that a request that crashes servers is soon refused by all of them.
+        Suspect {
+            /// The service.
+            service: std::sync::Arc<str>,
+            /// The request.
+            request: Fingerprint,
+            /// How often it did so at the sender.
+            crashes: u32,
+        },
         /// Asks for the log's state, from a node that cannot reach the log.
         FetchState {
             /// The next offset that the sender lacks.
