--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -156,6 +156,9 @@
             let outcome = self.not_run(Reason::Draining);
             return self.answer_call(call.id, call.allowance, outcome);
         }
+        if !self.has_rules() {
+            return self.answer_call(call.id, call.allowance, self.not_run(Reason::NoRules));
+        }
         let id = call.id;
         let run = self.new_job(now, JobOwner::Call(id), call);
         self.inbound.insert(
