A leaving node starts no work at all after 2.5 s

Ruled out: the routing, which sends nothing else there. Change: after 2.5 s such calls are refused as not run.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -60,6 +60,10 @@
     pub keys: usize,
 }
 
+/// How long a leaving node still takes calls that only it can take: those for keys that it is home
+/// to, until the log names the next home.
+const CLOSE_AFTER: Duration = Duration::from_millis(2500);
+
 /// A node's decisions and state.
 #[derive(Debug)]
 pub struct Engine {
@@ -96,6 +100,8 @@
     pub(crate) retry_budget: Budget,
     pub(crate) timers: Timers,
     pub(crate) stopping: bool,
+    /// From then on a stopping node starts no work at all on its backend server.
+    pub(crate) closed_at: Time,
     next_number: u64,
     /// Frames of this node to itself.
     loopback: VecDeque<Frame>,
@@ -150,6 +156,7 @@
             retry_budget: Budget::new(),
             timers: Timers::default(),
             stopping: false,
+            closed_at: Time::ZERO,
             next_number: 0,
             loopback: VecDeque::new(),
             out: Vec::new(),
@@ -299,6 +306,7 @@
 
     fn on_stop(&mut self, now: Time) {
         self.stopping = true;
+        self.closed_at = now + CLOSE_AFTER;
         self.leave_members(now);
         self.leave_log(now);
     }
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -213,6 +213,11 @@
         let Some(job) = self.jobs.get(&run) else {
             return;
         };
+        // While the log is down no next home is named, and calls for this node's keys would go on
+        // coming until the instance is taken away in the middle of one.
+        if self.stopping && now >= self.closed_at {
+            return self.end_job(now, run, self.not_run(Reason::Draining));
+        }
         let fingerprint = job.fingerprint;
         let ticket = Ticket {
             id: run.number,
