Quarantine and shedding order over the whole graph

Ruled out: telling all nodes through the one that hears (quadratic in the service's nodes).

Change: the entry counts crashes of its own calls; reports go out again after 0.5 and 3 s; an order refused for load empties the queue of lookups; a second run gets the whole allowance, and a call counts from its start. The judge of the random runs took a refused call for one that still waits, when the same body came again from the node's own side; it now forgets it with the refusal.

--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -100,8 +100,13 @@
     /// key may have been sent before goes to the key's home all the same, because only the home
     /// knows whether it ran; the home sheds it.
     pub(crate) fn admit(&mut self, now: Time, call: &mut Outgoing) -> Result<Instance, Refusal> {
+        // The home of a key that may have been sent before knows whether it ran.
+        let unknown = call.key.is_none() || call.fresh;
+        if let Some(refusal) = self.quarantined(now, &call.request).filter(|_| unknown) {
+            return Err(refusal);
+        }
         let value = admission_value(call.class, call.dice);
-        let sheds = self.cfg.policy.levels && (call.key.is_none() || call.fresh);
+        let sheds = self.cfg.policy.levels && unknown;
         let path = self.admission.path(now, &call.operation);
         if sheds && value < path {
             return Err(shed(path, call.class, call.dice));
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -109,8 +109,8 @@
             Err(refusal) => return self.conclude(now, call, Outcome::NotRun(refusal)),
         };
         // What is lent is gone if the answer is lost. One retry stays here, where alone it can be
-        // spent then.
-        call.lent = if call.idempotent {
+        // spent then. A second run may need all for the calls below it.
+        call.lent = if call.idempotent && !call.again {
             call.account.lend_all_but_one()
         } else {
             call.account.lend_all()
@@ -182,9 +182,15 @@
                 self.after_not_run(now, call, refusal);
             }
             Outcome::Unknown(reason @ (Reason::ServerLost | Reason::PeerLost)) => {
+                if reason == Reason::ServerLost {
+                    self.call_lost(now, &call.request, call.target.incarnation);
+                }
                 self.after_lost(now, call, reason);
             }
-            outcome => self.conclude(now, call, outcome),
+            outcome => {
+                self.call_whole(now, &call.request);
+                self.conclude(now, call, outcome);
+            }
         }
     }
 
@@ -254,7 +260,8 @@
     /// the second run could not end, and would be wasted.
     fn after_lost(&mut self, now: Time, mut call: Outgoing, reason: Reason) {
         call.maybe_ran = true;
-        let needed = 1 + self.admission.calls_below(&call.operation);
+        let below = self.admission.calls_below(&call.operation);
+        let needed = 1 + below.max(call.calls_below);
         if call.idempotent && call.account.left() >= needed && self.may_retry(now, &mut call) {
             self.count(Counter::Retry(reason));
             call.again = true;
@@ -296,7 +303,10 @@
     fn conclude(&mut self, now: Time, call: Outgoing, outcome: Outcome) {
         let met = Below {
             level: self.level_met(now, &call),
-            calls: call.calls_below.saturating_add(call.attempts),
+            // The first attempt was counted when the call began.
+            calls: call
+                .calls_below
+                .saturating_add(call.attempts.saturating_sub(1)),
         };
         if let Some(job) = self.parent_of(call.token) {
             job.below.level = job.below.level.max(met.level);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -249,6 +249,7 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Deadline(call) => self.on_deadline(now, call),
+                Timer::Suspects => self.repeat_reports(now),
                 Timer::Run(run) => self.on_run_deadline(now, run),
             }
         }
--- a/crates/engine/src/quarantine.rs
+++ b/crates/engine/src/quarantine.rs
@@ -1,9 +1,11 @@
 //! Requests that crash the backend server: who is suspected, and that the service's nodes hear of it.
 
+use crate::timers::Timer;
 use crate::Counter;
 use crate::Engine;
 use policy::Quarantine;
 use policy::Verdict;
+use proto::hash64;
 use proto::Fingerprint;
 use proto::Frame;
 use proto::Incarnation;
@@ -11,6 +13,7 @@
 use proto::Outcome;
 use proto::Reason;
 use proto::Refusal;
+use proto::Request;
 use proto::RunId;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -24,13 +27,28 @@
 /// make a flood of them.
 const MAX_REPORTS: u32 = 200;
 
+/// When reports are sent again. A frame is lost with its connection, and a node that lacks the word
+/// would let its own server crash.
+const REPEATS: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(3)];
+
+/// A report that is sent again.
+#[derive(Debug)]
+struct Report {
+    at: Time,
+    request: Fingerprint,
+    crashes: u32,
+}
+
 /// Suspects of this node's service.
 #[derive(Debug)]
 pub(crate) struct Suspects {
     known: Quarantine<Fingerprint>,
+    /// The same of calls that this node made, of all services, by a hash.
+    called: Quarantine<u64>,
     /// The suspect that runs or is in the server's queue; only one at a time is.
     running: Option<RunId>,
     waiting: VecDeque<RunId>,
+    repeats: Vec<Report>,
     reports: u32,
     reports_since: Time,
 }
@@ -39,8 +57,10 @@
     pub(crate) fn new() -> Self {
         Self {
             known: Quarantine::new(),
+            called: Quarantine::new(),
             running: None,
             waiting: VecDeque::new(),
+            repeats: Vec::new(),
             reports: 0,
             reports_since: Time::ZERO,
         }
@@ -105,6 +125,29 @@
             return;
         };
         self.count(Counter::Suspected);
+        self.report_suspect(request, crashes);
+        for wait in REPEATS {
+            let at = now + wait;
+            self.timers.set(at, Timer::Suspects);
+            self.suspects.repeats.push(Report {
+                at,
+                request,
+                crashes,
+            });
+        }
+    }
+
+    pub(crate) fn repeat_reports(&mut self, now: Time) {
+        let repeats = std::mem::take(&mut self.suspects.repeats);
+        let (due, later) = repeats.into_iter().partition(|report| report.at <= now);
+        self.suspects.repeats = later;
+        let due: Vec<Report> = due;
+        for report in due {
+            self.report_suspect(report.request, report.crashes);
+        }
+    }
+
+    fn report_suspect(&mut self, request: Fingerprint, crashes: u32) {
         let service = self.me.service.clone();
         let peers = self.members.usable(&service);
         let peers: Vec<Instance> = peers.map(|peer| peer.instance.clone()).collect();
@@ -131,6 +174,33 @@
         }
     }
 
+    /// A call of this node ended with its server breaking off at `target`. The word of that server's
+    /// node may reach the next one later than the retry does.
+    pub(crate) fn call_lost(&mut self, now: Time, request: &Request, target: Incarnation) {
+        if self.cfg.policy.quarantine {
+            let called = &mut self.suspects.called;
+            called.crashed(now, called_hash(request), target);
+        }
+    }
+
+    /// A call of this node was answered whole.
+    pub(crate) fn call_whole(&mut self, now: Time, request: &Request) {
+        if !self.suspects.called.is_empty() {
+            self.suspects.called.answered(now, called_hash(request));
+        }
+    }
+
+    /// Refuses a call that broke off two servers.
+    pub(crate) fn quarantined(&self, now: Time, request: &Request) -> Option<Refusal> {
+        if self.suspects.called.is_empty() {
+            return None;
+        }
+        match self.suspects.called.verdict(now, &called_hash(request)) {
+            Verdict::Refused(left) => Some(Refusal::new(Reason::Quarantined, left)),
+            Verdict::Clear | Verdict::Suspect => None,
+        }
+    }
+
     /// A job has ended; if it was the suspect, the next one has its turn.
     pub(crate) fn next_suspect(&mut self, now: Time, ended: RunId) {
         self.suspects.withdraw(ended);
@@ -146,3 +216,7 @@
         }
     }
 }
+
+fn called_hash(request: &Request) -> u64 {
+    hash64(&(&request.service, Fingerprint::of(request)))
+}
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -108,6 +108,7 @@
             self.waiting_since = now;
         }
         self.waiting.push(child);
+        self.below.calls = self.below.calls.saturating_add(1);
     }
 
     pub(crate) fn child_ended(&mut self, now: Time, child: Token) {
@@ -231,6 +232,7 @@
         }
         let level = self.path_level(now, run);
         let offer = if admission_value(ticket.class, ticket.dice) < level {
+            self.server.refused_before(now, ticket.class);
             Offer::Refused(shed(level, ticket.class, ticket.dice))
         } else {
             self.server.offer(now, ticket)
--- a/crates/engine/tests/allowance.rs
+++ b/crates/engine/tests/allowance.rs
@@ -158,6 +158,7 @@
             world
                 .inputs
                 .push_back((at, Input::Records(records.clone())));
+            world.inputs.push_back((at, Input::LogRead));
         }
         world
     }
@@ -334,6 +335,7 @@
 fn check_attempts(calls: Vec<Call>, allowance: u16) -> Result<(), TestCaseError> {
     let mut world = World::new(calls, allowance);
     world.run();
+    prop_assert!(!world.attempts.is_empty() || world.calls[0].ends.contains(&Fault::Unreachable));
     let edges = (0..world.calls.len()).filter(|call| world.depths[*call] < DEPTH);
     let bound = edges.count() + usize::from(allowance);
     prop_assert!(
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -70,6 +70,7 @@
             answers: Vec::new(),
         };
         entry.input(Input::Records((0..).zip(records).collect()));
+        entry.input(Input::LogRead);
         entry
     }
 
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -73,6 +73,11 @@
 }
 
 impl<K: Hash + Eq + Clone> Quarantine<K> {
+    /// Whether no request is suspected, so that nothing need be looked up.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
     /// Nothing is known.
     pub fn new() -> Self {
         Self {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -57,10 +57,15 @@
 
     /// Takes out the ticket that has waited longest, a lookup if there is one, to make room.
     pub(crate) fn displace(&mut self) -> Option<Ticket> {
-        let oldest = self.lookups.pop_front();
+        let oldest = self.displace_lookup();
         oldest.or_else(|| self.protected.pop_front())
     }
 
+    /// Takes out the lookup that has waited longest.
+    pub(crate) fn displace_lookup(&mut self) -> Option<Ticket> {
+        self.lookups.pop_front()
+    }
+
     pub(crate) fn withdraw(&mut self, id: u64) -> bool {
         let before = self.len();
         self.protected.retain(|ticket| ticket.id != id);
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -177,6 +177,7 @@
         let value = admission_value(ticket.class, ticket.dice);
         if self.switches.levels && value < self.level.get() {
             self.level.shed();
+            self.hold_lookups(now, ticket.class);
             return self.refuse(Reason::Shed, ticket);
         }
         if self.down_until.is_some_and(|until| now < until) {
@@ -254,6 +255,11 @@
         if let Some(ticket) = self.pop_hopeless(now) {
             return Some((ticket, self.refuse_for_load(now, ticket)));
         }
+        if self.held_until.is_some() {
+            if let Some(ticket) = self.queue.displace_lookup() {
+                return Some((ticket, self.refuse_for_load(now, ticket)));
+            }
+        }
         if self.queue.len() > self.capacity() {
             if let Some(ticket) = self.queue.displace() {
                 return Some((ticket, self.refuse_for_load(now, ticket)));
@@ -365,10 +371,21 @@
 
     fn refuse_for_load(&mut self, now: Time, ticket: Ticket) -> Offer {
         self.level.refused(ticket.class, now.since(ticket.arrived));
-        if ticket.class.is_protected() && self.switches.class_order {
+        self.hold_lookups(now, ticket.class);
+        self.refuse(Reason::QueueFull, ticket)
+    }
+
+    /// Work was refused for load before it was offered.
+    pub fn refused_before(&mut self, now: Time, class: Class) {
+        self.hold_lookups(now, class);
+    }
+
+    /// A protected call is refused for load: lookups that wait are refused too, and those that come
+    /// in the next moments.
+    fn hold_lookups(&mut self, now: Time, class: Class) {
+        if class.is_protected() && self.switches.class_order {
             self.held_until = Some(now + HOLD);
         }
-        self.refuse(Reason::QueueFull, ticket)
     }
 
     /// Tells when the backlog will be gone, stretched by how much more is offered than can be
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -54,6 +54,8 @@
     files: IndexMap<u64, Arc<str>>,
     /// Calls that wait at a node: by node and body, since when.
     arrived: IndexMap<(String, String), Time>,
+    /// What the calls without an answer wait as.
+    unanswered: IndexMap<CallId, (String, String)>,
     /// Calls other than lookups that have no answer yet.
     protected: IndexSet<CallId>,
     /// When a node last refused something other than a lookup for load.
@@ -126,7 +128,9 @@
 
     /// A call arrives at a node.
     pub(crate) fn on_arrival(&mut self, node: &Node, now: Time, call: &Call) {
-        self.arrived.insert(waits(node, &call.request.body), now);
+        let waits = waits(node, &call.request.body);
+        self.arrived.insert(waits.clone(), now);
+        self.unanswered.insert(call.id, waits);
         if &*call.request.method != "GET" {
             self.protected.insert(call.id);
         }
@@ -135,9 +139,14 @@
     /// A node answers a call of another node.
     pub(crate) fn on_answer_sent(&mut self, node: &Node, now: Time, id: CallId, outcome: &Outcome) {
         let protected = self.protected.swap_remove(&id);
+        let waited = self.unanswered.swap_remove(&id);
         let Outcome::NotRun(refusal) = outcome else {
             return;
         };
+        // It waits no more. If it comes again from the node's own side, that is no arrival here.
+        if let Some(waited) = waited {
+            self.arrived.swap_remove(&waited);
+        }
         if protected && matches!(refusal.reason, Reason::Shed | Reason::QueueFull) {
             self.refused.insert(node.name.clone(), now);
         }
