--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -134,6 +134,9 @@
         call: &mut Outgoing,
         value: u16,
     ) -> (Option<Instance>, Option<u16>) {
+        if !self.cfg.policy.by_load {
+            return (self.in_turn(call), None);
+        }
         if !self.cfg.policy.levels {
             return (self.choose_server(call), None);
         }
@@ -151,6 +154,20 @@
         (chosen, level)
     }
 
+    /// All instances of a service in turn, whatever their load.
+    fn in_turn(&mut self, call: &Outgoing) -> Option<Instance> {
+        let turn = self.number() as usize;
+        let peers = self.members.usable(&call.request.service);
+        let peers = peers.map(|peer| &peer.instance);
+        let fits = |instance: &&Instance| !call.avoid.contains(&instance.incarnation);
+        let mut all: Vec<&Instance> = peers.filter(fits).collect();
+        if self.me.service == call.request.service && fits(&&self.me) {
+            all.push(&self.me);
+        }
+        let turn = turn.checked_rem(all.len())?;
+        Some(all[turn].clone())
+    }
+
     /// The highest level that a call meets: below its operation, or at the instances that it could
     /// go to.
     pub(crate) fn level_met(&self, now: Time, call: &Outgoing) -> u16 {
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -62,6 +62,8 @@
     calls_below: u16,
     /// Attempts of this call itself.
     attempts: u16,
+    /// Left of [`policy::Switches::hop_retries`].
+    hop_retries: u8,
     redirects: u8,
     reattaches: u8,
     /// Nodes that this call shall not go to again.
@@ -90,6 +92,7 @@
             maybe_ran: false,
             calls_below: 0,
             attempts: 0,
+            hop_retries: self.cfg.policy.hop_retries,
             redirects: 0,
             reattaches: 0,
             avoid: Vec::new(),
@@ -178,7 +181,7 @@
         }
         match answer.outcome {
             Outcome::NotRun(refusal) => {
-                call.again |= answer.below.calls > 0;
+                call.again |= answer.below.calls > 0 && self.cfg.policy.hop_retries == 0;
                 self.after_not_run(now, call, refusal);
             }
             Outcome::Unknown(reason @ (Reason::ServerLost | Reason::PeerLost)) => {
@@ -262,9 +265,10 @@
         call.maybe_ran = true;
         let below = self.admission.calls_below(&call.operation);
         let needed = 1 + below.max(call.calls_below);
-        if call.idempotent && call.account.left() >= needed && self.may_retry(now, &mut call) {
+        let allowed = call.account.left() >= needed || call.hop_retries > 0;
+        if call.idempotent && allowed && self.may_retry(now, &mut call) {
             self.count(Counter::Retry(reason));
-            call.again = true;
+            call.again = self.cfg.policy.hop_retries == 0;
             call.avoid.push(call.target.incarnation);
             return self.route(now, call);
         }
@@ -274,7 +278,14 @@
     /// Takes a retry from the action and from this node's budget, which keeps retries a small share
     /// of the calls even if every action has some left.
     fn may_retry(&mut self, now: Time, call: &mut Outgoing) -> bool {
-        if call.account.left() == 0 || now >= call.deadline {
+        if now >= call.deadline {
+            return false;
+        }
+        if call.hop_retries > 0 {
+            call.hop_retries -= 1;
+            return true;
+        }
+        if call.account.left() == 0 {
             return false;
         }
         if self.cfg.policy.retry_budget && !self.retry_budget.spend(now) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -33,3 +33,4 @@
 pub use io::Output;
 pub use io::RunEnd;
 pub use io::Token;
+pub use policy::Switches;
--- /dev/null
+++ b/crates/experiment/src/measure.rs
@@ -0,0 +1,110 @@
+//! What a run comes to.
+
+use crate::graph::LOOKUP;
+use crate::graph::ORDER;
+use hdrhistogram::Histogram;
+use std::time::Duration;
+use stdx::Time;
+use trial::Action;
+use trial::End;
+use trial::World;
+
+/// The figures of one run, over the actions that began in a window.
+#[derive(Debug, Clone)]
+pub struct Figures {
+    /// Whole lookups a second.
+    pub lookups: f64,
+    /// Whole orders a second.
+    pub orders: f64,
+    /// Orders that were whole, of those that were asked for.
+    pub orders_share: f64,
+    /// The share of service time that went into no whole answer.
+    pub wasted: f64,
+    /// Attempts of callers, for each action.
+    pub attempts: f64,
+    /// Times of whole answers from the first attempt on, in milliseconds.
+    pub p50: f64,
+    /// See `p50`.
+    pub p99: f64,
+    /// Kilobytes a second between regions.
+    pub region_kb: f64,
+}
+
+/// What the totals were at the start of a window.
+#[derive(Debug, Clone, Copy)]
+pub struct Mark {
+    at: Time,
+    work: Duration,
+    bytes: u64,
+}
+
+impl Mark {
+    /// The totals now.
+    pub fn new(world: &World) -> Self {
+        Self {
+            at: world.now,
+            work: world.work_begun,
+            bytes: world.net.region_bytes,
+        }
+    }
+}
+
+/// The figures from a mark until `end`; the world has run on until all of them have ended.
+pub fn figures(world: &World, from: Mark, end: Time) -> Figures {
+    let secs = end.since(from.at).as_secs_f64();
+    let inside = |action: &&Action| action.began >= from.at && action.began < end;
+    let actions: Vec<&Action> = world.actions.iter().filter(inside).collect();
+    let whole: Vec<&&Action> = actions.iter().filter(|a| is_whole(a)).collect();
+    let count = |operation: usize| whole.iter().filter(|a| a.operation == operation).count() as f64;
+    let asked = actions.iter().filter(|a| a.operation == ORDER).count() as f64;
+    let mut millis = Histogram::<u64>::new_with_max(600_000, 3).expect("the bounds are allowed");
+    for action in &whole {
+        let (at, _) = action.end.expect("a whole action has ended");
+        millis.saturating_record(at.since(action.began).as_millis() as u64);
+    }
+    let work = (world.work_begun - from.work).as_secs_f64();
+    let useful: f64 = world
+        .actions
+        .iter()
+        .filter(|action| is_whole(action) && action.end.is_some_and(|(at, _)| at >= from.at))
+        .map(|action| chain_time(world, action.operation))
+        .sum();
+    let attempts: f64 = actions.iter().map(|a| f64::from(a.attempts)).sum();
+    let waited = world.now.since(from.at).as_secs_f64();
+    Figures {
+        lookups: count(LOOKUP) / secs,
+        orders: count(ORDER) / secs,
+        orders_share: count(ORDER) / asked.max(1.0),
+        wasted: (1.0 - useful / work.max(1e-9)).max(0.0),
+        attempts: attempts / (actions.len() as f64).max(1.0),
+        p50: millis.value_at_quantile(0.5) as f64,
+        p99: millis.value_at_quantile(0.99) as f64,
+        region_kb: (world.net.region_bytes - from.bytes) as f64 / 1000.0 / waited,
+    }
+}
+
+/// Whole answers in each second, by when they came.
+pub fn goodput(world: &World) -> Vec<f64> {
+    let secs = (world.now.as_micros() / 1_000_000) as usize + 1;
+    let mut goodput = vec![0.0; secs];
+    for action in world.actions.iter().filter(|action| is_whole(action)) {
+        if let Some((at, _)) = action.end {
+            goodput[(at.as_micros() / 1_000_000) as usize] += 1.0;
+        }
+    }
+    goodput
+}
+
+fn is_whole(action: &Action) -> bool {
+    matches!(action.end, Some((_, End::Whole)))
+}
+
+fn chain_time(world: &World, operation: usize) -> f64 {
+    let operation = &world.layout.operations[operation];
+    let below: f64 = operation
+        .children
+        .iter()
+        .map(|child| chain_time(world, *child))
+        .sum();
+    operation.takes.as_secs_f64() + below
+}
--- /dev/null
+++ b/crates/experiment/src/scenario.rs
@@ -0,0 +1,123 @@
+//! The experiments.
+
+use crate::graph;
+use crate::graph::CAPACITY;
+use crate::graph::DEEPEST;
+use crate::load::Load;
+use crate::measure::figures;
+use crate::measure::goodput;
+use crate::measure::Figures;
+use crate::measure::Mark;
+use crate::variant::Variant;
+use std::time::Duration;
+use trial::Fault;
+use trial::World;
+
+/// Nodes find each other in this time, before anything is asked.
+const START: Duration = Duration::from_secs(5);
+
+/// Limits and levels settle in this time, before anything is measured.
+const SETTLE: Duration = Duration::from_secs(10);
+
+/// What an experiment gives for one variant.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    /// The variant's name.
+    pub name: &'static str,
+    /// While it lasts.
+    pub during: Figures,
+    /// Seconds from the trigger's end until goodput is back for good; `None` if it never was, or
+    /// there was no trigger.
+    pub recovery: Option<f64>,
+    /// Whole answers in each second.
+    pub goodput: Vec<f64>,
+}
+
+/// A world whose nodes have found each other.
+fn world(seed: u64, variant: &Variant) -> World {
+    let mut world = World::new(seed, graph::layout(variant.switches));
+    world.go_on = true;
+    for node in &mut world.nodes {
+        if &*node.me.service == DEEPEST {
+            node.server.set_slots(10);
+        }
+    }
+    world.run_for(START);
+    world
+}
+
+/// Steady demand at a multiple of capacity, for 20 s.
+pub fn demand(seed: u64, variant: &Variant, times: f64) -> Outcome {
+    let mut world = world(seed, variant);
+    let mut load = Load::new(seed);
+    load.run(&mut world, CAPACITY * times, SETTLE);
+    let mark = Mark::new(&world);
+    load.run(&mut world, CAPACITY * times, Duration::from_secs(20));
+    let end = world.now;
+    world.run_for(Duration::from_secs(10));
+    Outcome {
+        name: variant.name,
+        during: figures(&world, mark, end),
+        recovery: None,
+        goodput: goodput(&world),
+    }
+}
+
+/// What goes wrong while demand is at 0.7 of capacity.
+pub struct Trigger {
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// Demand meanwhile, as a multiple of capacity.
+    pub demand: f64,
+    /// What happens at its start.
+    pub begin: Vec<Fault>,
+    /// What happens at its end.
+    pub end: Vec<Fault>,
+}
+
+/// The demand before and after a trigger.
+const USUAL: f64 = 0.7;
+
+/// A trigger, and the time after it.
+pub fn trigger(seed: u64, variant: &Variant, trigger: &Trigger) -> Outcome {
+    let mut world = world(seed, variant);
+    let mut load = Load::new(seed);
+    load.run(&mut world, CAPACITY * USUAL, SETTLE * 2);
+    let usual = mean(&goodput(&world), 15, 25);
+    let mark = Mark::new(&world);
+    for fault in trigger.begin.clone() {
+        world.strike(fault);
+    }
+    load.run(&mut world, CAPACITY * trigger.demand, trigger.lasts);
+    let end = world.now;
+    for fault in trigger.end.clone() {
+        world.strike(fault);
+    }
+    load.run(&mut world, CAPACITY * USUAL, Duration::from_secs(40));
+    let during = figures(&world, mark, end);
+    let goodput = goodput(&world);
+    let after = (end.as_micros() / 1_000_000) as usize;
+    Outcome {
+        name: variant.name,
+        during,
+        recovery: recovery(&goodput, after, usual),
+        goodput,
+    }
+}
+
+/// The first second from which the mean of five is within 5% of the usual, and stays so.
+fn recovery(goodput: &[f64], from: usize, usual: f64) -> Option<f64> {
+    let last = goodput.len().saturating_sub(6);
+    let bad = (from..last)
+        .rev()
+        .find(|at| mean(goodput, *at, at + 5) < 0.95 * usual);
+    match bad {
+        None => Some(0.0),
+        Some(at) if at + 1 < last => Some((at + 1 - from) as f64),
+        Some(_) => None,
+    }
+}
+
+fn mean(goodput: &[f64], from: usize, to: usize) -> f64 {
+    goodput[from..to].iter().sum::<f64>() / (to - from) as f64
+}
--- a/crates/policy/src/switches.rs
+++ b/crates/policy/src/switches.rs
@@ -25,6 +25,11 @@
         pub spread: bool,
         /// Requests that crash backend servers are refused.
         pub quarantine: bool,
+        /// Calls go to the less loaded of the near instances; off, to all of them in turn.
+        pub by_load: bool,
+        /// For comparison only: retries that each hop makes on its own, whatever the action's
+        /// allowance is.
+        pub hop_retries: u8,
     }
 }
 
@@ -41,6 +46,8 @@
         resend_limit: true,
         spread: true,
         quarantine: true,
+        by_load: true,
+        hop_retries: 0,
     };
 
     /// Everything off: a fixed limit and a queue in order of arrival.
@@ -55,6 +62,8 @@
         resend_limit: false,
         spread: false,
         quarantine: false,
+        by_load: false,
+        hop_retries: 0,
     };
 }
 
--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -31,6 +31,8 @@
     pub key: Option<Arc<str>>,
     /// How long the caller waits for one attempt before it hangs up.
     pub patience: Duration,
+    /// Comes back after this time, whatever it was told.
+    pub comes_back: Option<Duration>,
     /// How often it sends again at most.
     pub resends: u32,
     /// Attempts so far.
@@ -90,6 +92,7 @@
             caller: "shop".into(),
             key: Some(body.into()),
             patience: Duration::from_secs(5),
+            comes_back: None,
             resends: 3,
             attempts: 0,
             began: Time::ZERO,
@@ -266,7 +269,15 @@
         }
         match outcome {
             Outcome::Whole(response) if response.status == 200 => self.end(index, End::Whole),
-            Outcome::Whole(_) => self.end(index, End::Failed),
+            Outcome::Whole(_) => {
+                let again = action.comes_back.is_some();
+                let idempotent = self.layout.operations[action.operation].idempotent;
+                if again && idempotent {
+                    self.resend(index, Duration::ZERO, End::Failed);
+                } else {
+                    self.end(index, End::Failed);
+                }
+            }
             Outcome::NotRun(refusal) => {
                 let wait = Duration::from_millis(u64::from(refusal.retry_after_ms));
                 self.resend(index, wait, End::NotRun(refusal.reason));
@@ -302,6 +313,7 @@
         let action = &mut self.actions[index];
         if can && action.attempts <= action.resends {
             action.end = None;
+            let wait = action.comes_back.unwrap_or(wait);
             self.after(wait, move |world| world.on_send(index, None));
         }
     }
--- a/crates/trial/src/layout.rs
+++ b/crates/trial/src/layout.rs
@@ -48,6 +48,8 @@
     pub rules: String,
     /// Work that a backend server does at once.
     pub slots: usize,
+    /// Which mechanisms of the policy under load are on.
+    pub policy: engine::Switches,
     /// Work that waits in a backend server beyond its slots before it refuses.
     pub backlog: usize,
     /// One-way latency within a failure domain, within a region and between regions.
@@ -94,6 +96,7 @@
             places,
             rules: RULES.to_owned(),
             slots: 10,
+            policy: engine::Switches::ALL,
             backlog: 40,
             latency: [
                 Duration::from_micros(100),
--- a/crates/trial/src/net.rs
+++ b/crates/trial/src/net.rs
@@ -32,6 +32,8 @@
     pub loss: u32,
     /// Datagrams in a thousand that come twice, the second time late.
     pub twice: u32,
+    /// Bytes of frames and datagrams between regions.
+    pub region_bytes: u64,
     /// Connections, those that are gone included.
     pub connections: Vec<Connection>,
     links: IndexMap<(Incarnation, Incarnation), usize>,
@@ -73,6 +75,7 @@
             cut: IndexSet::new(),
             loss: 0,
             twice: 0,
+            region_bytes: 0,
             connections: Vec::new(),
             links: IndexMap::new(),
             dialling: IndexMap::new(),
@@ -165,7 +168,11 @@
             self.net.connections[connection].held[side].push(frame);
             return self.watch(connection);
         }
-        let travel = self.travel(node, self.net.connections[connection].ends[side].0);
+        let to = self.net.connections[connection].ends[side].0;
+        if self.nodes[node].me.region != self.nodes[to].me.region {
+            self.net.region_bytes += proto::encode(&frame).len() as u64;
+        }
+        let travel = self.travel(node, to);
         let last = &mut self.net.connections[connection].last[side];
         let at = (self.now + travel).max(*last + Duration::from_micros(1));
         *last = at;
@@ -316,6 +323,9 @@
         if lost || self.rng.random_range(0..1000) < self.net.loss {
             return;
         }
+        if self.nodes[node].me.region != self.nodes[target].me.region {
+            self.net.region_bytes += proto::encode(&datagram).len() as u64;
+        }
         let travel = self.travel(node, target);
         if self.rng.random_range(0..1000) < self.net.twice {
             let late = travel + Duration::from_millis(self.rng.random_range(0..5000));
--- a/crates/trial/src/server.rs
+++ b/crates/trial/src/server.rs
@@ -68,6 +68,11 @@
             next: 0,
         }
     }
+
+    /// Sets how much work it does at once.
+    pub fn set_slots(&mut self, slots: usize) {
+        self.slots = slots;
+    }
 }
 
 impl Layout {
@@ -174,6 +179,7 @@
             return self.crash_server(node);
         }
         let operation = &self.layout.operations[work.operation];
+        self.work_begun += operation.takes;
         let takes = operation.takes * self.nodes[node].server.slowness;
         self.nodes[node].server.running.insert(number, work);
         self.after(takes, move |world| world.on_work(node, number));
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -103,6 +103,10 @@
     pub counters: IndexMap<String, u64>,
     /// The last events, for the report of a violation.
     pub trace: VecDeque<String>,
+    /// Violations do not stop the run: what is measured may break the promises.
+    pub go_on: bool,
+    /// Service time of all work that was begun, at servers that are not slow.
+    pub work_begun: Duration,
     /// The seed.
     pub seed: u64,
     pub(crate) next_token: u64,
@@ -136,6 +140,8 @@
             judge: Judge::default(),
             counters: IndexMap::new(),
             trace: VecDeque::new(),
+            go_on: false,
+            work_begun: Duration::ZERO,
             seed,
             next_token: 0,
             queue: BTreeMap::new(),
@@ -168,7 +174,8 @@
     /// Lets time pass up to `end`, or to the first violation.
     pub fn run_until(&mut self, end: Time) {
         while let Some(next) = self.queue.first_entry() {
-            if next.key().0 > end || !self.judge.violations.is_empty() {
+            let stop = !self.go_on && !self.judge.violations.is_empty();
+            if next.key().0 > end || stop {
                 break;
             }
             let ((at, _), event) = next.remove_entry();
@@ -253,6 +260,7 @@
         let mut cfg = Config {
             seed: incarnation.0,
             contacts,
+            policy: self.layout.policy,
             ..Config::default()
         };
         cfg.membership.seed = incarnation.0;
