--- a/crates/experiment/src/load.rs
+++ b/crates/experiment/src/load.rs
@@ -1,4 +1,4 @@
-//! Callers: open loop, four lookups to one order, who come back hard.
+//! Callers: open loop, four lookups to one order, most of whom come back hard.
 
 use crate::graph::LOOKUP;
 use crate::graph::ORDER;
@@ -16,9 +16,13 @@
 /// How long a caller waits for an attempt.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// Attempts that a caller makes after the first, a moment after each failure, whatever it was told.
+/// Attempts that a caller makes after the first.
 const RESENDS: u32 = 3;
 
+/// The share of callers that come back a moment after each failure, whatever they were told. The
+/// others come back when they were told to.
+const HARD: f64 = 0.7;
+
 /// Makes a world's callers.
 pub struct Load {
     rng: StdRng,
@@ -69,7 +73,8 @@
         action.caller = format!("shop{}", self.next).into();
         action.patience = PATIENCE;
         action.resends = RESENDS;
-        action.comes_back = Some(Duration::from_millis(self.rng.random_range(50..300)));
+        let wait = Duration::from_millis(self.rng.random_range(50..300));
+        action.comes_back = self.rng.random_bool(HARD).then_some(wait);
         action
     }
 }
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -74,6 +74,11 @@
             return ExitCode::from(2);
         }
     };
+    if std::env::var("DBG").is_ok() {
+        for o in &outcomes {
+            println!("{} {:?}", o.name, o.goodput);
+        }
+    }
     let Some(path) = args.plot else {
         return ExitCode::SUCCESS;
     };
--- a/crates/experiment/src/measure.rs
+++ b/crates/experiment/src/measure.rs
@@ -83,6 +83,20 @@
     }
 }
 
+/// The share of actions that ended whole, by the second in which they began.
+pub fn whole_share(world: &World, from: usize, to: usize) -> f64 {
+    let second = |action: &&Action| (action.began.as_micros() / 1_000_000) as usize;
+    let inside = |action: &&Action| (from..to).contains(&second(action));
+    let (whole, all) = world
+        .actions
+        .iter()
+        .filter(inside)
+        .fold((0_u32, 0_u32), |(whole, all), action| {
+            (whole + u32::from(is_whole(action)), all + 1)
+        });
+    f64::from(whole) / f64::from(all.max(1))
+}
+
 /// Whole answers in each second, by when they came.
 pub fn goodput(world: &World) -> Vec<f64> {
     let secs = (world.now.as_micros() / 1_000_000) as usize + 1;
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -6,6 +6,7 @@
 use crate::load::Load;
 use crate::measure::figures;
 use crate::measure::goodput;
+use crate::measure::whole_share;
 use crate::measure::Figures;
 use crate::measure::Mark;
 use crate::variant::Variant;
@@ -83,7 +84,6 @@
     let mut world = world(seed, variant);
     let mut load = Load::new(seed);
     load.run(&mut world, CAPACITY * USUAL, SETTLE * 2);
-    let usual = mean(&goodput(&world), 15, 25);
     let mark = Mark::new(&world);
     for fault in trigger.begin.clone() {
         world.strike(fault);
@@ -95,29 +95,24 @@
     }
     load.run(&mut world, CAPACITY * USUAL, Duration::from_secs(40));
     let during = figures(&world, mark, end);
-    let goodput = goodput(&world);
     let after = (end.as_micros() / 1_000_000) as usize;
     Outcome {
         name: variant.name,
         during,
-        recovery: recovery(&goodput, after, usual),
-        goodput,
+        recovery: recovery(&world, after),
+        goodput: goodput(&world),
     }
 }
 
-/// The first second from which the mean of five is within 5% of the usual, and stays so.
-fn recovery(goodput: &[f64], from: usize, usual: f64) -> Option<f64> {
-    let last = goodput.len().saturating_sub(6);
-    let bad = (from..last)
-        .rev()
-        .find(|at| mean(goodput, *at, at + 5) < 0.95 * usual);
-    match bad {
+/// Seconds after `from` until, for good, at least 95% of what is asked within two seconds ends
+/// whole; all of it did before the trigger.
+fn recovery(world: &World, from: usize) -> Option<f64> {
+    // The last actions have not ended.
+    let last = (world.now.as_micros() / 1_000_000) as usize - 8;
+    let bad = |at: &usize| whole_share(world, *at, at + 2) < 0.95;
+    match (from..last).rev().find(bad) {
         None => Some(0.0),
-        Some(at) if at + 1 < last => Some((at + 1 - from) as f64),
+        Some(at) if at + 2 < last => Some((at + 1 - from) as f64),
         Some(_) => None,
     }
 }
-
-fn mean(goodput: &[f64], from: usize, to: usize) -> f64 {
-    goodput[from..to].iter().sum::<f64>() / (to - from) as f64
-}
--- a/crates/policy/src/level.rs
+++ b/crates/policy/src/level.rs
@@ -80,6 +80,12 @@
     Duration::from_secs(1).mul_f64(spread(dice) / admitted.max(0.1))
 }
 
+/// The share of refusals in the queue that bursts alone make.
+const REFUSED: f64 = 0.05;
+
+/// The most by which the share that passes grows from one decision to the next.
+const MAX_RISE: f64 = 1.5;
+
 /// What one class group did in a window.
 #[derive(Debug, Default, Clone, Copy)]
 struct Flow {
@@ -91,8 +97,8 @@
 
 impl Flow {
     fn overloaded(&self, target: f64) -> bool {
-        let left = self.started + self.refused;
-        self.refused > 0 || (left > 0 && self.delay / f64::from(left) > target)
+        let left = f64::from(self.started + self.refused);
+        f64::from(self.refused) > REFUSED * left || (left > 0.0 && self.delay / left > target)
     }
 }
 
@@ -103,6 +109,8 @@
     lookups: Flow,
     protected: Flow,
     shed: u32,
+    /// How much ran, times how long in seconds.
+    used: f64,
     /// The shares that pass.
     lookup_share: f64,
     protected_share: f64,
@@ -117,6 +125,7 @@
             lookups: Flow::default(),
             protected: Flow::default(),
             shed: 0,
+            used: 0.0,
             lookup_share: 1.0,
             protected_share: 1.0,
             pressure: 1.0,
@@ -138,6 +147,11 @@
         self.pressure
     }
 
+    /// So much ran for so long.
+    pub(crate) fn ran(&mut self, running: u16, time: Duration) {
+        self.used += f64::from(running) * time.as_secs_f64();
+    }
+
     pub(crate) fn shed(&mut self) {
         self.shed += 1;
     }
@@ -159,8 +173,9 @@
         flow.delay += delay.as_secs_f64();
     }
 
-    /// Decides anew if a window is over. `target` is the queueing delay that is still good.
-    pub(crate) fn tick(&mut self, now: Time, target: Duration) {
+    /// Decides anew if a window is over. `target` is the queueing delay that is still good, and
+    /// `running` how much of the limit is taken up; both are used to tell how much more fits.
+    pub(crate) fn tick(&mut self, now: Time, target: Duration, limit: u16) {
         let elapsed = now.since(self.since);
         let offers = self.lookups.passed + self.protected.passed + self.shed;
         if elapsed < WINDOW || (offers < MIN_OFFERS && elapsed < MAX_WINDOW) {
@@ -175,8 +190,10 @@
         } else if lookups.overloaded(target) || protected.overloaded(target) {
             self.cut_lookups(lookups, protected);
         } else {
-            self.fall(elapsed);
+            let used = self.used / elapsed.as_secs_f64() / f64::from(limit.max(1));
+            self.fall(elapsed, used);
         }
+        self.used = 0.0;
         self.since = now;
         self.lookups = Flow::default();
         self.protected = Flow::default();
@@ -196,15 +213,17 @@
         self.lookup_share = (self.lookup_share * factor.clamp(0.3, 0.98)).max(PROBES);
     }
 
-    /// Falls slowly, the protected half first.
-    fn fall(&mut self, elapsed: Duration) {
+    /// Falls, the protected half first: slowly near the limit, and quickly while much of it stands
+    /// empty, as after a slow server has become quick again.
+    fn fall(&mut self, elapsed: Duration, used: f64) {
         let steps = elapsed.as_secs_f64() / WINDOW.as_secs_f64();
+        let rise = (0.95 / used.max(0.01)).clamp(1.02, MAX_RISE);
         let share = if self.protected_share < 1.0 {
             &mut self.protected_share
         } else {
             &mut self.lookup_share
         };
-        *share = (*share * 1.05_f64.powf(steps) + 0.01 * steps).min(1.0);
+        *share = (*share * rise.powf(steps.min(10.0)) + 0.01 * steps).min(1.0);
     }
 
     fn flow(&mut self, class: Class) -> &mut Flow {
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -111,6 +111,7 @@
     queue: Queue,
     max_wait: Duration,
     running: u16,
+    ticked: Time,
     /// How long a unit of the limit is taken up.
     took: Estimate,
     /// The same by class.
@@ -149,6 +150,7 @@
             queue: Queue::default(),
             max_wait,
             running: 0,
+            ticked: Time::ZERO,
             took: Estimate::default(),
             took_by_class: [Estimate::default(); CLASSES],
             down_until: None,
@@ -219,6 +221,7 @@
     pub fn finished(&mut self, now: Time, class: Class, ended: Ended) {
         // While the level sheds, more would run if the limit let it, though it is seldom reached.
         let full = self.running >= self.limit.get() || self.level() > 0;
+        self.tick(now);
         self.running = self.running.saturating_sub(1);
         match ended {
             Ended::Whole { took, own } => {
@@ -233,7 +236,6 @@
             Ended::NeverSent => self.went_down(now),
             Ended::Refused | Ended::Lost | Ended::Failed => {}
         }
-        self.tick(now);
     }
 
     /// An unreachable server answers quickly, and would draw all work to itself. So it is tried
@@ -328,7 +330,9 @@
 
     /// Lets the level fall while nothing comes.
     pub fn tick(&mut self, now: Time) {
-        self.level.tick(now, self.target());
+        self.level.ran(self.running, now.since(self.ticked));
+        self.ticked = now;
+        self.level.tick(now, self.target(), self.limit.get());
     }
 
     fn begin(&mut self, now: Time, ticket: &Ticket) {
@@ -421,8 +425,9 @@
         Duration::from_secs_f64(secs.min(3600.0))
     }
 
-    /// The queueing delay that is still good: a fifth of the longest wait.
+    /// The queueing delay that is still good: half of the longest wait. With a fifth, a queue that
+    /// only bridges the gaps between arrivals counted as overload.
     fn target(&self) -> Duration {
-        self.max_wait / 5
+        self.max_wait / 2
     }
 }
