--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -219,6 +219,11 @@
         .min()
     }
 
+    /// What this node reports of its load.
+    pub fn load(&self) -> proto::LoadReport {
+        self.load_report()
+    }
+
     /// The version of the rules in force; 0 before there are any.
     pub fn rules_version(&self) -> u64 {
         self.journal.version
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -74,7 +74,6 @@
             return ExitCode::from(2);
         }
     };
-    if std::env::var("DBG").is_ok() {
         for o in &outcomes {
             println!("{} {:?}", o.name, o.goodput);
         }
--- a/crates/policy/src/heard.rs
+++ b/crates/policy/src/heard.rs
@@ -9,7 +9,10 @@
 /// How quickly a lower report is believed.
 const FALL: Duration = Duration::from_millis(300);
 
-/// A level that nobody speaks of any more falls by the whole of one half of the range in this
+/// Without news for this long a level is still believed whole: while few calls pass, news is rare.
+const FRESH: Duration = Duration::from_millis(500);
+
+/// A level that nobody speaks of any more then falls by the whole of one half of the range in this
 /// time. Otherwise an instance to which nothing goes because of its level would never be heard of
 /// again.
 const FORGET: Duration = Duration::from_secs(2);
@@ -60,7 +63,8 @@
 
     /// The level as far as it is still believed.
     pub fn get(&self, now: Time) -> u16 {
-        let faded = now.since(self.at).as_secs_f64() / FORGET.as_secs_f64() * HALF;
+        let quiet = now.since(self.at).saturating_sub(FRESH);
+        let faded = quiet.as_secs_f64() / FORGET.as_secs_f64() * HALF;
         (self.level - faded).max(0.0) as u16
     }
 }
--- a/crates/policy/src/level.rs
+++ b/crates/policy/src/level.rs
@@ -81,7 +81,10 @@
 }
 
 /// The share of refusals in the queue that bursts alone make.
-const REFUSED: f64 = 0.05;
+const REFUSED: f64 = 0.02;
+
+/// The least that a decision leaves of the share that passes.
+const MAX_CUT: f64 = 0.6;
 
 /// The most by which the share that passes grows from one decision to the next.
 const MAX_RISE: f64 = 1.5;
@@ -200,17 +203,13 @@
         self.shed = 0;
     }
 
-    /// Takes out of the lookups alone what both together are too much.
+    /// Takes out of the lookups alone what both together are too much. The queue refuses lookups
+    /// first, so their own refusals tell how many that are.
     fn cut_lookups(&mut self, lookups: Flow, protected: Flow) {
-        let passed = f64::from(lookups.passed + protected.passed);
-        let both = Flow {
-            passed: lookups.passed + protected.passed,
-            started: lookups.started + protected.started,
-            ..Flow::default()
-        };
-        let wanted = passed * cut(both) - f64::from(protected.passed);
-        let factor = wanted / f64::from(lookups.passed.max(1));
-        self.lookup_share = (self.lookup_share * factor.clamp(0.3, 0.98)).max(PROBES);
+        let passed = f64::from(lookups.passed.max(1));
+        let started = f64::from(lookups.started) - f64::from(protected.refused);
+        let factor = (started / passed).clamp(MAX_CUT, 0.98);
+        self.lookup_share = (self.lookup_share * factor).max(PROBES);
     }
 
     /// Falls, the protected half first: slowly near the limit, and quickly while much of it stands
@@ -223,7 +222,7 @@
         } else {
             &mut self.lookup_share
         };
-        *share = (*share * rise.powf(steps.min(10.0)) + 0.01 * steps).min(1.0);
+        *share = (*share * rise.powf(steps.min(10.0)) + 0.002 * steps).min(1.0);
     }
 
     fn flow(&mut self, class: Class) -> &mut Flow {
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -428,6 +428,6 @@
     /// The queueing delay that is still good: half of the longest wait. With a fifth, a queue that
     /// only bridges the gaps between arrivals counted as overload.
     fn target(&self) -> Duration {
-        self.max_wait / 2
+        self.max_wait / 3
     }
 }
