--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -138,7 +138,7 @@
             return (self.in_turn(call), None);
         }
         if !self.cfg.policy.levels {
-            return (self.choose_server(call), None);
+            return (self.choose_server(now, call), None);
         }
         let avoided = call.avoid.len();
         let mut least = None;
@@ -148,7 +148,7 @@
                 least = Some(least.map_or(level, |least: u16| least.min(level)));
             }
         }
-        let chosen = self.choose_server(call);
+        let chosen = self.choose_server(now, call);
         call.avoid.truncate(avoided);
         let level = least.filter(|_| chosen.is_none());
         (chosen, level)
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -23,6 +23,7 @@
 use proto::KeyHash;
 use proto::Leg;
 use proto::Outcome;
+use proto::PeerState;
 use proto::Reason;
 use proto::Request;
 use std::time::Duration;
@@ -32,7 +33,11 @@
 const MAX_REDIRECTS: u8 = 3;
 
 /// How often a call is sent again under the same id over a new connection.
-const MAX_REATTACHES: u8 = 3;
+const MAX_REATTACHES: u8 = 5;
+
+/// How long to wait before a call is sent again that a new connection did not take either; doubles
+/// each time.
+const REATTACH_WAIT: Duration = Duration::from_millis(200);
 
 /// Retries of a node as a share of its calls ("Handling Overload", Site Reliability Engineering).
 const RETRY_RATIO: f64 = 0.1;
@@ -127,6 +132,7 @@
         }
         call.attempts += 1;
         self.timers.set(call.deadline, Timer::Deadline(id));
+        self.selector.on_sent(call.target.incarnation);
         self.send_attempt(now, id, &call);
         self.calls.insert(id, call);
     }
@@ -166,7 +172,7 @@
     }
 
     pub(crate) fn on_answer(&mut self, now: Time, from: Incarnation, id: CallId, answer: Answer) {
-        self.members.heard_load(now, from, answer.load);
+        self.hear_load(now, from, answer.load);
         self.admission.hear_instance(now, from, answer.load.level);
         // An answer to an attempt that was given up, or a second one to the same attempt, is late.
         let Some(mut call) = self.take_call(id) else {
@@ -233,6 +239,7 @@
                 self.send_attempt(now, id, &call);
                 self.calls.insert(id, call);
             } else {
+                self.selector.on_ended(peer);
                 self.timers.clear(call.deadline, Timer::Deadline(id));
                 self.after_lost(now, call, Reason::PeerLost);
             }
@@ -240,7 +247,8 @@
     }
 
     /// Frames could not be sent. A call's first sending certainly did not run.
-    pub(crate) fn on_unsent(&mut self, now: Time, _peer: Incarnation, unsent: Vec<Frame>) {
+    pub(crate) fn on_unsent(&mut self, now: Time, peer: Incarnation, unsent: Vec<Frame>) {
+        self.selector.on_failed(now, peer, &mut self.rng);
         for frame in unsent {
             let Frame::Call(frame) = frame else {
                 continue;
@@ -249,7 +257,7 @@
                 continue;
             };
             if call.reattaches > 0 {
-                self.after_lost(now, call, Reason::PeerLost);
+                self.reattach_later(now, frame.id, call);
             } else {
                 call.account.give_back(call.lent, call.lent);
                 let refusal = self.refusal(Reason::PeerLost);
@@ -258,6 +266,35 @@
         }
     }
 
+    /// A call that may have been sent before could not be sent again. Whether it ran is known only
+    /// over there, so it is tried until the other end is known to be gone; what may just as well
+    /// run elsewhere does not wait for that.
+    fn reattach_later(&mut self, now: Time, id: CallId, mut call: Outgoing) {
+        let target = call.target.incarnation;
+        let gone = self
+            .members
+            .get(target)
+            .is_none_or(|peer| peer.state == PeerState::Dead);
+        let elsewhere = call.idempotent && call.account.left() > 0;
+        if gone || elsewhere || call.reattaches >= MAX_REATTACHES {
+            return self.after_lost(now, call, Reason::PeerLost);
+        }
+        let wait = REATTACH_WAIT * (1 << call.reattaches);
+        call.reattaches += 1;
+        self.timers.set(call.deadline, Timer::Deadline(id));
+        self.timers.set(now + wait, Timer::Reattach(id));
+        self.selector.on_sent(target);
+        self.calls.insert(id, call);
+    }
+
+    pub(crate) fn on_reattach_timer(&mut self, now: Time, id: CallId) {
+        if let Some(call) = self.calls.swap_remove(&id) {
+            self.count(Counter::Reattach);
+            self.send_attempt(now, id, &call);
+            self.calls.insert(id, call);
+        }
+    }
+
     /// Nobody will tell how the attempt ended. Only an idempotent call may be tried again.
     /// The calls below count as retries then, so there must be enough for all of them: with less
     /// the second run could not end, and would be wasted.
@@ -338,6 +375,7 @@
 
     fn take_call(&mut self, id: CallId) -> Option<Outgoing> {
         let call = self.calls.swap_remove(&id)?;
+        self.selector.on_ended(call.target.incarnation);
         self.timers.clear(call.deadline, Timer::Deadline(id));
         Some(call)
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,9 +1,11 @@
 //! The engine's state, and how inputs reach the controllers.
 
 use crate::admission::Admission;
+use crate::answered::Answered;
 use crate::calls::Outgoing;
 use crate::entry::OpenRequest;
 use crate::fetch::FetchLink;
+use crate::homes::HeldCalls;
 use crate::homes::KeyWork;
 use crate::log::LogLink;
 use crate::quarantine::Suspects;
@@ -22,8 +24,8 @@
 use membership::Membership;
 use once::Home;
 use policy::Budget;
+use policy::Selector;
 use policy::Server;
-use proto::Answer;
 use proto::Below;
 use proto::CallId;
 use proto::Frame;
@@ -36,12 +38,8 @@
 use rand::SeedableRng;
 use std::collections::VecDeque;
 use std::time::Duration;
-use stdx::Bounded;
 use stdx::Time;
 
-/// Answers of inbound calls that are kept for a caller whose connection was lost.
-const ANSWERS_KEPT: usize = 256;
-
 /// When a caller may come back after a refusal that says nothing more exact.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -75,6 +73,9 @@
     pub(crate) log: LogLink,
     pub(crate) fetch: FetchLink,
     pub(crate) members: Membership,
+    pub(crate) selector: Selector,
+    /// The views have changed since the members were told.
+    pub(crate) roster_changed: bool,
     pub(crate) home: Home,
     pub(crate) server: Server,
     /// Requests of callers and of the own backend server, in flight.
@@ -86,7 +87,7 @@
     /// Calls from nodes (this one included) that are not answered yet.
     pub(crate) inbound: IndexMap<CallId, Inbound>,
     /// Answers given lately, for calls that attach again.
-    pub(crate) answered: Bounded<CallId, Answer>,
+    pub(crate) answered: Answered,
     /// Work for the own backend server, queued or running.
     pub(crate) jobs: IndexMap<RunId, Job>,
     /// Who waits for the run of a key.
@@ -98,6 +99,12 @@
     pub(crate) suspects: Suspects,
     /// Retries of this node's calls, as a ratio of its calls.
     pub(crate) retry_budget: Budget,
+    /// Calls that wait for a slot on its way here.
+    pub(crate) held: HeldCalls,
+    /// The log's views leave this incarnation out.
+    pub(crate) expelled: bool,
+    /// When a stop no longer waits for its slots to be taken.
+    pub(crate) handover_ends: Option<Time>,
     pub(crate) timers: Timers,
     pub(crate) stopping: bool,
     /// From then on a stopping node starts no work at all on its backend server.
@@ -135,6 +142,8 @@
             log: LogLink::default(),
             fetch: FetchLink::default(),
             members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
+            selector: Selector::new(),
+            roster_changed: false,
             home: Home::new(cfg.once.clone(), incarnation),
             server: Server::new(
                 cfg.policy,
@@ -146,7 +155,7 @@
             followers: IndexMap::new(),
             calls: IndexMap::new(),
             inbound: IndexMap::new(),
-            answered: Bounded::new(ANSWERS_KEPT),
+            answered: Answered::new(),
             jobs: IndexMap::new(),
             keys: IndexMap::new(),
             run_below: Below::default(),
@@ -154,6 +163,9 @@
             resends: Resends::new(),
             suspects: Suspects::new(),
             retry_budget: Budget::new(),
+            held: HeldCalls::new(),
+            expelled: false,
+            handover_ends: None,
             timers: Timers::default(),
             stopping: false,
             closed_at: Time::ZERO,
@@ -201,7 +213,7 @@
         self.drain_loopback(now);
         self.run_fetch(now);
         self.pump_appends(now);
-        self.check_stopped();
+        self.check_stopped(now);
         std::mem::take(&mut self.out)
     }
 
@@ -210,6 +222,7 @@
         [
             self.timers.next(),
             self.members.next_timer(),
+            self.home.next_timer(),
             self.server.next_timer(),
             self.log.next_timer(),
             self.fetch.due,
@@ -256,9 +269,13 @@
                 Timer::Deadline(call) => self.on_deadline(now, call),
                 Timer::Suspects => self.repeat_reports(now),
                 Timer::Run(run) => self.on_run_deadline(now, run),
+                Timer::Held(call) => self.on_held_too_long(call),
+                Timer::Handover => {}
+                Timer::Reattach(call) => self.on_reattach_timer(now, call),
             }
         }
         self.tick_members(now);
+        self.tick_home(now);
         self.pump_server(now);
     }
 
@@ -281,7 +298,11 @@
                 crashes,
             } => self.on_suspect(now, from, &service, request, crashes),
             // The shell answers the frames that are about the connection itself.
-            _ => self.count(Counter::Unexpected),
+            frame => {
+                if !self.on_home_frame(now, from, frame) {
+                    self.count(Counter::Unexpected);
+                }
+            }
         }
     }
 
@@ -310,16 +331,17 @@
         Refusal::new(reason, RETRY_AFTER)
     }
 
-    fn on_stop(&mut self, now: Time) {
+    pub(crate) fn on_stop(&mut self, now: Time) {
         self.stopping = true;
         self.closed_at = now + CLOSE_AFTER;
+        self.leave_home(now);
         self.leave_members(now);
         self.leave_log(now);
     }
 
-    fn check_stopped(&mut self) {
+    fn check_stopped(&mut self, now: Time) {
         let idle = self.open.is_empty() && self.inbound.is_empty() && self.jobs.is_empty();
-        if self.stopping && idle && self.log.left() {
+        if self.stopping && idle && self.log.left() && self.has_handed_over(now) {
             self.out.push(Output::Stopped);
         }
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,6 +5,7 @@
 //! the same code, each with a clock and a network of its own.
 
 mod admission;
+mod answered;
 mod appends;
 mod calls;
 mod config;
@@ -26,6 +27,7 @@
 
 pub use config::Config;
 pub use counter::Counter;
+pub use counter::LinkEvent;
 pub use engine::Engine;
 pub use engine::Tables;
 pub use gauges::Gauge;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -23,15 +23,14 @@
 /// What this node has to say to the log and whether it got through.
 #[derive(Debug, Default)]
 pub(crate) struct LogLink {
-    pub(crate) reachable: bool,
+    /// The last read got no answer.
+    pub(crate) down: bool,
     /// The log was read to its end once, or its state came from a peer. Before that the rules and
     /// views may be older than what this address had in force when it was last up.
     pub(crate) ready: bool,
     pub(crate) snapshots: SnapshotClock,
     /// The oldest record that the log still has.
     pub(crate) first: u64,
-    /// The number of the view of the own service that was taken last.
-    view: Option<u64>,
     pub(crate) appends: AppendQueue,
     /// A `Join` may stand in the stream, now or later.
     join_sent: bool,
@@ -45,6 +44,11 @@
         !self.appends.contains(AppendKey::Leave)
     }
 
+    /// Whether a stop no longer waits for its `Leave`.
+    pub(crate) fn has_given_up(&self) -> bool {
+        self.give_up.is_none()
+    }
+
     /// When the controller has something to do.
     pub(crate) fn next_timer(&self) -> Option<Time> {
         let timers = [self.appends.next_due(), self.give_up];
@@ -54,6 +58,15 @@
 
 impl Engine {
     pub(crate) fn on_records(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
+        let before = self.journal.version;
+        self.fold(now, records);
+        // What is read at the start is no news to anybody.
+        if self.log.ready && self.journal.version > before {
+            self.spread_offset();
+        }
+    }
+
+    fn fold(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
         for (offset, record) in records {
             match self.journal.apply(offset, &record) {
                 Change::Nothing | Change::Old => {}
@@ -63,7 +76,7 @@
                     self.count(Counter::RulesInForce);
                     self.on_rules(now);
                 }
-                Change::View(_) => self.on_view_change(now),
+                Change::View(service) => self.on_view_change(now, &service),
                 Change::Restored => {
                     self.on_restored(now);
                     // What follows here comes after records that the snapshot does not cover.
@@ -76,6 +89,10 @@
 
     fn on_rules(&mut self, now: Time) {
         let limit = self.journal.rules.limit(&self.me.service);
+        let deadlines = self.journal.rules.operations.iter();
+        let longest = deadlines.map(|operation| operation.deadline).max();
+        let longest = longest.unwrap_or(limit.key_retention);
+        self.home.set_times(limit.key_retention, longest);
         self.server
             .set_bounds(limit.min_concurrency, limit.max_concurrency, limit.queue);
         self.update_roster(now);
@@ -84,20 +101,15 @@
     pub(crate) fn on_restored(&mut self, now: Time) {
         self.count(Counter::Restored);
         self.on_rules(now);
-        self.on_view_change(now);
+        // The views between the last one taken and this one are not known.
+        self.update_home(now, false);
     }
 
-    fn on_view_change(&mut self, now: Time) {
+    fn on_view_change(&mut self, now: Time, service: &str) {
         self.update_roster(now);
-        let Some(view) = self.journal.view(&self.me.service) else {
-            return;
-        };
-        if self.log.view == Some(view.number) {
-            return;
+        if *service == *self.me.service {
+            self.update_home(now, true);
         }
-        self.log.view = Some(view.number);
-        self.home.on_view(now, view.number, &view.members);
-        self.count(Counter::ViewTaken);
     }
 
     pub(crate) fn on_log_start(&mut self, first: u64) {
@@ -106,7 +118,8 @@
     }
 
     pub(crate) fn on_log_read(&mut self, now: Time) {
-        self.log.reachable = true;
+        self.home.on_log_read(now);
+        self.log.down = false;
         if self.journal.is_scanning() {
             // The records that this node lacks have expired, and no snapshot stands in for them.
             self.count(Counter::NoSnapshot);
@@ -201,7 +214,8 @@
     /// the `Leave` is said after it.
     pub(crate) fn leave_log(&mut self, now: Time) {
         self.log.appends.remove(AppendKey::Join);
-        if self.log.join_sent || self.is_listed() {
+        let gone = self.journal.departed.contains_key(&self.me.incarnation);
+        if !gone && (self.log.join_sent || self.is_listed()) {
             self.append(&Record::Leave(self.me.incarnation));
             // In an outage of the log a stop would never end. The views go on naming this node
             // then, until another one evicts it.
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::admission::operation_key;
 use crate::admission::shed;
 use crate::admission::OperationKey;
+use crate::answered::Seen;
 use crate::timers::Timer;
 use crate::Counter;
 use crate::Engine;
@@ -49,6 +50,8 @@
     Run(RunId),
     /// The run of a key, perhaps together with others.
     Key(KeyHash),
+    /// The key's slot, which is on its way here.
+    Held,
 }
 
 /// Work for the own backend server, queued or running.
@@ -138,13 +141,17 @@
 impl Engine {
     pub(crate) fn on_call(&mut self, now: Time, from: Incarnation, call: Call) {
         // The id is known: the call came over a connection that was lost, or the frame came twice.
-        if let Some(answer) = self.answered.get(&call.id) {
-            let frame = Frame::Answer(call.id, Box::new(answer.clone()));
-            return self.send_to(from, frame);
-        }
         if self.inbound.contains_key(&call.id) {
             return;
         }
+        match self.answered.get(call.id) {
+            Seen::Answered(answer) => {
+                let frame = Frame::Answer(call.id, Box::new(answer.clone()));
+                return self.send_to(from, frame);
+            }
+            Seen::Forgotten => return self.answer_forgotten(from, call.id),
+            Seen::Never => {}
+        }
         match call.leg {
             Leg::Serve => self.serve(now, call),
             Leg::Home => self.on_home_call(now, call),
@@ -267,16 +274,25 @@
     }
 
     fn start(&mut self, now: Time, run: RunId) {
+        let Some((owner, class)) = self.jobs.get(&run).map(|job| (job.owner, job.class)) else {
+            return;
+        };
+        let start_within = match self.right_to_start(now, owner) {
+            Ok(start_within) => start_within,
+            Err(reason) => {
+                self.server.finished(now, class, policy::Ended::Failed);
+                return self.end_job(now, run, self.not_run(reason));
+            }
+        };
         let Some(job) = self.jobs.get_mut(&run) else {
             return;
         };
         job.started = Some(now);
-        let class = job.class;
         self.out.push(Output::Run {
             run,
             request: job.request.clone(),
             remaining: now.until(job.deadline),
-            start_within: None,
+            start_within,
         });
         self.count(Counter::Run(class));
     }
@@ -335,6 +351,7 @@
         match inbound.work {
             Work::Run(run) => self.cancel_run(now, run),
             Work::Key(key) => self.cancel_key(now, key, id),
+            Work::Held => self.cancel_held(id),
         }
     }
 
@@ -371,6 +388,17 @@
         self.end_job(now, run, self.not_run(Reason::CallerGone));
     }
 
+    /// Answers a call of which nobody can tell whether it was answered before.
+    fn answer_forgotten(&mut self, from: Incarnation, id: CallId) {
+        let answer = Answer {
+            outcome: Outcome::Unknown(Reason::PeerLost),
+            unspent: 0,
+            load: self.load_report(),
+            below: Below::default(),
+        };
+        self.send_to(from, Frame::Answer(id, Box::new(answer)));
+    }
+
     /// Answers an inbound call, once.
     pub(crate) fn answer_call(&mut self, id: CallId, unspent: u16, outcome: Outcome) {
         self.inbound.swap_remove(&id);
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -16,6 +16,12 @@
         Suspects,
         /// The deadline of work for the own backend server.
         Run(RunId),
+        /// A call has waited for its slot for long enough.
+        Held(CallId),
+        /// A stopping node has waited long enough for its slots to be taken.
+        Handover,
+        /// A call is to be sent again over a new connection.
+        Reattach(CallId),
     }
 }
 
--- a/crates/engine/tests/log/outage.rs
+++ b/crates/engine/tests/log/outage.rs
@@ -11,10 +11,8 @@
 use proto::Datagram;
 use proto::MemberMessage;
 use proto::Outcome;
-use proto::PeerState;
 use proto::Reason;
 use proto::Request;
-use proto::Rumour;
 use proto::PROTOCOL_VERSION;
 use std::time::Duration;
 
@@ -73,15 +71,7 @@
         datagram: Datagram::Member {
             version: PROTOCOL_VERSION,
             log_next: from.engine.next_offset(),
-            message: MemberMessage::Ack {
-                from: Rumour {
-                    instance: instance(n),
-                    state: PeerState::Alive,
-                    beat: 0,
-                },
-                seq: 0,
-                digest: 0,
-                load: Default::default(),
+            message: MemberMessage::Gossip {
                 rumours: Vec::new(),
             },
         },
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -74,10 +74,6 @@
             return ExitCode::from(2);
         }
     };
-        for o in &outcomes {
-            println!("{} {:?}", o.name, o.goodput);
-        }
-    }
     let Some(path) = args.plot else {
         return ExitCode::SUCCESS;
     };
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -32,6 +32,9 @@
 /// The most peers that are told directly; the others hear it by gossip.
 const MAX_TOLD: usize = 64;
 
+/// The most suspects that are asked after a pause.
+const MAX_ASKED_AFTER_PAUSE: usize = 32;
+
 /// What the driver has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
@@ -109,7 +112,8 @@
 
     /// Takes the log's word on who is there. Who was listed and is not any more is gone for good,
     /// unless the log lists it again; it is not taken for dead before it is silent, because it may
-    /// still be finishing what it has in flight.
+    /// still be finishing what it has in flight. None of this is passed on: the others read the same
+    /// log, and who cannot finds the difference by digests.
     pub fn set_roster<'a>(
         &mut self,
         now: Time,
@@ -164,12 +168,10 @@
                 load,
                 rumours,
             } => {
-                self.on_ack(now, &sender, seq, load);
+                self.on_ack(now, &sender, seq, digest, load);
                 self.hear_sender(now, &sender, load);
                 self.hear_all(now, &rumours);
-                if from == sender.instance.addr {
-                    self.compare(now, from, digest);
-                }
+                self.compare(now, sender.instance.addr, digest);
             }
             MemberMessage::PingReq { seq, target } => self.on_ping_req(from, seq, target),
             MemberMessage::Gossip { rumours } => self.hear_all(now, &rumours),
@@ -359,7 +361,9 @@
             return self.effects.push(Effect::TableFull);
         }
         let instance = rumour.instance.clone();
+        let incarnation = instance.incarnation;
         self.enter(now, instance, rumour.state, rumour.beat);
+        self.spread(incarnation);
     }
 
     fn enter(&mut self, now: Time, instance: Instance, state: PeerState, beat: u32) {
@@ -370,6 +374,7 @@
         self.after_change(now, incarnation, state);
     }
 
+    /// Takes a peer's new state, and passes it on.
     pub(crate) fn set_state(
         &mut self,
         now: Time,
@@ -377,6 +382,11 @@
         state: PeerState,
         beat: u32,
     ) {
+        self.change(now, incarnation, state, beat);
+        self.spread(incarnation);
+    }
+
+    fn change(&mut self, now: Time, incarnation: Incarnation, state: PeerState, beat: u32) {
         let Some(entry) = self.peers.get_mut(&incarnation) else {
             return;
         };
@@ -393,14 +403,11 @@
                 self.occupants.insert(addr, incarnation);
             }
             self.after_change(now, incarnation, state);
-        } else {
-            self.spread(incarnation);
         }
     }
 
     fn after_change(&mut self, now: Time, incarnation: Incarnation, state: PeerState) {
         self.digests.invalidate();
-        self.spread(incarnation);
         if state == PeerState::Suspect {
             self.start_suspicion(now, incarnation);
         }
@@ -460,18 +467,25 @@
     }
 
     /// A node that was paused finds all its timers run out, and the acks and refutations that came
-    /// meanwhile unread. Without this it would hold live peers for dead when it wakes up.
+    /// meanwhile unread or lost. Without this it would hold live peers for dead when it wakes up.
+    /// Suspects get their time anew, and are asked, because their refutations are old news.
     fn excuse_pause(&mut self, now: Time) {
         let due = self.next_timer().unwrap_or(now);
         if now.since(due) < self.cfg.probe_interval || due == Time::ZERO {
             return;
         }
         self.probes.abandon();
-        for (_, incarnation) in std::mem::take(&mut self.suspects) {
-            if let Some(entry) = self.peers.get_mut(&incarnation) {
-                entry.dead_at = None;
-            }
+        let suspects = std::mem::take(&mut self.suspects);
+        for (asked, (_, incarnation)) in suspects.into_iter().enumerate() {
+            let Some(entry) = self.peers.get_mut(&incarnation) else {
+                continue;
+            };
+            entry.dead_at = None;
+            let addr = entry.peer.instance.addr;
             self.start_suspicion(now, incarnation);
+            if asked < MAX_ASKED_AFTER_PAUSE {
+                self.ping(addr);
+            }
         }
     }
 
@@ -480,6 +494,7 @@
         let incarnation = rumour.instance.incarnation;
         if !self.peers.contains_key(&incarnation) {
             self.enter(now, rumour.instance.clone(), PeerState::Dead, rumour.beat);
+            self.spread(incarnation);
         }
         self.bury(now, incarnation);
     }
@@ -527,7 +542,7 @@
         entry.gone = true;
         let (state, beat) = (entry.peer.state, entry.beat);
         if matches!(state, PeerState::Alive | PeerState::Suspect) {
-            self.set_state(now, incarnation, PeerState::Leaving, beat);
+            self.change(now, incarnation, PeerState::Leaving, beat);
             if state == PeerState::Suspect {
                 self.start_suspicion(now, incarnation);
             }
@@ -573,7 +588,7 @@
         if let Some(entry) = self.peers.get_mut(&incarnation) {
             entry.gone = false;
             let beat = entry.beat;
-            self.set_state(now, incarnation, PeerState::Alive, beat);
+            self.change(now, incarnation, PeerState::Alive, beat);
         }
     }
 
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -3,9 +3,14 @@
 use crate::backend::is_end_to_end;
 use crate::backend::CONTEXT_HEADER;
 use crate::backend::DEADLINE_HEADER;
+use crate::body;
+use crate::body::Limits;
+use crate::body::Reservation;
 use crate::shell::Reply;
 use crate::shell::Shell;
 use actix_http::body::BoxBody;
+use actix_http::error::DispatchError;
+use actix_http::error::ParseError;
 use actix_http::HttpMessage;
 use actix_http::HttpService;
 use actix_http::Request as HttpRequest;
@@ -16,10 +21,8 @@
 use actix_service::Service;
 use actix_service::ServiceFactory;
 use bytes::Bytes;
-use bytes::BytesMut;
 use engine::Input;
 use engine::Token;
-use futures_util::StreamExt;
 use proto::Outcome;
 use proto::Reason;
 use proto::Refusal;
@@ -52,7 +55,10 @@
             async move { Ok::<_, Infallible>(handle(shell, req).await) }
         })
     };
-    let factory = HttpService::build().h1(handler.into_factory());
+    // Half-closed counts as gone, so that the work of a caller that hung up is cancelled.
+    let factory = HttpService::build()
+        .h1_allow_half_closed(false)
+        .h1(handler.into_factory());
     let Ok(service) = factory.new_service(()).await else {
         return log::error!("the HTTP service did not start");
     };
@@ -65,14 +71,29 @@
         };
         let _ = stream.set_nodelay(true);
         let service = service.clone();
+        let shell = shell.clone();
         actix_rt::spawn(async move {
             if let Err(e) = service.call((stream, Some(peer))).await {
-                log::debug!("{peer}: {e}");
+                log::debug!("event=caller_connection_ended peer={peer} error=\"{e}\"");
+                if let Some(reason) = library_refusal(&e) {
+                    shell.count(engine::Counter::NotRun(reason));
+                }
             }
         });
     }
 }
 
+/// Why the library refused a head before it reached the handler: with 400, 408 or 431, and without
+/// an outcome header.
+fn library_refusal(e: &DispatchError) -> Option<Reason> {
+    match e {
+        DispatchError::Parse(ParseError::TooLarge) => Some(Reason::TooLarge),
+        DispatchError::Parse(_) => Some(Reason::BadRequest),
+        DispatchError::SlowRequestTimeout => Some(Reason::Deadline),
+        _ => None,
+    }
+}
+
 /// Tells the engine that nobody waits any more, unless the answer was delivered.
 struct Waiting {
     shell: Rc<Shell>,
@@ -93,21 +114,22 @@
             .body(shell.status())
             .map_into_boxed_body();
     }
-    let request = match read_request(&shell, &mut req).await {
-        Ok(request) => request,
+    let entry = match read_entry(&shell, &mut req).await {
+        Ok(entry) => entry,
         Err(reason) => {
+            log::debug!("event=refused reason={}", reason.name());
             shell.count(engine::Counter::NotRun(reason));
             return respond((not_run(reason), None));
         }
     };
-    let caller = header(&req, &shell.settings.caller_header)
-        .or_else(|| req.peer_addr().map(|addr| addr.ip().to_string().into()))
-        .unwrap_or_else(|| "".into());
-    let context = header(&req, CONTEXT_HEADER);
-    let key = header(&req, KEY_HEADER);
-    let patience = header(&req, DEADLINE_HEADER)
-        .and_then(|millis| millis.parse().ok())
-        .map(Duration::from_millis);
+    let Entry {
+        caller,
+        context,
+        key,
+        patience,
+        request,
+        reservation: _reservation,
+    } = entry;
     let input = |token| Input::Request {
         token,
         caller,
@@ -129,11 +151,28 @@
     respond(reply)
 }
 
-/// `/SERVICE/REST` becomes a request for `/REST` to `SERVICE`.
-async fn read_request(shell: &Shell, req: &mut HttpRequest) -> Result<Request, Reason> {
-    let uri = req.uri().clone();
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    let (service, rest) = path[1..].split_once('/').ok_or(Reason::NoSuchOperation)?;
+/// A request as its caller sent it.
+struct Entry {
+    caller: Arc<str>,
+    context: Option<Arc<str>>,
+    key: Option<Arc<str>>,
+    patience: Option<Duration>,
+    request: Request,
+    reservation: Reservation,
+}
+
+async fn read_entry(shell: &Shell, req: &mut HttpRequest) -> Result<Entry, Reason> {
+    let address = req.peer_addr().map(|addr| addr.ip().to_string().into());
+    let caller = header(req, &shell.settings.caller_header, Reason::BadRequest)?;
+    let (service, path) = target(req)?;
+    let context = header(req, CONTEXT_HEADER, Reason::BadRequest)?;
+    let key = header(req, KEY_HEADER, Reason::BadKey)?;
+    let patience = patience(req)?;
+    let limits = Limits {
+        max: shell.settings.max_body,
+        time: shell.settings.body_timeout,
+    };
+    let (body, reservation) = body::read(req, limits, &shell.bodies).await?;
     let headers = req.headers().iter();
     let headers = headers
         .filter(|(name, _)| is_end_to_end(name))
@@ -144,30 +183,51 @@
             )
         })
         .collect();
-    Ok(Request {
-        service: service.into(),
-        method: req.method().as_str().into(),
-        path: format!("/{rest}").into(),
-        headers,
-        body: read_body(req, shell.settings.max_body).await?,
+    Ok(Entry {
+        caller: caller.or(address).unwrap_or_else(|| "".into()),
+        context,
+        key,
+        patience,
+        request: Request {
+            service,
+            method: req.method().as_str().into(),
+            path,
+            headers,
+            body,
+        },
+        reservation,
     })
 }
 
-async fn read_body(req: &mut HttpRequest, max: usize) -> Result<Bytes, Reason> {
-    let mut payload = req.take_payload();
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| Reason::BadRequest)?;
-        if body.len() + chunk.len() > max {
-            return Err(Reason::TooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
+/// `/SERVICE/REST` asks `SERVICE` for `/REST`.
+fn target(req: &HttpRequest) -> Result<(Arc<str>, Arc<str>), Reason> {
+    let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
+    let path = path.strip_prefix('/').unwrap_or(path);
+    let (service, rest) = path.split_once('/').ok_or(Reason::NoSuchOperation)?;
+    Ok((service.into(), format!("/{rest}").into()))
 }
 
-fn header(req: &HttpRequest, name: &str) -> Option<Arc<str>> {
-    req.headers().get(name)?.to_str().ok().map(Into::into)
+/// The milliseconds that the caller has. A value that is no number is an error: taken for none, the
+/// work would go on long after the caller has gone.
+fn patience(req: &HttpRequest) -> Result<Option<Duration>, Reason> {
+    let Some(text) = header(req, DEADLINE_HEADER, Reason::BadRequest)? else {
+        return Ok(None);
+    };
+    let millis = text.parse().map_err(|_| Reason::BadRequest)?;
+    Ok(Some(Duration::from_millis(millis)))
+}
+
+/// A header that may stand once, in visible ASCII.
+fn header(req: &HttpRequest, name: &str, bad: Reason) -> Result<Option<Arc<str>>, Reason> {
+    let mut values = req.headers().get_all(name);
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad);
+    }
+    let text = value.to_str().map_err(|_| bad)?;
+    Ok(Some(text.into()))
 }
 
 fn not_run(reason: Reason) -> Outcome {
@@ -223,7 +283,7 @@
 
 impl Shell {
     /// The status page: `key value` lines, for `bilberryctl status`.
-    fn status(&self) -> String {
+    pub(crate) fn status(&self) -> String {
         let engine = self.engine.borrow();
         let mut lines = vec![
             format!("incarnation {}", self.me.incarnation),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,14 +4,18 @@
 //! for is done. One thread, one `actix-rt` system.
 
 mod backend;
+mod body;
 mod caller;
+mod events;
 mod fetch;
+mod link;
 mod log_reader;
 mod metrics;
 mod peers;
 mod settings;
 mod shell;
 mod udp;
+mod wire;
 
 pub use settings::Settings;
 pub use settings::SettingsError;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,9 +1,25 @@
 //! Settings, in INI.
 
+mod error;
+mod value;
+
+pub use error::SettingsError;
+
 use ini::Ini;
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
+use value::advertised;
+use value::bound;
+use value::bytes;
+use value::contacts;
+use value::duration;
+use value::header;
+use value::level;
+use value::reachable;
+use value::service;
+use value::word;
+use value::Key;
 
 /// A node's settings. What the operators decide is in the rules, not here.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,6 +34,9 @@
     pub http_addr: SocketAddr,
     /// Where other nodes reach it, by TCP and UDP.
     pub peer_addr: SocketAddr,
+    /// Where other nodes are told to reach it, if that is not `peer_addr`, because that one is a
+    /// wildcard or behind a translation of addresses.
+    pub advertised_addr: Option<SocketAddr>,
     /// Hints where other nodes may be.
     pub contacts: Vec<SocketAddr>,
     /// The backend server.
@@ -30,90 +49,64 @@
     pub log_addr: SocketAddr,
     /// The stream there.
     pub log_stream: String,
+    /// How long the log service keeps records.
+    pub log_retention: Duration,
     /// The log level.
     pub log_level: log::LevelFilter,
     /// Where metrics go, by UDP.
     pub metrics_addr: Option<SocketAddr>,
     /// The largest body of a request or response, in bytes.
     pub max_body: usize,
+    /// The most bytes of callers' bodies in flight together.
+    pub max_bodies: usize,
+    /// How long a caller may take for its body.
+    pub body_timeout: Duration,
 }
 
-/// What is wrong with the settings.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum SettingsError {
-    /// The file could not be read.
-    Unreadable(String),
-    /// The file is not INI.
-    Syntax(String),
-    /// A key is missing.
-    Missing {
-        /// The section.
-        section: &'static str,
-        /// The key.
-        key: &'static str,
-    },
-    /// A value is not what the key takes.
-    BadValue {
-        /// The section.
-        section: &'static str,
-        /// The key.
-        key: &'static str,
-        /// The value.
-        value: String,
-        /// What is allowed.
-        allowed: &'static str,
-    },
-    /// A section or key that there is none of.
-    Unknown {
-        /// The section.
-        section: String,
-        /// The key.
-        key: String,
-    },
-}
+/// The largest `max_body`: a body travels in one frame, with its head.
+const MAX_BODY: usize = 3 << 20;
 
-impl fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            SettingsError::Unreadable(path) => write!(f, "{path} cannot be read"),
-            SettingsError::Syntax(what) => write!(f, "not INI: {what}"),
-            SettingsError::Missing { section, key } => write!(f, "[{section}] {key} is missing"),
-            SettingsError::BadValue {
-                section,
-                key,
-                value,
-                allowed,
-            } => {
-                write!(f, "[{section}] {key} = {value}: takes {allowed}")
-            }
-            SettingsError::Unknown { section, key } => write!(f, "[{section}] {key}: unknown"),
-        }
-    }
-}
-
-impl std::error::Error for SettingsError {}
+const SERVICE: Key = Key::new("node", "service");
+const FAILURE_DOMAIN: Key = Key::new("node", "failure_domain");
+const REGION: Key = Key::new("node", "region");
+const HTTP_ADDR: Key = Key::new("node", "http_addr");
+const PEER_ADDR: Key = Key::new("node", "peer_addr");
+const ADVERTISED_ADDR: Key = Key::new("node", "advertised_addr");
+const CONTACTS: Key = Key::new("node", "contacts");
+const MAX_BODY_KEY: Key = Key::new("node", "max_body");
+const MAX_BODIES: Key = Key::new("node", "max_bodies");
+const BODY_TIMEOUT: Key = Key::new("node", "body_timeout");
+const CALLER_HEADER: Key = Key::new("node", "caller_header");
+const BACKEND_ADDR: Key = Key::new("backend_server", "addr");
+const REFUSAL_HEADER: Key = Key::new("backend_server", "refusal_header");
+const LOG_ADDR: Key = Key::new("log_service", "addr");
+const LOG_STREAM: Key = Key::new("log_service", "stream");
+const LOG_RETENTION: Key = Key::new("log_service", "retention");
+const LOG_LEVEL: Key = Key::new("logging", "level");
+const METRICS_ADDR: Key = Key::new("metrics", "addr");
 
 /// Every key there is.
-const KNOWN: [(&str, &str); 14] = [
-    ("node", "service"),
-    ("node", "failure_domain"),
-    ("node", "region"),
-    ("node", "http_addr"),
-    ("node", "peer_addr"),
-    ("node", "contacts"),
-    ("node", "max_body"),
-    ("node", "caller_header"),
-    ("backend_server", "addr"),
-    ("backend_server", "refusal_header"),
-    ("log_service", "addr"),
-    ("log_service", "stream"),
-    ("logging", "level"),
-    ("metrics", "addr"),
+const KNOWN: [Key; 18] = [
+    SERVICE,
+    FAILURE_DOMAIN,
+    REGION,
+    HTTP_ADDR,
+    PEER_ADDR,
+    ADVERTISED_ADDR,
+    CONTACTS,
+    MAX_BODY_KEY,
+    MAX_BODIES,
+    BODY_TIMEOUT,
+    CALLER_HEADER,
+    BACKEND_ADDR,
+    REFUSAL_HEADER,
+    LOG_ADDR,
+    LOG_STREAM,
+    LOG_RETENTION,
+    LOG_LEVEL,
+    METRICS_ADDR,
 ];
 
-const ADDR: &str = "IP:PORT";
-const WORD: &str = "1 to 64 letters, digits, `-`, `_` or `.`";
-
 impl Settings {
     /// Reads and checks a file.
     ///
@@ -140,102 +133,65 @@
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
         let ini = Ini::load_from_str(text).map_err(|e| SettingsError::Syntax(e.to_string()))?;
         refuse_unknown(&ini)?;
-        let backend = "backend_server";
+        let max_body = MAX_BODY_KEY.or(&ini, 1 << 20, bytes(1, MAX_BODY))?;
         Ok(Self {
-            service: word(&ini, "node", "service")?,
-            failure_domain: word(&ini, "node", "failure_domain")?,
-            region: word(&ini, "node", "region")?,
-            http_addr: required(&ini, "node", "http_addr", ADDR)?,
-            peer_addr: required(&ini, "node", "peer_addr", ADDR)?,
-            contacts: contacts(&ini)?,
-            backend_server_addr: required(&ini, backend, "addr", ADDR)?,
-            refusal_header: optional(&ini, backend, "refusal_header", "a header's name")?
-                .unwrap_or_else(|| "x-not-run".to_owned()),
-            caller_header: optional(&ini, "node", "caller_header", "a header's name")?
-                .unwrap_or_else(|| "x-caller".to_owned()),
-            log_addr: required(&ini, "log_service", "addr", ADDR)?,
-            log_stream: optional(&ini, "log_service", "stream", WORD)?
-                .unwrap_or_else(|| "bilberrycove".to_owned()),
-            log_level: optional(
+            service: SERVICE.required(&ini, service)?,
+            failure_domain: FAILURE_DOMAIN.required(&ini, word)?,
+            region: REGION.required(&ini, word)?,
+            http_addr: HTTP_ADDR.required(&ini, bound)?,
+            peer_addr: PEER_ADDR.required(&ini, advertised)?,
+            advertised_addr: ADVERTISED_ADDR.optional(&ini, advertised)?,
+            contacts: CONTACTS.or(&ini, Vec::new(), contacts)?,
+            backend_server_addr: BACKEND_ADDR.required(&ini, reachable)?,
+            refusal_header: REFUSAL_HEADER.or(&ini, "x-not-run".to_owned(), header)?,
+            caller_header: CALLER_HEADER.or(&ini, "x-caller".to_owned(), header)?,
+            log_addr: LOG_ADDR.required(&ini, reachable)?,
+            log_stream: LOG_STREAM.or(&ini, "bilberrycove".to_owned(), word)?,
+            log_retention: LOG_RETENTION.or(&ini, DAY, duration(RETENTIONS))?,
+            log_level: LOG_LEVEL.or(&ini, log::LevelFilter::Info, level)?,
+            metrics_addr: METRICS_ADDR.optional(&ini, reachable)?,
+            max_body,
+            max_bodies: MAX_BODIES.or(
                 &ini,
-                "logging",
-                "level",
-                "off, error, warn, info, debug or trace",
-            )?
-            .unwrap_or(log::LevelFilter::Info),
-            metrics_addr: optional(&ini, "metrics", "addr", ADDR)?,
-            max_body: optional(&ini, "node", "max_body", "a number of bytes")?.unwrap_or(1 << 20),
+                DEFAULT_BODIES.max(max_body),
+                bytes(max_body, MAX_BUDGET),
+            )?,
+            body_timeout: BODY_TIMEOUT.or(&ini, Duration::from_secs(10), duration(BODY_TIMES))?,
         })
     }
 }
 
+const DAY: Duration = Duration::from_secs(24 * 3600);
+
+/// What `log_service.retention` may be.
+const RETENTIONS: (Duration, Duration) =
+    (Duration::from_secs(600), Duration::from_secs(8760 * 3600));
+
+/// What `node.body_timeout` may be.
+const BODY_TIMES: (Duration, Duration) = (Duration::from_millis(1), Duration::from_secs(300));
+
+/// `node.max_bodies`, unless one body may be larger.
+const DEFAULT_BODIES: usize = 8 << 20;
+
+/// The largest `node.max_bodies`.
+const MAX_BUDGET: usize = 1 << 30;
+
 fn refuse_unknown(ini: &Ini) -> Result<(), SettingsError> {
     for (section, properties) in ini.iter() {
         let section = section.unwrap_or("");
+        let mut seen = Vec::new();
         for (key, _) in properties.iter() {
-            if !KNOWN.contains(&(section, key)) {
-                let (section, key) = (section.to_owned(), key.to_owned());
+            let names = || (section.to_owned(), key.to_owned());
+            if !KNOWN.contains(&Key::new(section, key)) {
+                let (section, key) = names();
                 return Err(SettingsError::Unknown { section, key });
             }
+            if seen.contains(&key) {
+                let (section, key) = names();
+                return Err(SettingsError::Repeated { section, key });
+            }
+            seen.push(key);
         }
     }
     Ok(())
 }
-
-fn optional<T: std::str::FromStr>(
-    ini: &Ini,
-    section: &'static str,
-    key: &'static str,
-    allowed: &'static str,
-) -> Result<Option<T>, SettingsError> {
-    let Some(value) = ini.get_from(Some(section), key) else {
-        return Ok(None);
-    };
-    let bad = |_| SettingsError::BadValue {
-        section,
-        key,
-        value: value.to_owned(),
-        allowed,
-    };
-    value.parse().map(Some).map_err(bad)
-}
-
-fn required<T: std::str::FromStr>(
-    ini: &Ini,
-    section: &'static str,
-    key: &'static str,
-    allowed: &'static str,
-) -> Result<T, SettingsError> {
-    optional(ini, section, key, allowed)?.ok_or(SettingsError::Missing { section, key })
-}
-
-fn word(ini: &Ini, section: &'static str, key: &'static str) -> Result<String, SettingsError> {
-    let value: String = required(ini, section, key, WORD)?;
-    let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if value.is_empty() || value.len() > 64 || !value.chars().all(fits) {
-        return Err(SettingsError::BadValue {
-            section,
-            key,
-            value,
-            allowed: WORD,
-        });
-    }
-    Ok(value)
-}
-
-fn contacts(ini: &Ini) -> Result<Vec<SocketAddr>, SettingsError> {
-    let text = ini.get_from(Some("node"), "contacts").unwrap_or("");
-    let words = text
-        .split(',')
-        .map(str::trim)
-        .filter(|word| !word.is_empty());
-    let parse = |word: &str| {
-        word.parse().map_err(|_| SettingsError::BadValue {
-            section: "node",
-            key: "contacts",
-            value: word.to_owned(),
-            allowed: "IP:PORT, several with commas between",
-        })
-    };
-    words.map(parse).collect()
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,9 +16,9 @@
 
 pub use account::Account;
 pub use budget::Budget;
-pub use choose::choose;
-pub use choose::Candidate;
 pub use choose::Place;
+pub use choose::Selector;
+pub use choose::Standing;
 pub use heard::Heard;
 pub use level::admission_value;
 pub use level::come_back;
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -7,6 +7,7 @@
 use crate::Fingerprint;
 use crate::Incarnation;
 use crate::KeyHash;
+use crate::KeyRecord;
 use crate::Request;
 use crate::SlotTransfer;
 use bytes::Bytes;
@@ -58,6 +59,10 @@
             /// How often it did so at the sender.
             crashes: u32,
         },
+        /// A run has ended whose record moved to the receiver while it was under way.
+        Finished(Box<KeyRecord>),
+        /// The receiver of [`Frame::Finished`] has put it in its records.
+        FinishedDone(KeyHash),
         /// Asks for the log's state, from a node that cannot reach the log.
         FetchState {
             /// The next offset that the sender lacks.
@@ -65,6 +70,10 @@
         },
         /// The log's state as a snapshot, encoded by the journal package.
         State(Bytes),
+        /// Asks for the status page; from the operator's tool.
+        FetchStatus,
+        /// The status page: lines of a key and a value.
+        Status(Bytes),
     }
 }
 
