--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -2,6 +2,7 @@
 
 use crate::appends::AppendKey;
 use crate::appends::AppendQueue;
+use crate::fetch::Tail;
 use crate::snapshots::SnapshotClock;
 use crate::Counter;
 use crate::Engine;
@@ -31,6 +32,8 @@
     pub(crate) snapshots: SnapshotClock,
     /// The oldest record that the log still has.
     pub(crate) first: u64,
+    /// The newest records, for peers that lack them.
+    pub(crate) tail: Tail,
     pub(crate) appends: AppendQueue,
     /// A `Join` may stand in the stream, now or later.
     join_sent: bool,
@@ -68,7 +71,11 @@
 
     fn fold(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
         for (offset, record) in records {
-            match self.journal.apply(offset, &record) {
+            let change = self.journal.apply(offset, &record);
+            if self.journal.next == offset + 1 && change != Change::Old {
+                self.log.tail.push(offset, record);
+            }
+            match change {
                 Change::Nothing | Change::Old => {}
                 Change::Broken => self.count(Counter::BrokenRecord),
                 Change::Rejected => self.count(Counter::RejectedPublication),
@@ -76,7 +83,7 @@
                     self.count(Counter::RulesInForce);
                     self.on_rules(now);
                 }
-                Change::View(service) => self.on_view_change(now, &service),
+                Change::View(_) => self.on_view_change(now),
                 Change::Restored => {
                     self.on_restored(now);
                     // What follows here comes after records that the snapshot does not cover.
@@ -101,15 +108,13 @@
     pub(crate) fn on_restored(&mut self, now: Time) {
         self.count(Counter::Restored);
         self.on_rules(now);
-        // The views between the last one taken and this one are not known.
-        self.update_home(now, false);
+        // Views before the one in the state may have been missed.
+        self.update_home(now);
     }
 
-    fn on_view_change(&mut self, now: Time, service: &str) {
+    fn on_view_change(&mut self, now: Time) {
         self.update_roster(now);
-        if *service == *self.me.service {
-            self.update_home(now, true);
-        }
+        self.update_home(now);
     }
 
     pub(crate) fn on_log_start(&mut self, first: u64) {
@@ -118,7 +123,6 @@
     }
 
     pub(crate) fn on_log_read(&mut self, now: Time) {
-        self.home.on_log_read(now);
         self.log.down = false;
         if self.journal.is_scanning() {
             // The records that this node lacks have expired, and no snapshot stands in for them.
@@ -126,8 +130,14 @@
             return self.schedule_fetch(now, Duration::ZERO);
         }
         self.log.ready = true;
+        self.home.on_log_read(now);
+        self.check_departed(now);
         self.check_snapshot(now);
-        if !self.stopping && !self.is_listed() {
+        // An incarnation that the views have dropped never comes back: it ends, and its next start
+        // is another one.
+        let mine = self.me.incarnation;
+        let dropped = self.journal.departed.contains_key(&mine);
+        if !self.stopping && !dropped && !self.is_listed() {
             self.append(&Record::Join(self.me.clone()));
         }
     }
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -303,6 +303,7 @@
         };
         let (class, fingerprint) = (job.class, job.fingerprint);
         let cancelled = job.cancelled;
+        let made_calls = matches!(job.owner, JobOwner::Key(_)) && !job.children.is_empty();
         let ended = job.ended(now, &end);
         self.server.finished(now, class, ended);
         let outcome = match end {
@@ -310,6 +311,9 @@
                 self.clear_suspect(now, fingerprint);
                 Outcome::Whole(response)
             }
+            // The next run would make the same child keys, which would not be new then. So a run
+            // that made child calls is never taken for one that did not run.
+            RunEnd::Refused { .. } if made_calls => Outcome::Unknown(Reason::ServerRefused),
             RunEnd::Refused { retry_after } => {
                 let retry_after = retry_after.unwrap_or(crate::engine::RETRY_AFTER);
                 Outcome::NotRun(Refusal::new(Reason::ServerRefused, retry_after))
--- a/crates/once/src/effect.rs
+++ b/crates/once/src/effect.rs
@@ -51,6 +51,8 @@
     },
     /// A slot has arrived here or has gone; calls that were held for it shall begin again.
     Settled(u16),
+    /// The lease was won; all calls that were held shall begin again.
+    Leased,
     /// A run at another node has ended; calls that wait for it shall begin again.
     Ended(KeyHash),
     /// A queued run shall be taken out of the queue: its slot moves. It did not run.
@@ -86,7 +88,8 @@
     Attach,
     /// It ended with this response.
     Done(Response),
-    /// The slot is on its way; ask again on [`Effect::Settled`], or say that it did not run.
+    /// The slot or the lease is on its way; ask again on [`Effect::Settled`] and
+    /// [`Effect::Leased`], or say that it did not run.
     Wait,
     /// It did not run, for this reason.
     NotRun(Reason),
--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -7,6 +7,7 @@
 //! 30s   expect-runs POST /order/orders a1 1
 //! ```
 
+use crate::plan::SETTLE;
 use crate::Action;
 use crate::End;
 use crate::Fault;
@@ -105,7 +106,7 @@
             Ok(())
         }
         ["settle"] => {
-            world.settle();
+            world.settle(SETTLE);
             Ok(())
         }
         ["expect", body, ends @ ..] => {
