A re-send that is given up is answered; one that is due sooner does not wait

Ruled out: a lost call; the work ended whole. Change: it is answered as unknown, caller gone; a re-send whose deadline comes before that of the work in flight is a call of its own.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -51,7 +51,7 @@
     pub(crate) dice: u16,
     pub(crate) class: Class,
     depth: u8,
-    deadline: Time,
+    pub(crate) deadline: Time,
     idempotent: bool,
     pub(crate) key: Option<(KeyHash, Fingerprint)>,
     pub(crate) fresh: bool,
--- a/crates/engine/src/resends.rs
+++ b/crates/engine/src/resends.rs
@@ -9,6 +9,7 @@
 use crate::entry::Draft;
 use crate::Counter;
 use crate::Engine;
+use crate::Output;
 use crate::Token;
 use indexmap::IndexMap;
 use policy::Budget;
@@ -94,7 +95,7 @@
             return Some(draft);
         }
         let sent = Resends::sent(caller, &draft.request);
-        if let Some(leader) = self.leader(sent, &draft.request) {
+        if let Some(leader) = self.leader(sent, &draft) {
             self.follow(leader, draft);
             return None;
         }
@@ -111,11 +112,13 @@
         Some(draft)
     }
 
-    /// The request in flight that is the same in every byte; a hash alone might be another's.
-    fn leader(&self, sent: Sent, request: &Request) -> Option<Token> {
+    /// The request in flight that is the same in every byte; a hash alone might be another's. Its
+    /// answer must come before the re-send's own deadline.
+    fn leader(&self, sent: Sent, draft: &Draft) -> Option<Token> {
         let token = self.resends.in_flight.get(&sent)?;
         let call = self.calls.get(&self.open.get(token)?.call)?;
-        (call.request == *request).then_some(*token)
+        let fits = call.request == draft.request && call.deadline <= draft.deadline;
+        fits.then_some(*token)
     }
 
     fn follow(&mut self, leader: Token, draft: Draft) {
@@ -138,6 +141,12 @@
             if let Some(open) = self.open.get_mut(&leader) {
                 open.followers.retain(|follower| *follower != token);
             }
+            // Every token gets an answer, or whoever holds it waits for ever.
+            self.out.push(Output::Answer {
+                token,
+                outcome: Outcome::Unknown(Reason::CallerGone),
+                made_key: None,
+            });
             return true;
         }
         let open = self.open.get(&token);
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -169,6 +169,20 @@
     assert!(entry.answers.contains(&(second, whole())));
 }
 
+/// A re-send that waits is given up as well. Its connection is held for as long as nobody answers
+/// it; seed 3 of the random runs saw one that never was.
+#[test]
+fn a_resend_that_is_given_up_is_answered() {
+    let mut entry = Entry::new();
+    entry.send("a", "/p/1");
+    let second = entry.send("a", "/p/1");
+    entry.input(Input::CallerGone(second));
+    let gone = Outcome::Unknown(Reason::CallerGone);
+    assert_eq!(entry.answers, [(second, gone)]);
+    entry.reply(whole(), Below::default());
+    assert_eq!(entry.answers.len(), 2);
+}
+
 /// Callers that were refused send again at once, whatever they were told. Each would cost a call
 /// through the whole chain; the rules allow none here beyond the first ten.
 #[test]
