--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -62,6 +62,8 @@
         Unknown(Reason),
         /// A call was tried again, because the try before ended for this reason.
         Retry(Reason),
+        /// A call was not tried again, because this node's retries are too many of its calls.
+        RetryBudgetSpent,
         /// A call went to another node without having run, at no cost to the allowance.
         Redirect(Reason),
         /// A call was sent again over a new connection, under the same id.
@@ -72,6 +74,8 @@
         Replayed,
         /// Work was started on the own backend server.
         Run(Class),
+        /// A request was in flight when the backend server broke off.
+        Suspected,
         /// A run ended without a whole response.
         RunLost,
         /// A record of the log could not be read.
@@ -132,9 +136,11 @@
             Counter::Retry(reason) => format!("retry.{}", reason.name()),
             Counter::Redirect(reason) => format!("redirect.{}", reason.name()),
             Counter::Run(class) => format!("run.{}", class.name()),
+            Counter::RetryBudgetSpent => "retry_budget_spent".to_owned(),
             Counter::Reattach => "reattach".to_owned(),
             Counter::Attached => "attached".to_owned(),
             Counter::Replayed => "replayed".to_owned(),
+            Counter::Suspected => "suspected".to_owned(),
             Counter::RunLost => "run_lost".to_owned(),
             Counter::BrokenRecord => "broken_record".to_owned(),
             Counter::RejectedPublication => "rejected_publication".to_owned(),
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -1,6 +1,6 @@
 //! Requests from callers and from the own backend server: the filter chain.
 
-use crate::engine::RETRY_AFTER;
+use crate::resends::Sent;
 use crate::serve::JobOwner;
 use crate::Counter;
 use crate::Engine;
@@ -36,6 +36,10 @@
     /// The key that this node made.
     pub(crate) made_key: Option<Arc<str>>,
     pub(crate) operation: Operation,
+    /// What was sent, for a request whose re-sends may wait for it.
+    pub(crate) sent: Option<Sent>,
+    /// Requests that wait for this one's answer.
+    pub(crate) followers: Vec<Token>,
 }
 
 /// What the filters have found out about a request.
@@ -56,6 +60,9 @@
     /// No attempt with this key can have been made before.
     pub(crate) fresh: bool,
     pub(crate) made_key: Option<Arc<str>>,
+    /// Each attempt below counts as a retry.
+    pub(crate) again: bool,
+    pub(crate) sent: Option<Sent>,
 }
 
 impl Engine {
@@ -75,9 +82,12 @@
             .and_then(|operation| self.filter_context(now, token, context, operation, request))
             .map(|draft| shorten(draft, now, patience))
             .and_then(|draft| self.filter_key(draft, caller, key));
-        match draft {
-            Ok(draft) => self.open_request(now, draft),
-            Err(reason) => self.refuse(token, reason),
+        let draft = match draft {
+            Ok(draft) => self.filter_resend(now, caller, draft),
+            Err(reason) => return self.refuse(token, self.refusal(reason)),
+        };
+        if let Some(draft) = draft {
+            self.open_request(now, draft);
         }
     }
 
@@ -113,6 +123,9 @@
         if job.depth >= self.cfg.max_depth {
             return Err(Reason::BadRequest);
         }
+        if job.again && !job.account.spend() {
+            return Err(Reason::AllowanceSpent);
+        }
         let lent = job.account.lend();
         Ok(Draft {
             token,
@@ -127,6 +140,8 @@
             key: None,
             fresh: false,
             made_key: None,
+            again: job.again,
+            sent: None,
             operation,
             request,
         })
@@ -156,6 +171,8 @@
             key: None,
             fresh: false,
             made_key: None,
+            again: false,
+            sent: None,
             operation,
             request,
         })
@@ -259,10 +276,12 @@
             lent: draft.lent,
             made_key: draft.made_key.clone(),
             operation: draft.operation.clone(),
+            sent: draft.sent,
+            followers: Vec::new(),
         };
         self.open.insert(token, open);
         if let Some(job) = draft.parent.and_then(|run| self.jobs.get_mut(&run)) {
-            job.child_began(now);
+            job.child_began(now, token);
         }
         self.route_first(now, draft);
     }
@@ -280,7 +299,18 @@
         };
         if let Some(job) = open.parent.and_then(|run| self.jobs.get_mut(&run)) {
             job.account.give_back(open.lent, unspent);
-            job.child_ended(now);
+            job.child_ended(now, token);
+        }
+        if let Some(sent) = open.sent {
+            self.resends.ended(now, sent, &outcome);
+        }
+        for follower in open.followers {
+            self.followers.swap_remove(&follower);
+            self.out.push(Output::Answer {
+                token: follower,
+                outcome: outcome.clone(),
+                made_key: None,
+            });
         }
         self.count(match &outcome {
             Outcome::Whole(_) => Counter::Whole(open.operation.class),
@@ -295,9 +325,9 @@
     }
 
     /// Refuses a request that was never opened.
-    fn refuse(&mut self, token: Token, reason: Reason) {
-        self.count(Counter::NotRun(reason));
-        let outcome = Outcome::NotRun(Refusal::new(reason, RETRY_AFTER));
+    pub(crate) fn refuse(&mut self, token: Token, refusal: Refusal) {
+        self.count(Counter::NotRun(refusal.reason));
+        let outcome = Outcome::NotRun(refusal);
         self.out.push(Output::Answer {
             token,
             outcome,
@@ -306,6 +336,9 @@
     }
 
     pub(crate) fn on_caller_gone(&mut self, now: Time, token: Token) {
+        if self.unfollow(token) {
+            return;
+        }
         if let Some(open) = self.open.get(&token) {
             self.abandon_call(now, open.call);
         }
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -1,17 +1,24 @@
 //! Calls from other nodes, and work on the own backend server.
 
+use crate::admission::operation_key;
+use crate::admission::shed;
+use crate::admission::OperationKey;
 use crate::answered::Seen;
+use crate::timers::Timer;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
 use crate::RunEnd;
+use crate::Token;
 use indexmap::IndexMap;
+use policy::admission_value;
 use policy::Account;
 use policy::Ended;
 use policy::Offer;
 use policy::Ticket;
 use proto::ActionId;
 use proto::Answer;
+use proto::Below;
 use proto::Call;
 use proto::CallId;
 use proto::Class;
@@ -56,6 +63,16 @@
     pub(crate) depth: u8,
     pub(crate) deadline: Time,
     pub(crate) account: Account,
+    /// Each child call counts as a retry.
+    pub(crate) again: bool,
+    operation: Option<OperationKey>,
+    fingerprint: Fingerprint,
+    /// Running it twice is the same as running it once, so it may be cancelled.
+    idempotent: bool,
+    /// The backend server was asked to stop it, so a connection that breaks is no crash.
+    cancelled: bool,
+    /// What the run met in its child calls.
+    pub(crate) below: Below,
     /// Stands for the place in the call tree, as the scope of child keys.
     pub(crate) path: Arc<str>,
     /// Child calls of each kind so far.
@@ -64,7 +81,7 @@
     class: Class,
     started: Option<Time>,
     /// Child calls in flight, since when there are any, and how long there were some.
-    waiting: u32,
+    waiting: Vec<Token>,
     waiting_since: Time,
     waited: Duration,
     request: Request,
@@ -89,16 +106,17 @@
         }
     }
 
-    pub(crate) fn child_began(&mut self, now: Time) {
-        if self.waiting == 0 {
+    pub(crate) fn child_began(&mut self, now: Time, child: Token) {
+        if self.waiting.is_empty() {
             self.waiting_since = now;
         }
-        self.waiting += 1;
+        self.waiting.push(child);
+        self.below.calls = self.below.calls.saturating_add(1);
     }
 
-    pub(crate) fn child_ended(&mut self, now: Time) {
-        self.waiting = self.waiting.saturating_sub(1);
-        if self.waiting == 0 {
+    pub(crate) fn child_ended(&mut self, now: Time, child: Token) {
+        self.waiting.retain(|waiting| *waiting != child);
+        if self.waiting.is_empty() {
             self.waited += now.since(self.waiting_since);
         }
     }
@@ -143,7 +161,8 @@
 
     fn serve(&mut self, now: Time, call: Call) {
         if self.stopping {
-            return self.answer_call(call.id, call.allowance, self.not_run(Reason::Draining));
+            let outcome = self.not_run(Reason::Draining);
+            return self.answer_call(call.id, call.allowance, outcome);
         }
         if !self.has_rules() {
             return self.answer_call(call.id, call.allowance, self.not_run(Reason::NoRules));
@@ -166,6 +185,8 @@
             number: self.number(),
         };
         let request = call.request;
+        let rules = &self.journal.rules;
+        let operation = rules.operation(&request.service, &request.method, &request.path);
         let job = Job {
             owner,
             action: call.action,
@@ -173,15 +194,24 @@
             depth: call.depth,
             deadline: now + Duration::from_millis(u64::from(call.remaining_ms)),
             account: Account::new(call.allowance),
+            again: call.again,
+            operation: operation.map(operation_key),
+            fingerprint: Fingerprint::of(&request),
+            idempotent: call.key.is_none(),
+            cancelled: false,
+            below: Below::default(),
             path: child_scope(call.action, call.key.map(|(key, _)| key)),
             children: IndexMap::new(),
             class: call.class,
             started: None,
-            waiting: 0,
+            waiting: Vec::new(),
             waiting_since: now,
             waited: Duration::ZERO,
             request,
         };
+        if job.idempotent {
+            self.timers.set(job.deadline, Timer::Run(run));
+        }
         self.jobs.insert(run, job);
         run
     }
@@ -191,6 +221,12 @@
         let Some(job) = self.jobs.get(&run) else {
             return;
         };
+        // While the log is down no next home is named, and calls for this node's keys would go on
+        // coming until the instance is taken away in the middle of one.
+        if self.stopping && now >= self.closed_at {
+            return self.end_job(now, run, self.not_run(Reason::Draining));
+        }
+        let fingerprint = job.fingerprint;
         let ticket = Ticket {
             id: run.number,
             class: job.class,
@@ -198,10 +234,26 @@
             deadline: job.deadline,
             arrived: now,
         };
-        let offer = self.server.offer(now, ticket);
+        if !self.pass_quarantine(now, run, fingerprint) {
+            return;
+        }
+        let level = self.path_level(now, run);
+        let offer = if admission_value(ticket.class, ticket.dice) < level {
+            self.server.refused_before(now, ticket.class);
+            Offer::Refused(shed(level, ticket.class, ticket.dice))
+        } else {
+            self.server.offer(now, ticket)
+        };
         self.after_offer(now, run, offer);
     }
 
+    /// The level of the services below a job's operation.
+    fn path_level(&self, now: Time, run: RunId) -> u16 {
+        let job = self.jobs.get(&run).filter(|_| self.cfg.policy.levels);
+        let operation = job.and_then(|job| job.operation.as_ref());
+        operation.map_or(0, |operation| self.admission.path(now, operation))
+    }
+
     /// Lets the queue move.
     pub(crate) fn pump_server(&mut self, now: Time) {
         while let Some((ticket, offer)) = self.server.next(now) {
@@ -249,12 +301,16 @@
         let Some(job) = self.jobs.get(&run) else {
             return self.count(Counter::Unexpected);
         };
-        let class = job.class;
+        let (class, fingerprint) = (job.class, job.fingerprint);
+        let cancelled = job.cancelled;
         let made_calls = matches!(job.owner, JobOwner::Key(_)) && !job.children.is_empty();
         let ended = job.ended(now, &end);
         self.server.finished(now, class, ended);
         let outcome = match end {
-            RunEnd::Response(response) => Outcome::Whole(response),
+            RunEnd::Response(response) => {
+                self.clear_suspect(now, fingerprint);
+                Outcome::Whole(response)
+            }
             // The next run would make the same child keys, which would not be new then. So a run
             // that made child calls is never taken for one that did not run.
             RunEnd::Refused { .. } if made_calls => Outcome::Unknown(Reason::ServerRefused),
@@ -265,6 +321,9 @@
             RunEnd::NeverSent => self.not_run(Reason::ServerLost),
             RunEnd::Lost => {
                 self.count(Counter::RunLost);
+                if !cancelled {
+                    self.suspect(now, fingerprint);
+                }
                 Outcome::Unknown(Reason::ServerLost)
             }
         };
@@ -275,11 +334,18 @@
         let Some(job) = self.jobs.swap_remove(&run) else {
             return;
         };
+        self.timers.clear(job.deadline, Timer::Run(run));
         let unspent = job.account.left();
+        if let Some(operation) = job.operation.as_ref().filter(|_| job.started.is_some()) {
+            self.admission.hear_path(now, operation, job.below);
+        }
+        self.run_below = job.below;
         match job.owner {
             JobOwner::Call(call) => self.answer_call(call, unspent, outcome),
             JobOwner::Key(key) => self.end_key(now, key, unspent, outcome),
         }
+        self.run_below = Below::default();
+        self.next_suspect(now, run);
     }
 
     pub(crate) fn on_cancel(&mut self, now: Time, _from: Incarnation, id: CallId) {
@@ -293,15 +359,34 @@
         }
     }
 
-    /// Takes work out of the queue, or asks the backend server to stop it.
+    /// Takes work out of the queue, or asks the backend server to stop it. Nobody waits for what
+    /// its child calls would give.
     pub(crate) fn cancel_run(&mut self, now: Time, run: RunId) {
-        if self.server.withdraw(run.number) {
-            self.withdraw_job(now, run);
-        } else {
-            self.out.push(Output::CancelRun(run));
+        if self.withdraw(run) {
+            return self.withdraw_job(now, run);
+        }
+        self.out.push(Output::CancelRun(run));
+        let Some(job) = self.jobs.get_mut(&run) else {
+            return;
+        };
+        job.cancelled = true;
+        for child in job.waiting.clone() {
+            self.on_caller_gone(now, child);
         }
     }
 
+    /// The cancel of a call may be lost, or its node; its work would go on for nobody.
+    pub(crate) fn on_run_deadline(&mut self, now: Time, run: RunId) {
+        if self.jobs.contains_key(&run) {
+            self.cancel_run(now, run);
+        }
+    }
+
+    /// Takes work back that has not started; `false` if it has.
+    pub(crate) fn withdraw(&mut self, run: RunId) -> bool {
+        self.server.withdraw(run.number) || self.suspects.withdraw(run)
+    }
+
     /// Ends a job that was taken out of the queue.
     pub(crate) fn withdraw_job(&mut self, now: Time, run: RunId) {
         self.end_job(now, run, self.not_run(Reason::CallerGone));
@@ -313,6 +398,7 @@
             outcome: Outcome::Unknown(Reason::PeerLost),
             unspent: 0,
             load: self.load_report(),
+            below: Below::default(),
         };
         self.send_to(from, Frame::Answer(id, Box::new(answer)));
     }
@@ -324,6 +410,7 @@
             outcome,
             unspent,
             load: self.load_report(),
+            below: self.run_below,
         };
         self.answered.insert(id, answer.clone());
         self.send_to(id.from, Frame::Answer(id, Box::new(answer)));
--- a/crates/engine/tests/duplicates.rs
+++ b/crates/engine/tests/duplicates.rs
@@ -66,6 +66,7 @@
         leg: Leg::Serve,
         remaining_ms: 5000,
         allowance: 0,
+        again: false,
         key: None,
         fresh: false,
         depth: 0,
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -49,6 +49,16 @@
             /// The view that moved it.
             view: u64,
         },
+        /// The sender's backend server broke off while this request ran: to the nodes of the
+        /// service, so that a request that crashes servers is soon refused by all of them.
+        Suspect {
+            /// The service.
+            service: std::sync::Arc<str>,
+            /// The request.
+            request: Fingerprint,
+            /// How often it did so at the sender.
+            crashes: u32,
+        },
         /// A run has ended whose record moved to the receiver while it was under way.
         Finished(Box<KeyRecord>),
         /// The receiver of [`Frame::Finished`] has put it in its records.
@@ -101,6 +111,9 @@
         pub remaining_ms: u32,
         /// Retries lent to this call and all below it.
         pub allowance: u16,
+        /// The work below may have been done before, because an answer was lost: each child call
+        /// counts as a retry.
+        pub again: bool,
         /// The key, for non-idempotent calls.
         pub key: Option<(KeyHash, Fingerprint)>,
         /// The sender knows that no attempt with this key was ever made before.
