--- a/crates/standin/examples/latency.rs
+++ b/crates/standin/examples/latency.rs
@@ -45,8 +45,8 @@
         keyed,
     };
     let kinds = vec![
-        kind(&Method::GET, format!("{direct}/patterns/7"), false),
-        kind(&Method::GET, format!("{through}/patterns/7"), false),
+        kind(&Method::GET, format!("{direct}/patterns/{{n}}"), false),
+        kind(&Method::GET, format!("{through}/patterns/{{n}}"), false),
         kind(&Method::POST, format!("{direct}/orders"), true),
         kind(&Method::POST, format!("{through}/orders"), true),
     ];
--- a/crates/standin/examples/quickstart.rs
+++ b/crates/standin/examples/quickstart.rs
@@ -70,7 +70,7 @@
     let entry = |n: usize| deployment.instances[n % deployment.instances.len()].http_addr;
     let lookup = |n| Kind {
         method: Method::GET,
-        url: format!("http://{}/catalogue/patterns/7", entry(n)),
+        url: format!("http://{}/catalogue/patterns/{{n}}", entry(n)),
         keyed: false,
     };
     let order = |n| Kind {
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -15,7 +15,7 @@
 pub struct Kind {
     /// The method.
     pub method: Method,
-    /// The whole URL.
+    /// The whole URL; `{n}` in it stands for the count of the request, so that no two are the same.
     pub url: String,
     /// Whether each request gets a key of its own.
     pub keyed: bool,
@@ -70,12 +70,9 @@
     for n in 0..load.count {
         tokio::time::sleep_until(start + load.interval * n).await;
         let index = n as usize % load.kinds.len();
-        let one = send(
-            client.clone(),
-            load.kinds[index].clone(),
-            index,
-            report.clone(),
-        );
+        let mut kind = load.kinds[index].clone();
+        kind.url = kind.url.replace("{n}", &n.to_string());
+        let one = send(client.clone(), kind, index, report.clone());
         tasks.push(actix_rt::spawn(one));
     }
     for task in tasks {
