Fence: a newcomer at an address is heard before its predecessor counts as ended

A newcomer's Join proved at once that the member at its address had ended, but only for a member of the view just before. So a service whose view had been empty for a moment was out for the two hours of the silence rule; and a Join that reached the log late, from a dead process after that of its living successor, proved the wrong thing. Now all former members at the address count as ended, once the newcomer is heard to know its view.

--- a/crates/once/src/fence.rs
+++ b/crates/once/src/fence.rs
@@ -40,6 +40,8 @@
     /// Nodes that certainly neither start nor grant anything: their process has ended, or they said
     /// in the log that they have stopped.
     ended: IndexSet<Incarnation>,
+    /// Former members, and who joined at their address by which view.
+    replaced: Vec<(Incarnation, Incarnation, u64)>,
 }
 
 impl Fence {
@@ -98,6 +100,39 @@
         }
     }
 
+    /// A node joined by `view`. Former members at its address have ended, once it is heard to know
+    /// that view. Its `Join` alone is no proof: it may have come late to the log, from a process that
+    /// was dead by then, and after that of its successor, which lives.
+    pub(crate) fn joined(&mut self, newcomer: &Instance, view: u64) {
+        let former = self
+            .past
+            .iter()
+            .flat_map(|past| past.members.iter().flatten());
+        let former: IndexSet<Incarnation> = former
+            .filter(|old| old.addr == newcomer.addr && old.incarnation != newcomer.incarnation)
+            .map(|old| old.incarnation)
+            .collect();
+        let by = newcomer.incarnation;
+        self.replaced
+            .extend(former.into_iter().map(|old| (old, by, view)));
+        if self.replaced.len() > MAX_SEEN {
+            self.replaced.remove(0);
+        }
+    }
+
+    /// Takes note of former members whose successors have been heard.
+    fn note_ended(&mut self, me: Incarnation) {
+        let seen = &self.seen;
+        let alive = |by, view| by == me || seen.get(&by).is_some_and(|seen| *seen >= view);
+        let replaced = std::mem::take(&mut self.replaced).into_iter();
+        let (ended, waiting): (Vec<_>, Vec<_>) =
+            replaced.partition(|(_, by, view)| alive(*by, *view));
+        self.replaced = waiting;
+        for (old, ..) in ended {
+            self.ended(old);
+        }
+    }
+
     /// All views below this one are fenced.
     pub(crate) fn below(&self) -> u64 {
         self.below
@@ -117,6 +152,7 @@
 
     /// Fences what can be fenced; whether there was any.
     pub(crate) fn poll(&mut self, now: Time, cfg: &Config, me: Incarnation) -> bool {
+        self.note_ended(me);
         let current = self.current;
         for past in &mut self.past {
             let Some(members) = &past.members else {
--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -178,7 +178,13 @@
             None => self.fence.first(now, view.number, true),
             Some(old) => {
                 self.fence.next(now, view.number, &old.members);
-                self.note_departures(now, &old.members, view);
+                self.note_departures(now, view);
+                // The port of a process that still runs cannot be bound again.
+                for member in &view.members {
+                    if !is_member(&old.members, member.incarnation) {
+                        self.fence.joined(member, view.number);
+                    }
+                }
             }
         }
         self.lease.retain(&view.members);
@@ -259,15 +265,10 @@
     }
 
     /// What it means for slots under way that members have gone.
-    fn note_departures(&mut self, now: Time, old: &[Instance], view: &View) {
+    fn note_departures(&mut self, now: Time, view: &View) {
         for (who, how) in &view.departed {
-            let replaced = old
-                .iter()
-                .find(|member| member.incarnation == *who)
-                .is_some_and(|gone| view.members.iter().any(|member| member.addr == gone.addr));
-            // The port of a process that still runs cannot be bound again, and a node says that it
-            // leaves only after it has stopped.
-            if replaced || *how == Departure::Left {
+            // A node says that it leaves only after it has stopped.
+            if *how == Departure::Left {
                 self.fence.ended(*who);
             }
             let lost = match how {
