--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -1,13 +1,18 @@
 //! Calls of this node to others (and to itself): routing, retries, deadlines, lost connections.
 
+use crate::admission::operation_key;
+use crate::admission::OperationKey;
 use crate::entry::Draft;
+use crate::serve::Job;
 use crate::timers::Timer;
 use crate::Counter;
 use crate::Engine;
 use crate::Token;
 use policy::Account;
+use policy::Place;
 use proto::ActionId;
 use proto::Answer;
+use proto::Below;
 use proto::Call;
 use proto::CallId;
 use proto::Class;
@@ -34,22 +39,36 @@
 /// each time.
 const REATTACH_WAIT: Duration = Duration::from_millis(200);
 
+/// Retries of a node as a share of its calls ("Handling Overload", Site Reliability Engineering).
+const RETRY_RATIO: f64 = 0.1;
+
 /// A call in flight.
 #[derive(Debug)]
 pub(crate) struct Outgoing {
     pub(crate) token: Token,
     pub(crate) target: Instance,
     action: ActionId,
-    dice: u16,
-    class: Class,
+    pub(crate) dice: u16,
+    pub(crate) class: Class,
     depth: u8,
-    deadline: Time,
+    pub(crate) deadline: Time,
     idempotent: bool,
     pub(crate) key: Option<(KeyHash, Fingerprint)>,
-    fresh: bool,
+    pub(crate) fresh: bool,
+    pub(crate) operation: OperationKey,
     account: Account,
     /// Lent to the present attempt.
     lent: u16,
+    /// Each attempt below counts as a retry.
+    again: bool,
+    /// An attempt may have run whose answer was lost.
+    maybe_ran: bool,
+    /// Attempts below, as far as answers told.
+    calls_below: u16,
+    /// Attempts of this call itself.
+    attempts: u16,
+    /// Left of [`policy::Switches::hop_retries`].
+    hop_retries: u8,
     redirects: u8,
     reattaches: u8,
     /// Nodes that this call shall not go to again.
@@ -71,30 +90,39 @@
             idempotent: draft.operation.idempotent,
             key: draft.key,
             fresh: draft.fresh,
+            operation: operation_key(&draft.operation),
             account: draft.account,
             lent: 0,
+            again: draft.again,
+            maybe_ran: false,
+            calls_below: 0,
+            attempts: 0,
+            hop_retries: self.cfg.policy.hop_retries,
             redirects: 0,
             reattaches: 0,
             avoid: Vec::new(),
             request: draft.request,
         };
+        self.retry_budget.earn(RETRY_RATIO);
         self.route(now, call);
     }
 
     /// Chooses a target and sends one attempt.
     fn route(&mut self, now: Time, mut call: Outgoing) {
-        let target = match call.key {
-            Some((key, _)) => self.home_of(&call.request.service, key),
-            None => self.choose_server(now, &call),
-        };
-        let Some(target) = target else {
-            return self.conclude(now, call, Outcome::NotRun(self.refusal(Reason::NoInstance)));
-        };
         if now >= call.deadline {
             return self.conclude(now, call, Outcome::NotRun(self.refusal(Reason::Deadline)));
         }
-        call.target = target;
-        call.lent = call.account.lend_all();
+        call.target = match self.admit(now, &mut call) {
+            Ok(target) => target,
+            Err(refusal) => return self.conclude(now, call, Outcome::NotRun(refusal)),
+        };
+        // What is lent is gone if the answer is lost. One retry stays here, where alone it can be
+        // spent then. A second run may need all for the calls below it.
+        call.lent = if call.idempotent && !call.again {
+            call.account.lend_all_but_one()
+        } else {
+            call.account.lend_all()
+        };
         let id = CallId {
             from: self.me.incarnation,
             number: self.number(),
@@ -102,6 +130,7 @@
         if let Some(open) = self.open.get_mut(&call.token) {
             open.call = id;
         }
+        call.attempts += 1;
         self.timers.set(call.deadline, Timer::Deadline(id));
         self.selector.on_sent(call.target.incarnation);
         self.send_attempt(now, id, &call);
@@ -120,8 +149,9 @@
             dice: call.dice,
             class: call.class,
             leg,
-            remaining_ms: u32::try_from(now.until(call.deadline).as_millis()).unwrap_or(u32::MAX),
+            remaining_ms: self.remaining_ms(now, call),
             allowance: call.lent,
+            again: call.again,
             key: call.key,
             fresh: call.fresh,
             depth: call.depth,
@@ -130,16 +160,46 @@
         self.send(&call.target.clone(), frame);
     }
 
+    /// What is left for the callee: its answer has to travel back.
+    fn remaining_ms(&self, now: Time, call: &Outgoing) -> u32 {
+        let travel = match self.place(&call.target) {
+            Place::SameDomain => Duration::from_millis(1),
+            Place::SameRegion => Duration::from_millis(2),
+            Place::OtherRegion => Duration::from_millis(25),
+        };
+        let remaining = now.until(call.deadline).saturating_sub(travel);
+        u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX)
+    }
+
     pub(crate) fn on_answer(&mut self, now: Time, from: Incarnation, id: CallId, answer: Answer) {
         self.hear_load(now, from, answer.load);
+        self.admission.hear_instance(now, from, answer.load.level);
         // An answer to an attempt that was given up, or a second one to the same attempt, is late.
         let Some(mut call) = self.take_call(id) else {
             return;
         };
         call.account.give_back(call.lent, answer.unspent);
+        call.calls_below = call.calls_below.saturating_add(answer.below.calls);
+        // A refusal says little of what lies below: the run has not got there.
+        if !matches!(answer.outcome, Outcome::NotRun(_)) || answer.below.calls > 0 {
+            let operation = call.operation.clone();
+            self.admission.hear_path(now, &operation, answer.below);
+        }
         match answer.outcome {
-            Outcome::NotRun(refusal) => self.after_not_run(now, call, refusal),
-            outcome => self.conclude(now, call, outcome),
+            Outcome::NotRun(refusal) => {
+                call.again |= answer.below.calls > 0 && self.cfg.policy.hop_retries == 0;
+                self.after_not_run(now, call, refusal);
+            }
+            Outcome::Unknown(reason @ (Reason::ServerLost | Reason::PeerLost)) => {
+                if reason == Reason::ServerLost {
+                    self.call_lost(now, &call.request, call.target.incarnation);
+                }
+                self.after_lost(now, call, reason);
+            }
+            outcome => {
+                self.call_whole(now, &call.request);
+                self.conclude(now, call, outcome);
+            }
         }
     }
 
@@ -157,7 +217,7 @@
             reason,
             Reason::QueueFull | Reason::ServerRefused | Reason::ServerLost
         );
-        if busy && call.account.spend() {
+        if busy && self.may_retry(now, &mut call) {
             self.count(Counter::Retry(reason));
             call.avoid.push(call.target.incarnation);
             return self.route(now, call);
@@ -181,7 +241,7 @@
             } else {
                 self.selector.on_ended(peer);
                 self.timers.clear(call.deadline, Timer::Deadline(id));
-                self.after_lost(now, call);
+                self.after_lost(now, call, Reason::PeerLost);
             }
         }
     }
@@ -217,7 +277,7 @@
             .is_none_or(|peer| peer.state == PeerState::Dead);
         let elsewhere = call.idempotent && call.account.left() > 0;
         if gone || elsewhere || call.reattaches >= MAX_REATTACHES {
-            return self.after_lost(now, call);
+            return self.after_lost(now, call, Reason::PeerLost);
         }
         let wait = REATTACH_WAIT * (1 << call.reattaches);
         call.reattaches += 1;
@@ -236,13 +296,40 @@
     }
 
     /// Nobody will tell how the attempt ended. Only an idempotent call may be tried again.
-    fn after_lost(&mut self, now: Time, mut call: Outgoing) {
-        if call.idempotent && call.account.spend() {
-            self.count(Counter::Retry(Reason::PeerLost));
+    /// The calls below count as retries then, so there must be enough for all of them: with less
+    /// the second run could not end, and would be wasted.
+    fn after_lost(&mut self, now: Time, mut call: Outgoing, reason: Reason) {
+        call.maybe_ran = true;
+        let below = self.admission.calls_below(&call.operation);
+        let needed = 1 + below.max(call.calls_below);
+        let allowed = call.account.left() >= needed || call.hop_retries > 0;
+        if call.idempotent && allowed && self.may_retry(now, &mut call) {
+            self.count(Counter::Retry(reason));
+            call.again = self.cfg.policy.hop_retries == 0;
             call.avoid.push(call.target.incarnation);
             return self.route(now, call);
         }
-        self.conclude(now, call, Outcome::Unknown(Reason::PeerLost));
+        self.conclude(now, call, Outcome::Unknown(reason));
+    }
+
+    /// Takes a retry from the action and from this node's budget, which keeps retries a small share
+    /// of the calls even if every action has some left.
+    fn may_retry(&mut self, now: Time, call: &mut Outgoing) -> bool {
+        if now >= call.deadline {
+            return false;
+        }
+        if call.hop_retries > 0 {
+            call.hop_retries -= 1;
+            return true;
+        }
+        if call.account.left() == 0 {
+            return false;
+        }
+        if self.cfg.policy.retry_budget && !self.retry_budget.spend(now) {
+            self.count(Counter::RetryBudgetSpent);
+            return false;
+        }
+        call.account.spend()
     }
 
     pub(crate) fn on_deadline(&mut self, now: Time, id: CallId) {
@@ -262,9 +349,30 @@
     }
 
     fn conclude(&mut self, now: Time, call: Outgoing, outcome: Outcome) {
+        let met = Below {
+            level: self.level_met(now, &call),
+            // The first attempt was counted when the call began.
+            calls: call
+                .calls_below
+                .saturating_add(call.attempts.saturating_sub(1)),
+        };
+        if let Some(job) = self.parent_of(call.token) {
+            job.below.level = job.below.level.max(met.level);
+            job.below.calls = job.below.calls.saturating_add(met.calls);
+        }
+        // A later attempt that did not run says nothing of an earlier one that may have.
+        let outcome = match outcome {
+            Outcome::NotRun(refusal) if call.maybe_ran => Outcome::Unknown(refusal.reason),
+            outcome => outcome,
+        };
         self.close_request(now, call.token, call.account.left(), outcome);
     }
 
+    fn parent_of(&mut self, token: Token) -> Option<&mut Job> {
+        let parent = self.open.get(&token)?.parent?;
+        self.jobs.get_mut(&parent)
+    }
+
     fn take_call(&mut self, id: CallId) -> Option<Outgoing> {
         let call = self.calls.swap_remove(&id)?;
         self.selector.on_ended(call.target.incarnation);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,6 +4,7 @@
 //! I/O and reads no clock, global or unseeded random number, so production, tests and benches run
 //! the same code, each with a clock and a network of its own.
 
+mod admission;
 mod answered;
 mod appends;
 mod calls;
@@ -17,6 +18,8 @@
 mod io;
 mod log;
 mod members;
+mod quarantine;
+mod resends;
 mod routing;
 mod serve;
 mod snapshots;
@@ -32,3 +35,4 @@
 pub use io::Output;
 pub use io::RunEnd;
 pub use io::Token;
+pub use policy::Switches;
--- a/crates/policy/src/level.rs
+++ b/crates/policy/src/level.rs
@@ -45,6 +45,50 @@
     }
 }
 
+/// Where between half and one and a half times the usual wait an action comes back. The dice decide
+/// as well who is shed, so they are mixed first: otherwise those who were shed would come back
+/// close together.
+///
+/// # Examples
+///
+/// ```
+/// assert!((0.5..=1.5).contains(&bilberry_policy::spread(7)));
+/// ```
+pub fn spread(dice: u16) -> f64 {
+    let mixed = dice.wrapping_mul(40_503) ^ (dice >> 7);
+    0.5 + f64::from(mixed) / f64::from(u16::MAX)
+}
+
+/// When to come back to a service that sheds at `level`: later, the smaller the share is that it
+/// admits.
+///
+/// # Examples
+///
+/// ```
+/// use bilberry_policy::come_back;
+/// use proto::Class;
+///
+/// assert!(come_back(0x4000, Class::Lookup, 9) > come_back(0, Class::Lookup, 9));
+/// ```
+pub fn come_back(level: u16, class: Class, dice: u16) -> Duration {
+    let shed = if class.is_protected() {
+        level.saturating_sub(PROTECTED)
+    } else {
+        level.min(PROTECTED)
+    };
+    let admitted = 1.0 - f64::from(shed) / f64::from(PROTECTED);
+    Duration::from_secs(1).mul_f64(spread(dice) / admitted.max(0.1))
+}
+
+/// The share of refusals in the queue that bursts alone make.
+const REFUSED: f64 = 0.02;
+
+/// The least that a decision leaves of the share that passes.
+const MAX_CUT: f64 = 0.6;
+
+/// The most by which the share that passes grows from one decision to the next.
+const MAX_RISE: f64 = 1.5;
+
 /// What one class group did in a window.
 #[derive(Debug, Default, Clone, Copy)]
 struct Flow {
@@ -56,8 +100,8 @@
 
 impl Flow {
     fn overloaded(&self, target: f64) -> bool {
-        let left = self.started + self.refused;
-        self.refused > 0 || (left > 0 && self.delay / f64::from(left) > target)
+        let left = f64::from(self.started + self.refused);
+        f64::from(self.refused) > REFUSED * left || (left > 0.0 && self.delay / left > target)
     }
 }
 
@@ -68,6 +112,8 @@
     lookups: Flow,
     protected: Flow,
     shed: u32,
+    /// How much ran, times how long in seconds.
+    used: f64,
     /// The shares that pass.
     lookup_share: f64,
     protected_share: f64,
@@ -82,6 +128,7 @@
             lookups: Flow::default(),
             protected: Flow::default(),
             shed: 0,
+            used: 0.0,
             lookup_share: 1.0,
             protected_share: 1.0,
             pressure: 1.0,
@@ -103,6 +150,11 @@
         self.pressure
     }
 
+    /// So much ran for so long.
+    pub(crate) fn ran(&mut self, running: u16, time: Duration) {
+        self.used += f64::from(running) * time.as_secs_f64();
+    }
+
     pub(crate) fn shed(&mut self) {
         self.shed += 1;
     }
@@ -124,8 +176,9 @@
         flow.delay += delay.as_secs_f64();
     }
 
-    /// Decides anew if a window is over. `target` is the queueing delay that is still good.
-    pub(crate) fn tick(&mut self, now: Time, target: Duration) {
+    /// Decides anew if a window is over. `target` is the queueing delay that is still good, and
+    /// `running` how much of the limit is taken up; both are used to tell how much more fits.
+    pub(crate) fn tick(&mut self, now: Time, target: Duration, limit: u16) {
         let elapsed = now.since(self.since);
         let offers = self.lookups.passed + self.protected.passed + self.shed;
         if elapsed < WINDOW || (offers < MIN_OFFERS && elapsed < MAX_WINDOW) {
@@ -140,36 +193,36 @@
         } else if lookups.overloaded(target) || protected.overloaded(target) {
             self.cut_lookups(lookups, protected);
         } else {
-            self.fall(elapsed);
+            let used = self.used / elapsed.as_secs_f64() / f64::from(limit.max(1));
+            self.fall(elapsed, used);
         }
+        self.used = 0.0;
         self.since = now;
         self.lookups = Flow::default();
         self.protected = Flow::default();
         self.shed = 0;
     }
 
-    /// Takes out of the lookups alone what both together are too much.
+    /// Takes out of the lookups alone what both together are too much. The queue refuses lookups
+    /// first, so their own refusals tell how many that are.
     fn cut_lookups(&mut self, lookups: Flow, protected: Flow) {
-        let passed = f64::from(lookups.passed + protected.passed);
-        let both = Flow {
-            passed: lookups.passed + protected.passed,
-            started: lookups.started + protected.started,
-            ..Flow::default()
-        };
-        let wanted = passed * cut(both) - f64::from(protected.passed);
-        let factor = wanted / f64::from(lookups.passed.max(1));
-        self.lookup_share = (self.lookup_share * factor.clamp(0.3, 0.98)).max(PROBES);
+        let passed = f64::from(lookups.passed.max(1));
+        let started = f64::from(lookups.started) - f64::from(protected.refused);
+        let factor = (started / passed).clamp(MAX_CUT, 0.98);
+        self.lookup_share = (self.lookup_share * factor).max(PROBES);
     }
 
-    /// Falls slowly, the protected half first.
-    fn fall(&mut self, elapsed: Duration) {
+    /// Falls, the protected half first: slowly near the limit, and quickly while much of it stands
+    /// empty, as after a slow server has become quick again.
+    fn fall(&mut self, elapsed: Duration, used: f64) {
         let steps = elapsed.as_secs_f64() / WINDOW.as_secs_f64();
+        let rise = (0.95 / used.max(0.01)).clamp(1.02, MAX_RISE);
         let share = if self.protected_share < 1.0 {
             &mut self.protected_share
         } else {
             &mut self.lookup_share
         };
-        *share = (*share * 1.05_f64.powf(steps) + 0.01 * steps).min(1.0);
+        *share = (*share * rise.powf(steps.min(10.0)) + 0.002 * steps).min(1.0);
     }
 
     fn flow(&mut self, class: Class) -> &mut Flow {
--- a/crates/trial/src/layout.rs
+++ b/crates/trial/src/layout.rs
@@ -48,8 +48,12 @@
     pub rules: String,
     /// Work that a backend server does at once.
     pub slots: usize,
+    /// Which mechanisms of the policy under load are on.
+    pub policy: engine::Switches,
     /// Work that waits in a backend server beyond its slots before it refuses.
     pub backlog: usize,
+    /// How long a node goes on with its leases without hearing the log.
+    pub max_log_silence: Duration,
     /// One-way latency within a failure domain, within a region and between regions.
     pub latency: [Duration; 3],
     /// One-way latency between callers and nodes.
@@ -105,7 +109,9 @@
             places,
             rules: RULES.to_owned(),
             slots: 10,
+            policy: engine::Switches::ALL,
             backlog: 40,
+            max_log_silence: once::Config::default().max_log_silence,
             latency: [
                 Duration::from_micros(100),
                 Duration::from_micros(500),
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::caller::Waiter;
 use crate::Action;
+use crate::Fault;
 use crate::Judge;
 use crate::Layout;
 use crate::Log;
@@ -87,6 +88,7 @@
     pub taken: IndexSet<Token>,
     /// Runs handed to the backend server, by the name that the engine gave: the server's number.
     pub runs: IndexMap<RunId, Option<u64>>,
+    pub(crate) pause_at_run: Option<Duration>,
     pub(crate) read: u64,
     pub(crate) read_to_end: bool,
     held: Vec<Event>,
@@ -115,6 +117,10 @@
     pub counters: IndexMap<String, u64>,
     /// The last events, for the report of a violation.
     pub trace: VecDeque<String>,
+    /// Violations do not stop the run: what is measured may break the promises.
+    pub go_on: bool,
+    /// Service time of all work that was begun, at servers that are not slow.
+    pub work_begun: Duration,
     /// The seed.
     pub seed: u64,
     pub(crate) next_token: u64,
@@ -148,6 +154,8 @@
             judge: Judge::default(),
             counters: IndexMap::new(),
             trace: VecDeque::new(),
+            go_on: false,
+            work_begun: Duration::ZERO,
             seed,
             next_token: 0,
             queue: BTreeMap::new(),
@@ -180,7 +188,8 @@
     /// Lets time pass up to `end`, or to the first violation.
     pub fn run_until(&mut self, end: Time) {
         while let Some(next) = self.queue.first_entry() {
-            if next.key().0 > end || !self.judge.violations.is_empty() {
+            let stop = !self.go_on && !self.judge.violations.is_empty();
+            if next.key().0 > end || stop {
                 break;
             }
             let ((at, _), event) = next.remove_entry();
@@ -266,9 +275,11 @@
         let mut cfg = Config {
             seed: incarnation.0,
             contacts,
+            policy: self.layout.policy,
             ..Config::default()
         };
         cfg.membership.seed = incarnation.0;
+        cfg.once.max_log_silence = self.layout.max_log_silence;
         let now = self.now;
         let engines = self.nodes.iter().filter_map(|node| node.engine.as_ref());
         let known_version = engines.map(Engine::rules_version).max().unwrap_or(0);
@@ -431,6 +442,9 @@
                 self.after_in(node, LOCAL, move |world| {
                     world.on_hand_over(node, from, run, request, deadline, start_by);
                 });
+                if let Some(time) = self.nodes[node].pause_at_run.take() {
+                    self.strike(Fault::Pause(node, time));
+                }
                 self.after_in(node, remaining, move |world| {
                     world.on_run_deadline(node, from, run)
                 });
@@ -501,6 +515,7 @@
             waiting: IndexMap::new(),
             taken: IndexSet::new(),
             runs: IndexMap::new(),
+            pause_at_run: None,
             read: 0,
             read_to_end: false,
             held: Vec::new(),
