Shell: the right to start counts from when the engine was told the time

It counted from when the engine's output was carried out. A process frozen between the two would have taken the rest of its lease for longer than it was, and could have started a run after the next home did. No test provokes it: it takes a freeze between two lines of the shell.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -55,12 +55,11 @@
         run: RunId,
         request: Request,
         remaining: Duration,
-        start_within: Option<Duration>,
+        start_by: Option<Instant>,
     ) {
         let (cancel, cancelled) = oneshot::channel();
         self.running.borrow_mut().insert(run, cancel);
         let shell = shell.clone();
-        let start_by = start_within.map(|within| Instant::now() + within);
         actix_rt::spawn(async move {
             let backend = shell.backend();
             let end = tokio::select! {
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -244,21 +244,23 @@
 
     /// Tells the engine what happened and does what it asks for.
     pub(crate) fn feed(self: &Rc<Self>, input: Input) {
+        let decided = Instant::now();
         let (outputs, timer) = {
             let mut engine = self.engine.borrow_mut();
             let before = engine.next_timer();
-            let outputs = engine.handle(self.now(), input);
+            let now = Time::ZERO + decided.duration_since(self.origin);
+            let outputs = engine.handle(now, input);
             (outputs, engine.next_timer() != before)
         };
         for output in outputs {
-            self.perform(output);
+            self.perform(decided, output);
         }
         if timer {
             self.timer.notify_one();
         }
     }
 
-    fn perform(self: &Rc<Self>, output: Output) {
+    fn perform(self: &Rc<Self>, decided: Instant, output: Output) {
         events::note(self, &output);
         match output {
             Output::Answer {
@@ -279,8 +281,10 @@
                 remaining,
                 start_within,
             } => {
-                self.backend
-                    .run(self, run, request, remaining, start_within);
+                // Counted from the time that the engine was told. Counted from here, a pause in
+                // between would lengthen the right to start, and another home's run be the second.
+                let start_by = start_within.map(|within| decided + within);
+                self.backend.run(self, run, request, remaining, start_by);
             }
             Output::CancelRun(run) => self.backend.cancel(run),
             Output::Append { number, record } => self.append(number, record),
