--- a/crates/trial/src/server.rs
+++ b/crates/trial/src/server.rs
@@ -125,7 +125,7 @@
             return;
         }
         let too_late = start_by.is_some_and(|start_by| self.now >= start_by);
-        if too_late || !place.server.up || self.now >= deadline {
+        if too_late || !place.server.up {
             return self.end_run(node, run, RunEnd::NeverSent);
         }
         let Some(operation) = self.layout.find(&request) else {
