--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,5 +1,6 @@
 //! The engine's state, and how inputs reach the controllers.
 
+use crate::admission::Admission;
 use crate::answered::Answered;
 use crate::calls::Outgoing;
 use crate::entry::OpenRequest;
@@ -7,6 +8,8 @@
 use crate::homes::HeldCalls;
 use crate::homes::KeyWork;
 use crate::log::LogLink;
+use crate::quarantine::Suspects;
+use crate::resends::Resends;
 use crate::serve::Inbound;
 use crate::serve::Job;
 use crate::timers::Timer;
@@ -20,8 +23,10 @@
 use journal::State;
 use membership::Membership;
 use once::Home;
+use policy::Budget;
 use policy::Selector;
 use policy::Server;
+use proto::Below;
 use proto::CallId;
 use proto::Frame;
 use proto::Instance;
@@ -53,6 +58,10 @@
     pub keys: usize,
 }
 
+/// How long a leaving node still takes calls that only it can take: those for keys that it is home
+/// to, until the log names the next home.
+const CLOSE_AFTER: Duration = Duration::from_millis(2500);
+
 /// A node's decisions and state.
 #[derive(Debug)]
 pub struct Engine {
@@ -71,6 +80,8 @@
     pub(crate) server: Server,
     /// Requests of callers and of the own backend server, in flight.
     pub(crate) open: IndexMap<Token, OpenRequest>,
+    /// Requests that wait for the answer to another one.
+    pub(crate) followers: IndexMap<Token, Token>,
     /// Calls to nodes (this one included), by the id of the present attempt.
     pub(crate) calls: IndexMap<CallId, Outgoing>,
     /// Calls from nodes (this one included) that are not answered yet.
@@ -81,6 +92,13 @@
     pub(crate) jobs: IndexMap<RunId, Job>,
     /// Who waits for the run of a key.
     pub(crate) keys: IndexMap<KeyHash, KeyWork>,
+    /// What the run met that is being answered just now.
+    pub(crate) run_below: Below,
+    pub(crate) admission: Admission,
+    pub(crate) resends: Resends,
+    pub(crate) suspects: Suspects,
+    /// Retries of this node's calls, as a ratio of its calls.
+    pub(crate) retry_budget: Budget,
     /// Calls that wait for a slot on its way here.
     pub(crate) held: HeldCalls,
     /// The log's views leave this incarnation out.
@@ -89,6 +107,8 @@
     pub(crate) handover_ends: Option<Time>,
     pub(crate) timers: Timers,
     pub(crate) stopping: bool,
+    /// From then on a stopping node starts no work at all on its backend server.
+    pub(crate) closed_at: Time,
     next_number: u64,
     /// Frames of this node to itself.
     loopback: VecDeque<Frame>,
@@ -132,16 +152,23 @@
                 defaults.queue,
             ),
             open: IndexMap::new(),
+            followers: IndexMap::new(),
             calls: IndexMap::new(),
             inbound: IndexMap::new(),
             answered: Answered::new(),
             jobs: IndexMap::new(),
             keys: IndexMap::new(),
+            run_below: Below::default(),
+            admission: Admission::default(),
+            resends: Resends::new(),
+            suspects: Suspects::new(),
+            retry_budget: Budget::new(),
             held: HeldCalls::new(),
             expelled: false,
             handover_ends: None,
             timers: Timers::default(),
             stopping: false,
+            closed_at: Time::ZERO,
             next_number: 0,
             loopback: VecDeque::new(),
             out: Vec::new(),
@@ -205,6 +232,11 @@
         .min()
     }
 
+    /// What this node reports of its load.
+    pub fn load(&self) -> proto::LoadReport {
+        self.load_report()
+    }
+
     /// The version of the rules in force; 0 before there are any.
     pub fn rules_version(&self) -> u64 {
         self.journal.version
@@ -235,6 +267,8 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Deadline(call) => self.on_deadline(now, call),
+                Timer::Suspects => self.repeat_reports(now),
+                Timer::Run(run) => self.on_run_deadline(now, run),
                 Timer::Held(call) => self.on_held_too_long(call),
                 Timer::Handover => {}
                 Timer::Reattach(call) => self.on_reattach_timer(now, call),
@@ -258,6 +292,11 @@
             Frame::Call(call) => self.on_call(now, from, *call),
             Frame::Answer(id, answer) => self.on_answer(now, from, id, *answer),
             Frame::Cancel(id) => self.on_cancel(now, from, id),
+            Frame::Suspect {
+                service,
+                request,
+                crashes,
+            } => self.on_suspect(now, from, &service, request, crashes),
             // The shell answers the frames that are about the connection itself.
             frame => {
                 if !self.on_home_frame(now, from, frame) {
@@ -294,6 +333,7 @@
 
     pub(crate) fn on_stop(&mut self, now: Time) {
         self.stopping = true;
+        self.closed_at = now + CLOSE_AFTER;
         self.leave_home(now);
         self.leave_members(now);
         self.leave_log(now);
--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -183,8 +183,9 @@
         if !work.waiting.is_empty() {
             return;
         }
-        match work.run {
-            Some(run) if self.server.withdraw(run.number) => self.withdraw_job(now, run),
+        let run = work.run;
+        match run {
+            Some(run) if self.withdraw(run) => self.withdraw_job(now, run),
             Some(_) => {}
             None => {
                 self.keys.swap_remove(&key);
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -65,7 +65,7 @@
         );
     }
 
-    fn place(&self, peer: &Instance) -> Place {
+    pub(crate) fn place(&self, peer: &Instance) -> Place {
         if peer.failure_domain == self.me.failure_domain {
             Place::SameDomain
         } else if peer.region == self.me.region {
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -1,6 +1,7 @@
 //! What is due when.
 
 use proto::CallId;
+use proto::RunId;
 use std::collections::BTreeSet;
 use stdx::plain;
 use stdx::Time;
@@ -11,6 +12,10 @@
     pub(crate) enum Timer {
         /// A call's deadline.
         Deadline(CallId),
+        /// Reports of suspects are due again.
+        Suspects,
+        /// The deadline of work for the own backend server.
+        Run(RunId),
         /// A call has waited for its slot for long enough.
         Held(CallId),
         /// A stopping node has waited long enough for its slots to be taken.
--- a/crates/node/src/link/tests.rs
+++ b/crates/node/src/link/tests.rs
@@ -25,6 +25,7 @@
         leg: Leg::Serve,
         remaining_ms: 1000,
         allowance: 0,
+        again: false,
         key: None,
         fresh: false,
         depth: 0,
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -1,6 +1,7 @@
 //! The limit, the queue and the admission level in front of one backend server.
 
 use crate::admission_value;
+use crate::level::spread;
 use crate::level::Level;
 use crate::limit::Limit;
 use crate::queue::Order;
@@ -110,6 +111,7 @@
     queue: Queue,
     max_wait: Duration,
     running: u16,
+    ticked: Time,
     /// How long a unit of the limit is taken up.
     took: Estimate,
     /// The same by class.
@@ -148,6 +150,7 @@
             queue: Queue::default(),
             max_wait,
             running: 0,
+            ticked: Time::ZERO,
             took: Estimate::default(),
             took_by_class: [Estimate::default(); CLASSES],
             down_until: None,
@@ -176,6 +179,7 @@
         let value = admission_value(ticket.class, ticket.dice);
         if self.switches.levels && value < self.level.get() {
             self.level.shed();
+            self.hold_lookups(now, ticket.class);
             return self.refuse(Reason::Shed, ticket);
         }
         if self.down_until.is_some_and(|until| now < until) {
@@ -217,6 +221,7 @@
     pub fn finished(&mut self, now: Time, class: Class, ended: Ended) {
         // While the level sheds, more would run if the limit let it, though it is seldom reached.
         let full = self.running >= self.limit.get() || self.level() > 0;
+        self.tick(now);
         self.running = self.running.saturating_sub(1);
         match ended {
             Ended::Whole { took, own } => {
@@ -231,7 +236,6 @@
             Ended::NeverSent => self.went_down(now),
             Ended::Refused | Ended::Lost | Ended::Failed => {}
         }
-        self.tick(now);
     }
 
     /// An unreachable server answers quickly, and would draw all work to itself. So it is tried
@@ -253,6 +257,11 @@
         if let Some(ticket) = self.pop_hopeless(now) {
             return Some((ticket, self.refuse_for_load(now, ticket)));
         }
+        if self.held_until.is_some() {
+            if let Some(ticket) = self.queue.displace_lookup() {
+                return Some((ticket, self.refuse_for_load(now, ticket)));
+            }
+        }
         if self.queue.len() > self.capacity() {
             if let Some(ticket) = self.queue.displace() {
                 return Some((ticket, self.refuse_for_load(now, ticket)));
@@ -321,7 +330,9 @@
 
     /// Lets the level fall while nothing comes.
     pub fn tick(&mut self, now: Time) {
-        self.level.tick(now, self.target());
+        self.level.ran(self.running, now.since(self.ticked));
+        self.ticked = now;
+        self.level.tick(now, self.target(), self.limit.get());
     }
 
     fn begin(&mut self, now: Time, ticket: &Ticket) {
@@ -364,10 +375,21 @@
 
     fn refuse_for_load(&mut self, now: Time, ticket: Ticket) -> Offer {
         self.level.refused(ticket.class, now.since(ticket.arrived));
-        if ticket.class.is_protected() && self.switches.class_order {
+        self.hold_lookups(now, ticket.class);
+        self.refuse(Reason::QueueFull, ticket)
+    }
+
+    /// Work was refused for load before it was offered.
+    pub fn refused_before(&mut self, now: Time, class: Class) {
+        self.hold_lookups(now, class);
+    }
+
+    /// A protected call is refused for load: lookups that wait are refused too, and those that come
+    /// in the next moments.
+    fn hold_lookups(&mut self, now: Time, class: Class) {
+        if class.is_protected() && self.switches.class_order {
             self.held_until = Some(now + HOLD);
         }
-        self.refuse(Reason::QueueFull, ticket)
     }
 
     /// Tells when the backlog will be gone, stretched by how much more is offered than can be
@@ -376,7 +398,7 @@
         let backlog = self.drain_time(self.queue.len() + usize::from(self.running));
         let wait = (backlog + MIN_RETRY_AFTER).mul_f64(self.level.pressure().min(100.0));
         let spread = if self.switches.spread {
-            0.5 + f64::from(ticket.dice) / f64::from(u16::MAX)
+            spread(ticket.dice)
         } else {
             1.0
         };
@@ -403,8 +425,9 @@
         Duration::from_secs_f64(secs.min(3600.0))
     }
 
-    /// The queueing delay that is still good: a fifth of the longest wait.
+    /// The queueing delay that is still good: half of the longest wait. With a fifth, a queue that
+    /// only bridges the gaps between arrivals counted as overload.
     fn target(&self) -> Duration {
-        self.max_wait / 5
+        self.max_wait / 3
     }
 }
