--- a/crates/experiment/src/measure.rs
+++ b/crates/experiment/src/measure.rs
@@ -12,9 +12,9 @@
 /// The figures of one run, over the actions that began in a window.
 #[derive(Debug, Clone)]
 pub struct Figures {
-    /// Whole lookups a second.
+    /// Whole answers to lookups that came in the window, a second.
     pub lookups: f64,
-    /// Whole orders a second.
+    /// The same for orders.
     pub orders: f64,
     /// Orders that were whole, of those that were asked for.
     pub orders_share: f64,
@@ -56,6 +56,11 @@
     let actions: Vec<&Action> = world.actions.iter().filter(inside).collect();
     let whole: Vec<&&Action> = actions.iter().filter(|a| is_whole(a)).collect();
     let count = |operation: usize| whole.iter().filter(|a| a.operation == operation).count() as f64;
+    let came = |operation: usize| {
+        let mine = world.actions.iter().filter(|a| a.operation == operation);
+        let inside = |a: &&Action| a.end.is_some_and(|(at, _)| at >= from.at && at < end);
+        mine.filter(|a| is_whole(a)).filter(inside).count() as f64 / secs
+    };
     let asked = actions.iter().filter(|a| a.operation == ORDER).count() as f64;
     let mut millis = Histogram::<u64>::new_with_max(600_000, 3).expect("the bounds are allowed");
     for action in &whole {
@@ -72,8 +77,8 @@
     let attempts: f64 = actions.iter().map(|a| f64::from(a.attempts)).sum();
     let waited = world.now.since(from.at).as_secs_f64();
     Figures {
-        lookups: count(LOOKUP) / secs,
-        orders: count(ORDER) / secs,
+        lookups: came(LOOKUP),
+        orders: came(ORDER),
         orders_share: count(ORDER) / asked.max(1.0),
         wasted: (1.0 - useful / work.max(1e-9)).max(0.0),
         attempts: attempts / (actions.len() as f64).max(1.0),
--- a/crates/policy/src/heard.rs
+++ b/crates/policy/src/heard.rs
@@ -61,6 +61,11 @@
         self.at = now;
     }
 
+    /// Whether there was any word of late.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        now.since(self.at) < FORGET
+    }
+
     /// The level as far as it is still believed.
     pub fn get(&self, now: Time) -> u16 {
         let quiet = now.since(self.at).saturating_sub(FRESH);
--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -37,6 +37,8 @@
     pub resends: u32,
     /// Attempts so far.
     pub attempts: u32,
+    /// The last attempt that was answered; its caller waits no more, if only to send again.
+    pub answered: u32,
     /// When it was first sent.
     pub began: Time,
     /// How it ended, and when.
@@ -95,6 +97,7 @@
             comes_back: None,
             resends: 3,
             attempts: 0,
+            answered: 0,
             began: Time::ZERO,
             end: None,
         }
@@ -280,6 +283,7 @@
         if attempt != action.attempts || action.end.is_some() {
             return;
         }
+        action.answered = attempt;
         if made.is_some() {
             action.key = made;
         }
@@ -305,7 +309,9 @@
     }
 
     pub(crate) fn on_impatient(&mut self, index: usize, attempt: u32) {
-        if self.actions[index].attempts != attempt || self.actions[index].end.is_some() {
+        let action = &self.actions[index];
+        let waits = action.attempts == attempt && action.answered < attempt;
+        if !waits || action.end.is_some() {
             return;
         }
         let nodes = self.nodes.iter().enumerate();
@@ -328,7 +334,13 @@
         if can && action.attempts <= action.resends {
             action.end = None;
             let wait = action.comes_back.unwrap_or(wait);
-            self.after(wait, move |world| world.on_send(index, None));
+            let attempt = action.attempts;
+            self.after(wait, move |world| {
+                let action = &world.actions[index];
+                if action.attempts == attempt && action.end.is_none() {
+                    world.on_send(index, None);
+                }
+            });
         }
     }
 
