A fence by silence allows for clocks that drift

Cause: a node without the log holds leases for up to two hours, and a successor waited that long plus 0.3 s; two clocks that differ by more than 42 parts in a million would have overlapped. Seen failing: a_view_whose_quorum_is_gone_is_fenced_by_silence, with the successor a minute early. Ruled out: a larger margin, which every lease would pay for. Change: the wait is a hundredth longer.

--- a/crates/once/src/fence.rs
+++ b/crates/once/src/fence.rs
@@ -13,6 +13,9 @@
 use std::collections::VecDeque;
 use stdx::Time;
 
+/// The clocks of two instances differ by at most one part in this many.
+const CLOCK_RATE: u32 = 100;
+
 /// The most peers of which it is remembered what they have seen.
 const MAX_SEEN: usize = 4096;
 
@@ -191,8 +194,11 @@
 
 impl Past {
     fn fenced_at(&self, cfg: &Config) -> Time {
-        // Whoever still goes by this view read the log before its successor was in it.
-        let silent = self.succeeded + cfg.max_log_silence + cfg.margin;
+        // Whoever still goes by this view read the log before its successor was in it. Over hours
+        // even good clocks drift apart by more than the margin; without the part for that, a home
+        // with a slow clock could still start work when its successor does.
+        let drift = cfg.max_log_silence / CLOCK_RATE;
+        let silent = self.succeeded + cfg.max_log_silence + drift + cfg.margin;
         // Whatever was granted was asked for before the last granter was lost.
         match self.closed {
             Some(closed) => silent.min(closed + cfg.lease + cfg.margin),
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -310,7 +310,8 @@
 }
 
 /// Two of three members crash at once. Nobody is left who could say that they hold no lease, and
-/// the third would wait for ever.
+/// the third would wait for ever. It waits a hundredth longer than the two could go on without the
+/// log, because their clocks may run that much slower than its own.
 #[test]
 fn a_view_whose_quorum_is_gone_is_fenced_by_silence() {
     let mut cluster = Cluster::new(3);
@@ -319,7 +320,12 @@
         cluster.crash(dead);
         cluster.depart(dead, Departure::Evicted);
     }
-    for (minutes, expected) in [(1, NO_LEASE), (118, NO_LEASE), (2, Begin::Start)] {
+    for (minutes, expected) in [
+        (1, NO_LEASE),
+        (118, NO_LEASE),
+        (2, NO_LEASE),
+        (1, Begin::Start),
+    ] {
         cluster.advance(ms(minutes * 60_000));
         cluster.read_log();
         assert_eq!(
