Kill -9 of a home over real processes

Cause: the end-to-end tests had a planned stop, but no crash. Change: a home is killed while its backend server works on orders; those are answered whole or as unknown, never as not run; the three nodes that are left evict it and take its slots; keys sent again do not run again, new ones do.

--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -8,6 +8,7 @@
 use common::until_status;
 use common::Server;
 use common::LOOPBACK;
+use indexmap::IndexMap;
 use standin::Log;
 use std::time::Duration;
 
@@ -62,3 +63,65 @@
     assert_eq!(leaving.runs() + staying.runs(), 16);
     assert!(leaving.node.ended().await.success());
 }
+
+/// A home dies without a word while its backend server works on orders, and its place is taken by
+/// nobody. A shop must not be told that its order was not taken, and no order may run twice; new
+/// orders have to be served again by the instance that is left.
+#[actix_rt::test]
+async fn after_a_kill_nothing_runs_twice_and_orders_go_on() {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    let [entry, mut killed, staying] = start_all(&log).await;
+    let third = Server::start("order", "verona-1", &log, &[]).await;
+    let nodes = [&entry, &killed, &staying, &third].map(|server| server.node.http);
+    for node in nodes {
+        until_status(node, "instances", "4").await;
+    }
+    until_homes_are_ready(&nodes).await;
+    for server in [&killed, &staying, &third] {
+        server.backend.work.borrow_mut().takes = Duration::from_millis(400);
+    }
+    let orders = |from: usize| {
+        let http = entry.node.http;
+        let sent = (from..from + 18).map(|n| {
+            let key = format!("key-{n}");
+            actix_rt::spawn(async move { call(http, "POST", "/order/orders", &key, "ink").await })
+        });
+        sent.collect::<Vec<_>>()
+    };
+    let first = orders(0);
+    while killed.runs() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    killed.node.process.kill().unwrap();
+    let mut whole = 0;
+    for order in first {
+        let (_, outcome, _) = order.await.unwrap();
+        assert!(matches!(&*outcome, "whole" | "unknown"), "{outcome}");
+        whole += u32::from(outcome == "whole");
+    }
+    assert!(whole < 18, "the killed node answered");
+
+    // Its slots find new homes, once it is evicted and its leases have run out.
+    let left = [entry.node.http, staying.node.http, third.node.http];
+    for node in left {
+        until_status(node, "instances", "3").await;
+    }
+    until_homes_are_ready(&left).await;
+    // What is sent again may be answered as unknown, but not done again; a key that the node makes
+    // is certainly new.
+    for order in orders(0) {
+        order.await.unwrap();
+    }
+    for _ in 0..18 {
+        let (code, ..) = call(entry.node.http, "POST", "/order/orders", "", "ink").await;
+        assert_eq!(code, 200);
+    }
+    let mut runs: IndexMap<String, u32> = IndexMap::new();
+    for server in [&killed, &staying, &third] {
+        for (key, count) in &*server.backend.runs.borrow() {
+            *runs.entry(key.clone()).or_insert(0) += count;
+        }
+    }
+    runs.retain(|key, _| key.starts_with("key-"));
+    assert!(runs.values().all(|runs| *runs == 1), "{runs:?}");
+}
