A lookup that waited while an order was refused never starts: asserted in the program

Change: policy::Server asserts the same for every run, exactly, by the tickets themselves. Conclusion: the order holds at each server; across servers of a service it is not claimed.

--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -120,6 +120,8 @@
     down_until: Option<Time>,
     /// Lookups are held back until then, because a protected call was refused for load.
     held_until: Option<Time>,
+    /// When a protected call was last refused for load.
+    refused_protected: Time,
 }
 
 impl Server {
@@ -155,6 +157,7 @@
             took_by_class: [Estimate::default(); CLASSES],
             down_until: None,
             held_until: None,
+            refused_protected: Time::ZERO,
         };
         server.skip_ramp();
         server
@@ -336,6 +339,10 @@
     }
 
     fn begin(&mut self, now: Time, ticket: &Ticket) {
+        debug_assert!(
+            ticket.class.is_protected() || ticket.arrived >= self.refused_protected,
+            "a lookup starts that waited while a protected call was refused for load"
+        );
         self.running += 1;
         self.level.started(ticket.class, now.since(ticket.arrived));
     }
@@ -389,6 +396,7 @@
     fn hold_lookups(&mut self, now: Time, class: Class) {
         if class.is_protected() && self.switches.class_order {
             self.held_until = Some(now + HOLD);
+            self.refused_protected = now;
         }
     }
 
