--- /dev/null
+++ b/crates/standin/examples/cpu.rs
@@ -0,0 +1,86 @@
+//! Processor time of a call at each node on its way, by rate and kind: `cpu [SECONDS]`.
+//!
+//! Each instance has a thread of its own, so the entry's thread has its node alone; the server's
+//! thread has its node and the backend server, whose share is taken from calls straight to it.
+
+use awc::http::Method;
+use bilberry_standin::run_load;
+use bilberry_standin::Deployment;
+use bilberry_standin::Kind;
+use bilberry_standin::Load;
+use bilberry_standin::Place;
+use bilberry_standin::Work;
+use std::time::Duration;
+
+const RULES: &str = "\
+operation catalogue GET /patterns/* class=lookup idempotent deadline=5s # asked by the bench
+operation catalogue POST /orders class=order deadline=5s # asked by the bench
+limit catalogue concurrency=50..400 # asked by the bench
+";
+
+const RATES: [u32; 3] = [250, 500, 1_000];
+
+#[actix_rt::main]
+async fn main() {
+    let seconds = std::env::args().nth(1).and_then(|arg| arg.parse().ok());
+    let seconds = seconds.unwrap_or(10);
+    let place = |service| Place {
+        service,
+        failure_domain: "milano-1",
+        region: "lombardia",
+        work: Work {
+            takes: Duration::from_millis(2),
+            ..Work::default()
+        },
+    };
+    let deployment = Deployment::start(&[place("counter"), place("catalogue")]);
+    deployment.publish(RULES).await;
+    // Leases are won and limits have settled.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let [counter, catalogue] = &deployment.instances[..] else {
+        return;
+    };
+    let through = format!("http://{}/catalogue", counter.http_addr);
+    let direct = format!("http://{}", catalogue.backend_addr);
+    let kinds = [
+        ("lookup", Method::GET, "/patterns/{n}", false),
+        ("order", Method::POST, "/orders", true),
+    ];
+    println!("microseconds of processor time a call, {seconds} s each");
+    println!(
+        "{:<8}{:>8}{:>8}{:>8}{:>8}",
+        "", "rate", "whole", "entry", "server"
+    );
+    for (name, method, path, keyed) in kinds {
+        for rate in RATES {
+            let mut measured = Vec::new();
+            for base in [&direct, &through] {
+                let kind = Kind {
+                    method: method.clone(),
+                    url: format!("{base}{path}"),
+                    keyed,
+                };
+                let before = (counter.cpu_time(), catalogue.cpu_time());
+                let report = run_load(load(kind, rate, seconds)).await;
+                let after = (counter.cpu_time(), catalogue.cpu_time());
+                measured.push((report.whole[0], after.0 - before.0, after.1 - before.1));
+            }
+            let micros = |time: Duration| time.as_micros() as f64 / f64::from(rate * seconds);
+            let (whole, entry, server) = measured[1];
+            let server = micros(server) - micros(measured[0].2);
+            println!(
+                "{name:<8}{rate:>8}{whole:>8}{:>8.0}{server:>8.0}",
+                micros(entry)
+            );
+        }
+    }
+}
+
+fn load(kind: Kind, rate: u32, seconds: u32) -> Load {
+    Load {
+        kinds: vec![kind],
+        interval: Duration::from_secs(1) / rate,
+        count: rate * seconds,
+        patience: Duration::from_secs(5),
+    }
+}
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -9,6 +9,8 @@
 use logservice::LogClient;
 use node::Settings;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::sync::mpsc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -36,11 +38,20 @@
     pub http_addr: SocketAddr,
     /// Where its backend server listens.
     pub backend_addr: SocketAddr,
+    /// The kernel's page on the processor time of its thread; empty off Linux.
+    schedstat: PathBuf,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
 impl Running {
+    /// Processor time of the instance's thread so far: its node and its backend server.
+    pub fn cpu_time(&self) -> Duration {
+        let page = std::fs::read_to_string(&self.schedstat).unwrap_or_default();
+        let nanos = page.split_whitespace().next().and_then(|n| n.parse().ok());
+        Duration::from_nanos(nanos.unwrap_or(0))
+    }
+
     /// Asks the node for a graceful shutdown and waits for its end.
     pub fn stop(&mut self) {
         if let Some(stop) = self.stop.take() {
@@ -148,17 +159,21 @@
                 .await
                 .expect("a loopback port is free");
             backend.node.set(Some(node.http_addr));
-            let _ = tx.send((node.http_addr, backend.addr));
+            let thread = std::fs::read_link("/proc/thread-self").unwrap_or_default();
+            let schedstat = Path::new("/proc").join(thread).join("schedstat");
+            let _ = tx.send((node.http_addr, backend.addr, schedstat));
             let _ = stopped.await;
             node.stop();
             node.stopped().await;
         });
     });
-    let (http_addr, backend_addr) = rx.recv().expect("the instance's thread has started");
+    let (http_addr, backend_addr, schedstat) =
+        rx.recv().expect("the instance's thread has started");
     Running {
         service,
         http_addr,
         backend_addr,
+        schedstat,
         stop: Some(stop),
         thread: Some(thread),
     }
