Test: an order that may have run is never tried again

Cause: breaking the rule that only idempotent calls are tried again after a lost connection was noticed by nothing, because the home's record caught the retry; a key that the node made counts as certainly new there. Change: a test that breaks the connection until the entry gives up: one call id, and the outcome unknown.

--- a/crates/engine/tests/refusals.rs
+++ b/crates/engine/tests/refusals.rs
@@ -50,19 +50,22 @@
     engine
 }
 
-/// Books with this key, has each call refused for this reason, and checks how many calls there were
-/// and what the caller is told.
-fn check(key: Option<&str>, reason: Reason, calls: usize, outcome: &'static str) {
-    let mut engine = entry();
-    let input = Input::Request {
+fn booking(key: Option<&str>) -> Input {
+    Input::Request {
         token: Token(1),
         caller: "shop".into(),
         context: None,
         key: key.map(Into::into),
         patience: None,
         request: Request::new("press", "POST", "/slots", Bytes::new()),
-    };
-    let mut outputs = engine.handle(Time::ZERO, input);
+    }
+}
+
+/// Books with this key, has each call refused for this reason, and checks how many calls there were
+/// and what the caller is told.
+fn check(key: Option<&str>, reason: Reason, calls: usize, outcome: &'static str) {
+    let mut engine = entry();
+    let mut outputs = engine.handle(Time::ZERO, booking(key));
     let mut sent = 0;
     let answer = loop {
         let mut next = Vec::new();
@@ -117,3 +120,31 @@
 fn a_call_does_not_go_round_between_an_entry_and_the_same_home() {
     check(Some("k"), Reason::Moving, 1, "unknown");
 }
+
+/// The connection to a home breaks again and again while it has an order whose key this node made.
+/// Tried under another call, the order would count as certainly new there, and could run twice.
+#[test]
+fn an_order_that_may_have_run_is_never_tried_again() {
+    let mut engine = entry();
+    let mut outputs = engine.handle(Time::ZERO, booking(None));
+    let mut ids = Vec::new();
+    let answer = loop {
+        let mut answer = None;
+        for output in std::mem::take(&mut outputs) {
+            match output {
+                Output::Answer { outcome, .. } => answer = Some(outcome),
+                Output::Send {
+                    frame: Frame::Call(call),
+                    ..
+                } => ids.push(call.id),
+                _ => {}
+            }
+        }
+        match answer {
+            Some(answer) => break answer,
+            None => outputs = engine.handle(Time::ZERO, Input::PeerLost(Incarnation(2))),
+        }
+    };
+    assert_eq!(answer, Outcome::Unknown(Reason::PeerLost));
+    assert!(ids.iter().all(|id| *id == ids[0]), "{ids:?}");
+}
