A stopping node lets its last answers be written

Cause: the engine says that nothing is in flight in the same step in which it gives its last answers out, and the process ended on that word; whether the tasks that write got their turn first was up to the executor. Change: up to a second until the links' queues are empty, and 50 ms more. Ruled out: counting answers down to their last byte, for which the HTTP library has no hook.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -140,6 +140,11 @@
             .collect()
     }
 
+    /// Whether frames wait to be written.
+    pub(crate) fn has_unsent(&self) -> bool {
+        !self.frames.borrow().is_empty()
+    }
+
     /// Another link has taken this one's place: it only finishes what is under way.
     pub(crate) fn retire(&self) {
         self.retired.set(true);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -72,6 +72,14 @@
 }
 
 impl Peers {
+    /// Whether frames wait on a link to be written.
+    pub(crate) fn has_unsent(&self) -> bool {
+        self.links
+            .borrow()
+            .values()
+            .any(|link| link.queue.has_unsent())
+    }
+
     pub(crate) fn send(&self, shell: &Rc<Shell>, to: Instance, frame: Frame) {
         let peer = to.incarnation;
         let encoded = Bytes::from(proto::encode(&frame));
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -40,6 +40,12 @@
 /// How often a pair of free ports for TCP and UDP is looked for.
 const BIND_ATTEMPTS: u32 = 20;
 
+/// The longest wait for last frames to be written, when a node stops.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The time that the tasks which write get, and between two looks at what they have left.
+const FLUSH_PAUSE: Duration = Duration::from_millis(50);
+
 /// How often gauges go to the metrics service.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -84,6 +90,18 @@
     /// Waits until a graceful shutdown is complete.
     pub async fn stopped(&self) {
         self.shell.stopped.notified().await;
+        self.flush().await;
+    }
+
+    /// The last answers were given to tasks that write them. If the process ended before they did,
+    /// callers would see connections that break off, for work that was done.
+    async fn flush(&self) {
+        let ends = Instant::now() + FLUSH_TIMEOUT;
+        while self.shell.peers.has_unsent() && Instant::now() < ends {
+            tokio::time::sleep(FLUSH_PAUSE).await;
+        }
+        // What has left the queues is on its way into the sockets.
+        tokio::time::sleep(FLUSH_PAUSE).await;
     }
 
     /// Counters by name, in order.
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -15,6 +15,7 @@
 const RULES: &str = "\
 operation catalogue GET /patterns/* class=lookup idempotent deadline=20s retries=1 # asked by Giulia
 operation order POST /orders class=order deadline=20s # asked by Marco
+limit catalogue concurrency=400..400 queue=10s # asked by Giulia
 ";
 
 /// Two instances of a service and one of another, which is the entry.
@@ -125,3 +126,30 @@
     runs.retain(|key, _| key.starts_with("key-"));
     assert!(runs.values().all(|runs| *runs == 1), "{runs:?}");
 }
+
+/// An instance is stopped while it has lookups of callers of its own and of another node's. Its last
+/// answers are ready in the moment in which nothing keeps the process any more. If it ended right
+/// then, they would not go out, and customers at the counter would see a broken page.
+#[actix_rt::test]
+async fn the_last_answers_of_a_planned_stop_go_out() {
+    let log = Log::start(LOOPBACK.into()).await.unwrap();
+    let [mut leaving, other, _] = start_all(&log).await;
+    leaving.backend.work.borrow_mut().takes = Duration::from_millis(700);
+    let lookups = [&leaving, &other].map(|server| {
+        let http = server.node.http;
+        let sent = (0..150).map(|n| {
+            let path = format!("/catalogue/patterns/{http}/{n}");
+            actix_rt::spawn(async move { call(http, "GET", &path, "", "").await })
+        });
+        sent.collect::<Vec<_>>()
+    });
+    while leaving.runs() < 300 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    leaving.node.signal("-TERM");
+    for lookup in lookups.into_iter().flatten() {
+        let (code, outcome, _) = lookup.await.unwrap();
+        assert_eq!((code, &*outcome), (200, "whole"));
+    }
+    assert!(leaving.node.ended().await.success());
+}
