--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::admission::operation_key;
 use crate::admission::OperationKey;
 use crate::entry::Draft;
-use crate::serve::Job;
+use crate::job::Job;
 use crate::timers::Timer;
 use crate::Counter;
 use crate::Engine;
@@ -23,7 +23,6 @@
 use proto::KeyHash;
 use proto::Leg;
 use proto::Outcome;
-use proto::PeerState;
 use proto::Reason;
 use proto::Refusal;
 use proto::Request;
@@ -33,13 +32,6 @@
 /// How often a call that certainly did not run may go elsewhere for free.
 const MAX_REDIRECTS: u8 = 3;
 
-/// How often a call is sent again under the same id over a new connection.
-const MAX_REATTACHES: u8 = 5;
-
-/// How long to wait before a call is sent again that a new connection did not take either; doubles
-/// each time.
-const REATTACH_WAIT: Duration = Duration::from_millis(200);
-
 /// Retries of a node as a share of its calls ("Handling Overload", Site Reliability Engineering).
 const RETRY_RATIO: f64 = 0.1;
 
@@ -53,13 +45,13 @@
     pub(crate) class: Class,
     depth: u8,
     pub(crate) deadline: Time,
-    idempotent: bool,
+    pub(crate) idempotent: bool,
     pub(crate) key: Option<(KeyHash, Fingerprint)>,
     pub(crate) fresh: bool,
     pub(crate) operation: OperationKey,
-    account: Account,
+    pub(crate) account: Account,
     /// Lent to the present attempt.
-    lent: u16,
+    pub(crate) lent: u16,
     /// Each attempt below counts as a retry.
     again: bool,
     /// An attempt may have run whose answer was lost.
@@ -71,7 +63,7 @@
     /// Left of [`policy::Switches::hop_retries`].
     hop_retries: u8,
     redirects: u8,
-    reattaches: u8,
+    pub(crate) reattaches: u8,
     /// Nodes that this call shall not go to again.
     pub(crate) avoid: Vec<Incarnation>,
     pub(crate) request: Request,
@@ -155,7 +147,7 @@
         self.calls.insert(id, call);
     }
 
-    fn send_attempt(&mut self, now: Time, id: CallId, call: &Outgoing) {
+    pub(crate) fn send_attempt(&mut self, now: Time, id: CallId, call: &Outgoing) {
         let leg = if call.key.is_some() {
             Leg::Home
         } else {
@@ -222,7 +214,7 @@
     }
 
     /// A call that did not run goes elsewhere, if that may help.
-    fn after_not_run(&mut self, now: Time, mut call: Outgoing, refusal: Refusal) {
+    pub(crate) fn after_not_run(&mut self, now: Time, mut call: Outgoing, refusal: Refusal) {
         let reason = refusal.reason;
         let elsewhere = matches!(reason, Reason::Moving | Reason::Draining | Reason::PeerLost)
             && self.has_elsewhere(&call);
@@ -261,80 +253,10 @@
         home.is_some_and(|home| home.incarnation != call.target.incarnation)
     }
 
-    /// The connection is gone: calls go out again under the same id, which makes the other end
-    /// attach them to what it already has. Without this an answer that was on its way when the
-    /// connection went silent would be lost, though the work was done.
-    pub(crate) fn on_peer_lost(&mut self, now: Time, peer: Incarnation) {
-        for id in self.calls_to(peer) {
-            let Some(mut call) = self.calls.swap_remove(&id) else {
-                continue;
-            };
-            if call.reattaches < MAX_REATTACHES {
-                call.reattaches += 1;
-                self.count(Counter::Reattach);
-                self.send_attempt(now, id, &call);
-                self.calls.insert(id, call);
-            } else {
-                self.selector.on_ended(peer);
-                self.timers.clear(call.deadline, Timer::Deadline(id));
-                self.after_lost(now, call, Reason::PeerLost);
-            }
-        }
-    }
-
-    /// Frames could not be sent. A call's first sending certainly did not run.
-    pub(crate) fn on_unsent(&mut self, now: Time, peer: Incarnation, unsent: Vec<Frame>) {
-        self.selector.on_failed(now, peer, &mut self.rng);
-        for frame in unsent {
-            let Frame::Call(frame) = frame else {
-                continue;
-            };
-            let Some(mut call) = self.take_call(frame.id) else {
-                continue;
-            };
-            if call.reattaches > 0 {
-                self.reattach_later(now, frame.id, call);
-            } else {
-                call.account.give_back(call.lent, call.lent);
-                let refusal = self.refusal(Reason::PeerLost);
-                self.after_not_run(now, call, refusal);
-            }
-        }
-    }
-
-    /// A call that may have been sent before could not be sent again. Whether it ran is known only
-    /// over there, so it is tried until the other end is known to be gone; what may just as well
-    /// run elsewhere does not wait for that.
-    fn reattach_later(&mut self, now: Time, id: CallId, mut call: Outgoing) {
-        let target = call.target.incarnation;
-        let gone = self
-            .members
-            .get(target)
-            .is_none_or(|peer| peer.state == PeerState::Dead);
-        let elsewhere = call.idempotent && call.account.left() > 0;
-        if gone || elsewhere || call.reattaches >= MAX_REATTACHES {
-            return self.after_lost(now, call, Reason::PeerLost);
-        }
-        let wait = REATTACH_WAIT * (1 << call.reattaches);
-        call.reattaches += 1;
-        self.timers.set(call.deadline, Timer::Deadline(id));
-        self.timers.set(now + wait, Timer::Reattach(id));
-        self.selector.on_sent(target);
-        self.calls.insert(id, call);
-    }
-
-    pub(crate) fn on_reattach_timer(&mut self, now: Time, id: CallId) {
-        if let Some(call) = self.calls.swap_remove(&id) {
-            self.count(Counter::Reattach);
-            self.send_attempt(now, id, &call);
-            self.calls.insert(id, call);
-        }
-    }
-
     /// Nobody will tell how the attempt ended. Only an idempotent call may be tried again.
     /// The calls below count as retries then, so there must be enough for all of them: with less
     /// the second run could not end, and would be wasted.
-    fn after_lost(&mut self, now: Time, mut call: Outgoing, reason: Reason) {
+    pub(crate) fn after_lost(&mut self, now: Time, mut call: Outgoing, reason: Reason) {
         call.maybe_ran = true;
         let below = self.admission.calls_below(&call.operation);
         let needed = 1 + below.max(call.calls_below);
@@ -409,14 +331,14 @@
         self.jobs.get_mut(&parent)
     }
 
-    fn take_call(&mut self, id: CallId) -> Option<Outgoing> {
+    pub(crate) fn take_call(&mut self, id: CallId) -> Option<Outgoing> {
         let call = self.calls.swap_remove(&id)?;
         self.selector.on_ended(call.target.incarnation);
         self.timers.clear(call.deadline, Timer::Deadline(id));
         Some(call)
     }
 
-    fn calls_to(&self, peer: Incarnation) -> Vec<CallId> {
+    pub(crate) fn calls_to(&self, peer: Incarnation) -> Vec<CallId> {
         let to_peer = self
             .calls
             .iter()
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,11 +7,11 @@
 use crate::fetch::FetchLink;
 use crate::homes::HeldCalls;
 use crate::homes::KeyWork;
+use crate::job::Job;
 use crate::log::LogLink;
 use crate::quarantine::Suspects;
 use crate::resends::Resends;
 use crate::serve::Inbound;
-use crate::serve::Job;
 use crate::timers::Timer;
 use crate::timers::Timers;
 use crate::Config;
@@ -232,11 +232,6 @@
         .min()
     }
 
-    /// What this node reports of its load.
-    pub fn load(&self) -> proto::LoadReport {
-        self.load_report()
-    }
-
     /// The version of the rules in force; 0 before there are any.
     pub fn rules_version(&self) -> u64 {
         self.journal.version
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -1,7 +1,7 @@
 //! Requests from callers and from the own backend server: the filter chain.
 
+use crate::job::JobOwner;
 use crate::resends::Sent;
-use crate::serve::JobOwner;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
@@ -66,7 +66,7 @@
 }
 
 impl Engine {
-    #[allow(clippy::too_many_arguments)]
+    #[expect(clippy::too_many_arguments, reason = "the fields of one input")]
     pub(crate) fn on_request(
         &mut self,
         now: Time,
--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -1,8 +1,8 @@
 //! Calls with a key, at the key's home.
 
 use crate::engine::RETRY_AFTER;
+use crate::job::JobOwner;
 use crate::serve::Inbound;
-use crate::serve::JobOwner;
 use crate::serve::Work;
 use crate::timers::Timer;
 use crate::Counter;
--- /dev/null
+++ b/crates/engine/src/job.rs
@@ -0,0 +1,102 @@
+//! Work for the own backend server: what a job is, and what its run tells.
+
+use crate::admission::OperationKey;
+use crate::RunEnd;
+use crate::Token;
+use indexmap::IndexMap;
+use policy::Account;
+use policy::Ended;
+use proto::ActionId;
+use proto::Below;
+use proto::CallId;
+use proto::Class;
+use proto::Fingerprint;
+use proto::KeyHash;
+use proto::Request;
+use std::sync::Arc;
+use std::time::Duration;
+use stdx::Time;
+
+/// Work for the own backend server, queued or running.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) owner: JobOwner,
+    pub(crate) action: ActionId,
+    pub(crate) dice: u16,
+    pub(crate) depth: u8,
+    pub(crate) deadline: Time,
+    pub(crate) account: Account,
+    /// Each child call counts as a retry.
+    pub(crate) again: bool,
+    pub(crate) operation: Option<OperationKey>,
+    pub(crate) fingerprint: Fingerprint,
+    /// Running it twice is the same as running it once, so it may be cancelled.
+    pub(crate) idempotent: bool,
+    /// The backend server was asked to stop it, so a connection that breaks is no crash.
+    pub(crate) cancelled: bool,
+    /// What the run met in its child calls.
+    pub(crate) below: Below,
+    /// Stands for the place in the call tree, as the scope of child keys.
+    pub(crate) path: Arc<str>,
+    /// Child calls of each kind so far.
+    pub(crate) children: IndexMap<(Arc<str>, Fingerprint), u32>,
+    /// What the whole action is for.
+    pub(crate) class: Class,
+    pub(crate) started: Option<Time>,
+    /// Child calls in flight, since when there are any, and how long there were some.
+    pub(crate) waiting: Vec<Token>,
+    pub(crate) waiting_since: Time,
+    pub(crate) waited: Duration,
+    pub(crate) request: Request,
+}
+
+/// Who gets the result of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum JobOwner {
+    /// An inbound call.
+    Call(CallId),
+    /// All that wait for a key.
+    Key(KeyHash),
+}
+
+impl Job {
+    /// What a child call is for: a lookup that an order makes is part of the order.
+    pub(crate) fn class_of_child(&self, own: Class) -> Class {
+        if own.is_protected() {
+            own
+        } else {
+            self.class
+        }
+    }
+
+    pub(crate) fn child_began(&mut self, now: Time, child: Token) {
+        if self.waiting.is_empty() {
+            self.waiting_since = now;
+        }
+        self.waiting.push(child);
+        self.below.calls = self.below.calls.saturating_add(1);
+    }
+
+    pub(crate) fn child_ended(&mut self, now: Time, child: Token) {
+        self.waiting.retain(|waiting| *waiting != child);
+        if self.waiting.is_empty() {
+            self.waited += now.since(self.waiting_since);
+        }
+    }
+
+    /// What the end of the run says about the backend server. The time of an answer that reports a
+    /// failure is left out: it is often quick, and would make the limit rise.
+    pub(crate) fn ended(&self, now: Time, end: &RunEnd) -> Ended {
+        let took = self.started.map_or(Duration::ZERO, |at| now.since(at));
+        match end {
+            RunEnd::Response(response) if response.status >= 500 => Ended::Failed,
+            RunEnd::Response(_) => Ended::Whole {
+                took,
+                own: took.saturating_sub(self.waited),
+            },
+            RunEnd::Refused { .. } => Ended::Refused,
+            RunEnd::NeverSent => Ended::NeverSent,
+            RunEnd::Lost => Ended::Lost,
+        }
+    }
+}
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -2,18 +2,17 @@
 
 use crate::admission::operation_key;
 use crate::admission::shed;
-use crate::admission::OperationKey;
 use crate::answered::Seen;
+use crate::job::Job;
+use crate::job::JobOwner;
 use crate::timers::Timer;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
 use crate::RunEnd;
-use crate::Token;
 use indexmap::IndexMap;
 use policy::admission_value;
 use policy::Account;
-use policy::Ended;
 use policy::Offer;
 use policy::Ticket;
 use proto::ActionId;
@@ -21,7 +20,6 @@
 use proto::Below;
 use proto::Call;
 use proto::CallId;
-use proto::Class;
 use proto::Fingerprint;
 use proto::Frame;
 use proto::Incarnation;
@@ -30,7 +28,6 @@
 use proto::Outcome;
 use proto::Reason;
 use proto::Refusal;
-use proto::Request;
 use proto::RunId;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,90 +51,6 @@
     Held,
 }
 
-/// Work for the own backend server, queued or running.
-#[derive(Debug)]
-pub(crate) struct Job {
-    pub(crate) owner: JobOwner,
-    pub(crate) action: ActionId,
-    pub(crate) dice: u16,
-    pub(crate) depth: u8,
-    pub(crate) deadline: Time,
-    pub(crate) account: Account,
-    /// Each child call counts as a retry.
-    pub(crate) again: bool,
-    operation: Option<OperationKey>,
-    fingerprint: Fingerprint,
-    /// Running it twice is the same as running it once, so it may be cancelled.
-    idempotent: bool,
-    /// The backend server was asked to stop it, so a connection that breaks is no crash.
-    cancelled: bool,
-    /// What the run met in its child calls.
-    pub(crate) below: Below,
-    /// Stands for the place in the call tree, as the scope of child keys.
-    pub(crate) path: Arc<str>,
-    /// Child calls of each kind so far.
-    pub(crate) children: IndexMap<(Arc<str>, Fingerprint), u32>,
-    /// What the whole action is for.
-    class: Class,
-    started: Option<Time>,
-    /// Child calls in flight, since when there are any, and how long there were some.
-    waiting: Vec<Token>,
-    waiting_since: Time,
-    waited: Duration,
-    request: Request,
-}
-
-/// Who gets the result of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum JobOwner {
-    /// An inbound call.
-    Call(CallId),
-    /// All that wait for a key.
-    Key(KeyHash),
-}
-
-impl Job {
-    /// What a child call is for: a lookup that an order makes is part of the order.
-    pub(crate) fn class_of_child(&self, own: Class) -> Class {
-        if own.is_protected() {
-            own
-        } else {
-            self.class
-        }
-    }
-
-    pub(crate) fn child_began(&mut self, now: Time, child: Token) {
-        if self.waiting.is_empty() {
-            self.waiting_since = now;
-        }
-        self.waiting.push(child);
-        self.below.calls = self.below.calls.saturating_add(1);
-    }
-
-    pub(crate) fn child_ended(&mut self, now: Time, child: Token) {
-        self.waiting.retain(|waiting| *waiting != child);
-        if self.waiting.is_empty() {
-            self.waited += now.since(self.waiting_since);
-        }
-    }
-
-    /// What the end of the run says about the backend server. The time of an answer that reports a
-    /// failure is left out: it is often quick, and would make the limit rise.
-    fn ended(&self, now: Time, end: &RunEnd) -> Ended {
-        let took = self.started.map_or(Duration::ZERO, |at| now.since(at));
-        match end {
-            RunEnd::Response(response) if response.status >= 500 => Ended::Failed,
-            RunEnd::Response(_) => Ended::Whole {
-                took,
-                own: took.saturating_sub(self.waited),
-            },
-            RunEnd::Refused { .. } => Ended::Refused,
-            RunEnd::NeverSent => Ended::NeverSent,
-            RunEnd::Lost => Ended::Lost,
-        }
-    }
-}
-
 impl Engine {
     pub(crate) fn on_call(&mut self, now: Time, from: Incarnation, call: Call) {
         // The id is known: the call came over a connection that was lost, or the frame came twice.
@@ -155,7 +68,6 @@
         match call.leg {
             Leg::Serve => self.serve(now, call),
             Leg::Home => self.on_home_call(now, call),
-            Leg::RunForHome { .. } => self.count(Counter::Unexpected),
         }
     }
 
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -85,11 +85,6 @@
         Serve,
         /// Be the home of the call's key: check the records, then run it.
         Home,
-        /// Run a non-idempotent call for its home, which holds the record.
-        RunForHome {
-            /// The view in which the sender is the home.
-            view: u64,
-        },
     }
 }
 
