A call that was never sent goes out again, to the same home if need be

Ruled out: the bounds on bodies and records, which seven orders of 1 MB stay below. Change: only a refusal needs another home.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -216,8 +216,12 @@
     /// A call that did not run goes elsewhere, if that may help.
     pub(crate) fn after_not_run(&mut self, now: Time, mut call: Outgoing, refusal: Refusal) {
         let reason = refusal.reason;
-        let elsewhere = matches!(reason, Reason::Moving | Reason::Draining | Reason::PeerLost)
-            && self.has_elsewhere(&call);
+        let elsewhere = match reason {
+            Reason::Moving | Reason::Draining => self.has_elsewhere(&call),
+            // Never sent, and no refusal: the same node may take it over another connection.
+            Reason::PeerLost => true,
+            _ => false,
+        };
         if elsewhere && call.redirects < MAX_REDIRECTS {
             call.redirects += 1;
             self.count(Counter::Redirect(reason));
--- a/crates/engine/tests/refusals.rs
+++ b/crates/engine/tests/refusals.rs
@@ -121,6 +121,33 @@
     check(Some("k"), Reason::Moving, 1, "unknown");
 }
 
+/// A connection goes silent while large orders wait to be written to it. They were never sent, so
+/// they go out over the next one; given up at once, they would fail though their home is well.
+#[test]
+fn a_call_that_was_never_sent_goes_out_again() {
+    let mut engine = entry();
+    let mut outputs = engine.handle(Time::ZERO, booking(Some("k")));
+    let mut sent = 0;
+    let answer = loop {
+        let mut unsent = Vec::new();
+        let mut answer = None;
+        for output in std::mem::take(&mut outputs) {
+            match output {
+                Output::Answer { outcome, .. } => answer = Some(outcome),
+                Output::Send { frame, .. } => unsent.push(frame),
+                _ => {}
+            }
+        }
+        if let Some(answer) = answer {
+            break answer;
+        }
+        sent += 1;
+        let peer = Incarnation(2);
+        outputs = engine.handle(Time::ZERO, Input::PeerUnreachable { peer, unsent });
+    };
+    assert_eq!((sent, answer.name()), (4, "unknown"));
+}
+
 /// The connection to a home breaks again and again while it has an order whose key this node made.
 /// Tried under another call, the order would count as certainly new there, and could run twice.
 #[test]
