Experiments on faults: cold, crash, domain, regions, log, rolling replacement

Cause: only demand and the slow service had been run. Change: a trigger is faults on a time line; seven more of them.

--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -6,17 +6,15 @@
 mod measure;
 mod report;
 mod scenario;
+mod trigger;
 mod variant;
 
 use gumdrop::Options;
 use scenario::Outcome;
-use scenario::Trigger;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Mutex;
-use std::time::Duration;
-use trial::Fault;
 use variant::Variant;
 
 /// Variants that are run at the same time.
@@ -31,7 +29,7 @@
     /// Print this help.
     #[options()]
     help: bool,
-    /// `demand` or `slow`.
+    /// `demand`, `slow`, `cold`, `crash`, `domain`, `regions`, `log`, `log-slow` or `rolling`.
     #[options(free, required)]
     name: String,
     /// Seed of all chance.
@@ -54,19 +52,13 @@
     println!("experiment {}, seed {}", args.name, args.seed);
     let outcomes = match &*args.name {
         "demand" => demand(&args, &variants),
-        "slow" => {
-            let slow = Trigger {
-                lasts: Duration::from_secs(60),
-                demand: 1.4,
-                begin: vec![Fault::Slow(graph::DEEPEST.into(), 10)],
-                end: vec![Fault::Slow(graph::DEEPEST.into(), 1)],
-            };
-            let run = |variant: &Variant| scenario::trigger(args.seed, variant, &slow);
-            let outcomes = in_parallel(&variants, run);
-            report::table(
-                "the deepest service ten times slower for 60 s, demand doubled",
-                &outcomes,
-            );
+        name if trigger::ALL.iter().any(|trigger| trigger.name == name) => {
+            let mut outcomes = Vec::new();
+            for trigger in trigger::ALL.iter().filter(|trigger| trigger.name == name) {
+                let run = |variant: &Variant| scenario::trigger(args.seed, variant, trigger);
+                outcomes = in_parallel(&variants, run);
+                report::table(trigger.title, &outcomes);
+            }
             outcomes
         }
         _ => {
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -9,9 +9,9 @@
 use crate::measure::whole_share;
 use crate::measure::Figures;
 use crate::measure::Mark;
+use crate::trigger::Trigger;
 use crate::variant::Variant;
 use std::time::Duration;
-use trial::Fault;
 use trial::World;
 
 /// Nodes find each other in this time, before anything is asked.
@@ -64,18 +64,6 @@
     }
 }
 
-/// What goes wrong while demand is at 0.7 of capacity.
-pub struct Trigger {
-    /// How long it lasts.
-    pub lasts: Duration,
-    /// Demand meanwhile, as a multiple of capacity.
-    pub demand: f64,
-    /// What happens at its start.
-    pub begin: Vec<Fault>,
-    /// What happens at its end.
-    pub end: Vec<Fault>,
-}
-
 /// The demand before and after a trigger.
 const USUAL: f64 = 0.7;
 
@@ -85,14 +73,11 @@
     let mut load = Load::new(seed);
     load.run(&mut world, CAPACITY * USUAL, SETTLE * 2);
     let mark = Mark::new(&world);
-    for fault in trigger.begin.clone() {
-        world.strike(fault);
+    for (after, fault) in (trigger.faults)(&world) {
+        world.after(after, move |world| world.strike(fault));
     }
     load.run(&mut world, CAPACITY * trigger.demand, trigger.lasts);
     let end = world.now;
-    for fault in trigger.end.clone() {
-        world.strike(fault);
-    }
     load.run(&mut world, CAPACITY * USUAL, Duration::from_secs(40));
     let during = figures(&world, mark, end);
     let after = (end.as_micros() / 1_000_000) as usize;
