--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -334,6 +334,9 @@
     }
 
     pub(crate) fn resume(&mut self, node: usize) {
+        // A freeze that has not come yet is called off as well; else one would come long after
+        // everything was mended.
+        self.nodes[node].pause_at_run = None;
         if !std::mem::take(&mut self.nodes[node].paused) {
             return;
         }
