--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -60,7 +60,7 @@
         };
         match self.home.begin(now, key, fingerprint, call.fresh) {
             Begin::Start => self.start_key(now, key, call),
-            Begin::Attach => self.attach(key, id, allowance),
+            Begin::Attach => self.attach(key, id),
             Begin::Done(response) => {
                 self.count(Counter::Replayed);
                 self.answer_call(id, allowance, Outcome::Whole(response));
@@ -87,8 +87,9 @@
         self.offer(now, run);
     }
 
-    /// A re-send waits for the run in flight, and gives its own allowance back unspent.
-    fn attach(&mut self, key: KeyHash, id: CallId, _allowance: u16) {
+    /// A re-send waits for the run in flight. What it was lent is not given back, as if it were
+    /// spent: too few retries do no harm, too many do.
+    fn attach(&mut self, key: KeyHash, id: CallId) {
         let work = self.keys.entry(key).or_insert_with(|| KeyWork {
             run: None,
             waiting: Vec::new(),
