An answer that is too large is the end of a run, not a broken connection

Cause: a response above max_body was taken for a connection that broke: an order ended as unknown though it was done, a lookup ran again, and the request counted as one that crashes servers. Found by reading. Seen failing: an_answer_that_is_too_large_is_the_end_of_a_run (504 unknown before, 502 whole with the reason after). Ruled out: passing it on in parts, which whole bodies do not allow.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -1,20 +1,26 @@
 //! Runs requests on the own backend server, by HTTP.
 
+use crate::caller::REASON_HEADER;
 use crate::shell::Shell;
 use crate::Settings;
+use awc::error::PayloadError;
 use awc::error::SendRequestError;
+use awc::http::header::HeaderMap;
 use awc::http::header::HeaderName;
 use awc::http::Method;
+use awc::http::StatusCode;
 use bytes::Bytes;
 use engine::Input;
 use engine::RunEnd;
 use indexmap::IndexMap;
+use proto::Reason;
 use proto::Request;
 use proto::Response;
 use proto::RunId;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -109,27 +115,21 @@
             }
             Err(_) => return RunEnd::Lost,
         };
-        let Ok(body) = response.body().limit(self.max_body).await else {
-            return RunEnd::Lost;
+        let body = match response.body().limit(self.max_body).await {
+            Ok(body) => body,
+            // The work is done, but its answer does not fit. Taken for a broken connection, it would
+            // be run again, and its request be held for one that crashes servers.
+            Err(PayloadError::Overflow) => return RunEnd::Response(too_large()),
+            Err(_) => return RunEnd::Lost,
         };
         if response.headers().contains_key(&self.refusal_header) {
             return RunEnd::Refused {
                 retry_after: retry_after(&response),
             };
         }
-        let headers = response.headers().iter();
-        let headers = headers
-            .filter(|(name, _)| is_end_to_end(name))
-            .map(|(name, value)| {
-                (
-                    name.as_str().into(),
-                    Bytes::copy_from_slice(value.as_bytes()),
-                )
-            })
-            .collect();
         RunEnd::Response(Response {
             status: response.status().as_u16(),
-            headers,
+            headers: end_to_end(response.headers()),
             body,
         })
     }
@@ -140,8 +140,28 @@
     value.to_str().ok()?.parse().ok().map(Duration::from_secs)
 }
 
+/// What a caller gets whose answer is larger than allowed.
+fn too_large() -> Response {
+    Response {
+        status: StatusCode::BAD_GATEWAY.as_u16(),
+        headers: vec![(REASON_HEADER.into(), Reason::TooLarge.name().into())],
+        body: Bytes::new(),
+    }
+}
+
+/// The headers that are passed on.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> Vec<(Arc<str>, Bytes)> {
+    let passed_on = headers.iter().filter(|(name, _)| is_end_to_end(name));
+    passed_on
+        .map(|(name, value)| {
+            let value = Bytes::copy_from_slice(value.as_bytes());
+            (name.as_str().into(), value)
+        })
+        .collect()
+}
+
 /// Headers that are about one connection are not passed on (RFC 9110, section 7.6.1).
-pub(crate) fn is_end_to_end(name: &HeaderName) -> bool {
+fn is_end_to_end(name: &HeaderName) -> bool {
     !matches!(
         name.as_str(),
         "connection"
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -1,6 +1,6 @@
 //! HTTP from callers and from the own backend server.
 
-use crate::backend::is_end_to_end;
+use crate::backend::end_to_end;
 use crate::backend::CONTEXT_HEADER;
 use crate::backend::DEADLINE_HEADER;
 use crate::body;
@@ -45,7 +45,7 @@
 const UNKNOWN_RETRY_AFTER: &str = "1";
 
 /// Says why a call did not end whole.
-const REASON_HEADER: &str = "bilberry-reason";
+pub(crate) const REASON_HEADER: &str = "bilberry-reason";
 
 /// The caller's key, and the one that the node made.
 const KEY_HEADER: &str = "idempotency-key";
@@ -181,16 +181,7 @@
         time: shell.settings.body_timeout,
     };
     let (body, reservation) = body::read(req, limits, &shell.bodies).await?;
-    let headers = req.headers().iter();
-    let headers = headers
-        .filter(|(name, _)| is_end_to_end(name))
-        .map(|(name, value)| {
-            (
-                name.as_str().into(),
-                Bytes::copy_from_slice(value.as_bytes()),
-            )
-        })
-        .collect();
+    let headers = end_to_end(req.headers());
     Ok(Entry {
         caller: caller.or(address).unwrap_or_else(|| "".into()),
         context,
--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -208,3 +208,17 @@
         200
     );
 }
+
+/// A backend server answers with more than is allowed. A shop must not be told that nobody knows
+/// what became of its booking, and the request is no reason to refuse the next ones.
+#[actix_rt::test]
+async fn an_answer_that_is_too_large_is_the_end_of_a_run() {
+    let (node, _backend) = start().await;
+    // The answer is the body and the path: one byte too long.
+    let body = "x".repeat(995);
+    for _ in 0..3 {
+        let (code, outcome, _) = call(node.http, "POST", "/press/slots", "large", &body).await;
+        assert_eq!((code, &*outcome), (502, "whole"));
+    }
+    assert_eq!(status(node.http, "counter.run_lost").await, "");
+}
