--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -101,8 +101,6 @@
     pub(crate) retry_budget: Budget,
     /// Calls that wait for a slot on its way here.
     pub(crate) held: HeldCalls,
-    /// The log's views leave this incarnation out.
-    pub(crate) expelled: bool,
     /// When a stop no longer waits for its slots to be taken.
     pub(crate) handover_ends: Option<Time>,
     pub(crate) timers: Timers,
@@ -164,7 +162,6 @@
             suspects: Suspects::new(),
             retry_budget: Budget::new(),
             held: HeldCalls::new(),
-            expelled: false,
             handover_ends: None,
             timers: Timers::default(),
             stopping: false,
--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -299,7 +299,7 @@
             Effect::FinishedDone { to, key } => self.send(&to, Frame::FinishedDone(key)),
             Effect::Settled(slot) => self.release(now, |key| key.slot() == slot),
             Effect::Leased => self.release(now, |_| true),
-            Effect::Ended(key) => self.on_ended_elsewhere(now, key),
+            Effect::Ended(key) => self.on_ended_elsewhere(key),
             Effect::Recall(key) => self.recall(now, key),
             Effect::Behind => self.out.push(Output::ReadLog),
             Effect::Expelled => self.on_expelled(now),
@@ -311,14 +311,14 @@
     }
 
     /// A run at an earlier home has ended: whoever waits here begins again and finds its end.
-    fn on_ended_elsewhere(&mut self, now: Time, key: KeyHash) {
+    fn on_ended_elsewhere(&mut self, key: KeyHash) {
         if self.keys.get(&key).is_none_or(|work| work.run.is_some()) {
             return;
         }
         let Some(work) = self.keys.swap_remove(&key) else {
             return;
         };
-        let outcome = match self.home.known(now, key) {
+        let outcome = match self.home.known(key) {
             Begin::Done(response) => Outcome::Whole(response),
             Begin::NotRun(reason) => self.not_run(reason),
             _ => Outcome::Unknown(Reason::RecordLost),
@@ -351,7 +351,6 @@
     /// flight, and the shell starts another incarnation.
     fn on_expelled(&mut self, now: Time) {
         self.count(Counter::Expelled);
-        self.expelled = true;
         self.on_stop(now);
     }
 }
--- a/crates/once/src/runs.rs
+++ b/crates/once/src/runs.rs
@@ -78,7 +78,7 @@
     }
 
     /// What is known of a key, for whoever waited for the end of its run.
-    pub fn known(&self, _now: Time, key: KeyHash) -> Begin {
+    pub fn known(&self, key: KeyHash) -> Begin {
         match self.records.get(key) {
             Some(record) => known(record, record.fingerprint),
             None => Begin::NotRun(Reason::Moving),
