--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -162,6 +162,7 @@
             remaining_ms: self.remaining_ms(now, call),
             allowance: call.lent,
             again: call.again,
+            idempotent: call.idempotent,
             key: call.key,
             fresh: call.fresh,
             depth: call.depth,
--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -28,8 +28,34 @@
     pub log_retention: Duration,
     /// How long a stop waits until the log has taken its `Leave`.
     pub leave_patience: Duration,
+    /// How rules files are read.
+    pub parse_rules: journal::ParseRules,
+    /// What becomes of a non-idempotent call that comes without a key.
+    pub keyless: Keyless,
+    /// The backend server announces itself, and gets no work before it has, nor once it has said
+    /// that it leaves. Otherwise it is taken to be there for as long as the node runs.
+    pub announced: bool,
+    /// How long a stopping node goes on taking new requests from its callers, who need a moment to
+    /// notice. They run on other nodes' backend servers.
+    pub linger: Duration,
+    /// What a node may spend on retries without having earned it by first attempts, and the most
+    /// that it saves up.
+    pub retry_burst: f64,
 }
 
+/// What becomes of a non-idempotent call that comes without a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Keyless {
+    /// It is given one, which the answer tells, and has a home like any other key.
+    MakeKey,
+    /// Its entry owns it: it goes to an instance that is near and has room, and to another one only
+    /// after proof that it did not run. Nobody could ask for it again, so it needs no record.
+    Own,
+}
+
+/// What a node may spend on retries at its start.
+const RETRY_BURST: f64 = 10.0;
+
 impl Default for Config {
     fn default() -> Self {
         Self {
@@ -44,6 +70,11 @@
             append_retry: Duration::from_secs(1),
             log_retention: Duration::from_secs(24 * 3600),
             leave_patience: Duration::from_secs(10),
+            parse_rules: |file| rules::Rules::parse(file).ok(),
+            keyless: Keyless::MakeKey,
+            announced: false,
+            linger: Duration::ZERO,
+            retry_burst: RETRY_BURST,
         }
     }
 }
--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -74,6 +74,12 @@
         Replayed,
         /// Work was started on the own backend server.
         Run(Class),
+        /// A new incarnation of the own backend server announced itself.
+        ServerStarted,
+        /// A heartbeat of the backend server came after a newer one.
+        LateHeartbeat,
+        /// A heartbeat of a server of another service came here.
+        StrangeServer,
         /// A request was in flight when the backend server broke off.
         Suspected,
         /// A run ended without a whole response.
@@ -141,6 +147,9 @@
             Counter::Attached => "attached".to_owned(),
             Counter::Replayed => "replayed".to_owned(),
             Counter::Suspected => "suspected".to_owned(),
+            Counter::ServerStarted => "server_started".to_owned(),
+            Counter::LateHeartbeat => "late_heartbeat".to_owned(),
+            Counter::StrangeServer => "strange_server".to_owned(),
             Counter::RunLost => "run_lost".to_owned(),
             Counter::BrokenRecord => "broken_record".to_owned(),
             Counter::RejectedPublication => "rejected_publication".to_owned(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,11 +4,13 @@
 use crate::answered::Answered;
 use crate::calls::Outgoing;
 use crate::entry::OpenRequest;
+use crate::entry::Parents;
 use crate::fetch::FetchLink;
 use crate::homes::HeldCalls;
 use crate::homes::KeyWork;
 use crate::job::Job;
 use crate::log::LogLink;
+use crate::own_server::OwnServer;
 use crate::quarantine::Suspects;
 use crate::resends::Resends;
 use crate::serve::Inbound;
@@ -31,12 +33,14 @@
 use proto::Frame;
 use proto::Instance;
 use proto::KeyHash;
+use proto::PeerState;
 use proto::Reason;
 use proto::Refusal;
 use proto::RunId;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 use stdx::Time;
 
@@ -78,6 +82,8 @@
     pub(crate) roster_changed: bool,
     pub(crate) home: Home,
     pub(crate) server: Server,
+    /// The own backend server, once it has announced itself.
+    pub(crate) own_server: Option<OwnServer>,
     /// Requests of callers and of the own backend server, in flight.
     pub(crate) open: IndexMap<Token, OpenRequest>,
     /// Requests that wait for the answer to another one.
@@ -90,6 +96,8 @@
     pub(crate) answered: Answered,
     /// Work for the own backend server, queued or running.
     pub(crate) jobs: IndexMap<RunId, Job>,
+    /// The job of each request that has an id of its caller's.
+    pub(crate) jobs_by_id: IndexMap<Arc<str>, RunId>,
     /// Who waits for the run of a key.
     pub(crate) keys: IndexMap<KeyHash, KeyWork>,
     /// What the run met that is being answered just now.
@@ -107,6 +115,8 @@
     pub(crate) stopping: bool,
     /// From then on a stopping node starts no work at all on its backend server.
     pub(crate) closed_at: Time,
+    /// Until then a stopping node still takes new requests from its callers.
+    pub(crate) lingers_until: Time,
     next_number: u64,
     /// Frames of this node to itself.
     loopback: VecDeque<Frame>,
@@ -134,12 +144,14 @@
     pub fn new(cfg: Config, me: Instance) -> Self {
         let defaults = rules::Limit::default();
         let incarnation = me.incarnation;
+        let mut members = Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone());
+        members.set_open(!cfg.announced);
         Self {
             rng: StdRng::seed_from_u64(cfg.seed),
             journal: State::default(),
             log: LogLink::default(),
             fetch: FetchLink::default(),
-            members: Membership::new(cfg.membership.clone(), me.clone(), cfg.contacts.clone()),
+            members,
             selector: Selector::new(),
             roster_changed: false,
             home: Home::new(cfg.once.clone(), incarnation),
@@ -149,23 +161,26 @@
                 defaults.max_concurrency,
                 defaults.queue,
             ),
+            own_server: None,
             open: IndexMap::new(),
             followers: IndexMap::new(),
             calls: IndexMap::new(),
             inbound: IndexMap::new(),
             answered: Answered::new(),
             jobs: IndexMap::new(),
+            jobs_by_id: IndexMap::new(),
             keys: IndexMap::new(),
             run_below: Below::default(),
             admission: Admission::default(),
             resends: Resends::new(),
             suspects: Suspects::new(),
-            retry_budget: Budget::new(),
+            retry_budget: Budget::with_burst(cfg.retry_burst),
             held: HeldCalls::new(),
             handover_ends: None,
             timers: Timers::default(),
             stopping: false,
             closed_at: Time::ZERO,
+            lingers_until: Time::ZERO,
             next_number: 0,
             loopback: VecDeque::new(),
             out: Vec::new(),
@@ -181,11 +196,13 @@
                 token,
                 caller,
                 context,
+                parent,
                 key,
                 patience,
                 request,
             } => {
-                self.on_request(now, token, &caller, context, key, patience, request);
+                let parents = Parents { context, parent };
+                self.on_request(now, token, &caller, parents, key, patience, request);
             }
             Input::CallerGone(token) => self.on_caller_gone(now, token),
             Input::Frame { from, frame } => self.on_frame(now, from, frame),
@@ -196,6 +213,12 @@
             Input::Records(records) => self.on_records(now, records),
             Input::LogStart(first) => self.on_log_start(first),
             Input::LogRead => self.on_log_read(now),
+            Input::Published { version, file } => self.on_published(now, version, &file),
+            Input::Directory(addrs) => {
+                let effects = self.members.meet(&addrs);
+                self.apply_members(now, effects);
+            }
+            Input::Server(announcement) => self.on_announcement(now, announcement),
             Input::LogUnreachable => self.on_log_unreachable(now),
             Input::PeerState(state) => self.on_peer_state(now, &state),
             Input::Appended(number) => self.on_appended(now, number),
@@ -244,6 +267,23 @@
         &self.journal
     }
 
+    /// Whether the process was asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Whether this node takes callers: rules are in force, and it is not about to stop.
+    pub fn is_ready(&self) -> bool {
+        self.has_rules() && !self.stopping
+    }
+
+    /// Whether any other node is known to be there.
+    pub fn has_peers(&self) -> bool {
+        self.members
+            .peers()
+            .any(|peer| peer.state == PeerState::Alive)
+    }
+
     /// How much is in flight.
     pub fn tables(&self) -> Tables {
         Tables {
@@ -262,7 +302,7 @@
                 Timer::Suspects => self.repeat_reports(now),
                 Timer::Run(run) => self.on_run_deadline(now, run),
                 Timer::Held(call) => self.on_held_too_long(call),
-                Timer::Handover => {}
+                Timer::Handover | Timer::Linger => {}
                 Timer::Reattach(call) => self.on_reattach_timer(now, call),
             }
         }
@@ -326,6 +366,8 @@
     pub(crate) fn on_stop(&mut self, now: Time) {
         self.stopping = true;
         self.closed_at = now + CLOSE_AFTER;
+        self.lingers_until = now + self.cfg.linger;
+        self.timers.set(self.lingers_until, Timer::Linger);
         self.leave_home(now);
         self.leave_members(now);
         self.leave_log(now);
@@ -333,7 +375,12 @@
 
     fn check_stopped(&mut self, now: Time) {
         let idle = self.open.is_empty() && self.inbound.is_empty() && self.jobs.is_empty();
-        if self.stopping && idle && self.log.left() && self.has_handed_over(now) {
+        if self.stopping
+            && now >= self.lingers_until
+            && idle
+            && self.log.left()
+            && self.has_handed_over(now)
+        {
             self.out.push(Output::Stopped);
         }
     }
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -4,6 +4,7 @@
 use crate::resends::Sent;
 use crate::Counter;
 use crate::Engine;
+use crate::Keyless;
 use crate::Output;
 use crate::Token;
 use policy::Account;
@@ -42,6 +43,12 @@
     pub(crate) followers: Vec<Token>,
 }
 
+/// What a request says of the run that it is part of.
+pub(crate) struct Parents {
+    pub(crate) context: Option<Arc<str>>,
+    pub(crate) parent: Option<Arc<str>>,
+}
+
 /// What the filters have found out about a request.
 pub(crate) struct Draft {
     pub(crate) token: Token,
@@ -72,15 +79,18 @@
         now: Time,
         token: Token,
         caller: &str,
-        context: Option<Arc<str>>,
+        parents: Parents,
         key: Option<Arc<str>>,
         patience: Option<Duration>,
-        request: Request,
+        mut request: Request,
     ) {
         let keyed = key.is_some();
+        let dice = self.rng.random();
         let draft = self
-            .filter_state(&request)
-            .and_then(|operation| self.filter_context(now, token, context, operation, request))
+            .filter_state(&mut request, dice)
+            .and_then(|operation| {
+                self.filter_context(now, token, parents, dice, operation, request)
+            })
             .map(|draft| shorten(draft, now, patience))
             .and_then(|draft| self.filter_key(draft, caller, key));
         let draft = match draft {
@@ -103,7 +113,7 @@
     }
 
     /// Refuses what this node cannot judge or no rule allows.
-    fn filter_state(&mut self, request: &Request) -> Result<Operation, Reason> {
+    fn filter_state(&mut self, request: &mut Request, dice: u16) -> Result<Operation, Reason> {
         if !self.has_rules() {
             return Err(Reason::NoRules);
         }
@@ -111,8 +121,16 @@
             return Err(Reason::TableFull);
         }
         let rules = &self.journal.rules;
-        let operation = rules.operation(&request.service, &request.method, &request.path);
-        let operation = operation.ok_or(Reason::NoSuchOperation)?.clone();
+        let operation = if request.host.is_empty() {
+            let operation = rules.operation(&request.service, &request.method, &request.path);
+            operation.ok_or(Reason::NoSuchOperation)?
+        } else {
+            let route = rules.routes.find(&request.host, &request.path);
+            let route = route.ok_or(Reason::NoSuchOperation)?;
+            request.service = route.target(dice).clone();
+            &route.operation
+        };
+        let operation = operation.clone();
         self.count(Counter::Request(operation.class));
         Ok(operation)
     }
@@ -122,14 +140,21 @@
         &mut self,
         now: Time,
         token: Token,
-        context: Option<Arc<str>>,
+        parents: Parents,
+        dice: u16,
         operation: Operation,
         request: Request,
     ) -> Result<Draft, Reason> {
-        let Some(context) = context else {
-            return self.root(now, token, operation, request);
+        let run = match parents {
+            Parents {
+                context: Some(context),
+                ..
+            } => Some(RunId::parse(&context).ok_or(Reason::BadRequest)?),
+            Parents { parent, .. } => parent.and_then(|id| self.jobs_by_id.get(&id).copied()),
+        };
+        let Some(run) = run else {
+            return self.root(now, token, dice, operation, request);
         };
-        let run = RunId::parse(&context).ok_or(Reason::BadRequest)?;
         let job = self.jobs.get_mut(&run).ok_or(Reason::ParentGone)?;
         if job.depth >= self.cfg.max_depth {
             return Err(Reason::BadRequest);
@@ -162,17 +187,18 @@
         &mut self,
         now: Time,
         token: Token,
+        dice: u16,
         operation: Operation,
         request: Request,
     ) -> Result<Draft, Reason> {
         // A planned stop still finishes its runs, whose child calls come with a context.
-        if self.stopping {
+        if self.stopping && now >= self.lingers_until {
             return Err(Reason::Draining);
         }
         Ok(Draft {
             token,
             action: ActionId(self.rng.random()),
-            dice: self.rng.random(),
+            dice,
             class: operation.class,
             depth: 0,
             deadline: now + operation.deadline,
@@ -207,6 +233,11 @@
         }
         let fingerprint = Fingerprint::of(&draft.request);
         let service = draft.request.service.clone();
+        // A keyed run may be asked for again, and its second attempt must not make new children.
+        let parent_keyed = draft.parent.is_some_and(|run| self.is_first_run(run));
+        if key.is_none() && !parent_keyed && self.cfg.keyless == Keyless::Own {
+            return Ok(draft);
+        }
         let key = match (draft.parent, key) {
             (Some(run), key) => {
                 draft.fresh = key.is_none() && self.is_first_run(run);
--- a/crates/engine/src/fetch.rs
+++ b/crates/engine/src/fetch.rs
@@ -8,6 +8,7 @@
 use journal::State;
 use proto::Datagram;
 use proto::MemberMessage;
+use proto::PeerState;
 use proto::PROTOCOL_VERSION;
 use rand::RngExt;
 use std::collections::VecDeque;
@@ -114,7 +115,9 @@
     /// Tells a few others at once how far this node is. Probes tell as well, but only one peer a
     /// second; while few nodes reach the log, old and new rules would stand side by side for long.
     pub(crate) fn spread_offset(&mut self) {
-        let others = self.journal.instances().map(|instance| instance.addr);
+        let others = self.members.peers();
+        let others = others.filter(|peer| peer.state != PeerState::Dead);
+        let others = others.map(|peer| peer.instance.addr);
         let mut addrs: Vec<SocketAddr> = others.filter(|addr| *addr != self.me.addr).collect();
         for _ in 0..FANOUT.min(addrs.len()) {
             let to = addrs.swap_remove(self.rng.random_range(0..addrs.len()));
@@ -166,7 +169,10 @@
     /// A contact address or a node that the state names already.
     fn any_peer_address(&mut self) -> Option<SocketAddr> {
         let listed = self.journal.instances().map(|instance| instance.addr);
-        let mut addrs: Vec<SocketAddr> = listed.chain(self.cfg.contacts.iter().copied()).collect();
+        let living = self.members.peers();
+        let living = living.filter(|peer| peer.state == PeerState::Alive);
+        let known = listed.chain(living.map(|peer| peer.instance.addr));
+        let mut addrs: Vec<SocketAddr> = known.chain(self.cfg.contacts.iter().copied()).collect();
         addrs.retain(|addr| *addr != self.me.addr);
         if addrs.is_empty() {
             return None;
@@ -179,7 +185,7 @@
     pub(crate) fn on_peer_state(&mut self, now: Time, news: &[u8]) {
         let change = match proto::decode(news) {
             Ok(News::Records(records)) => return self.on_peer_records(now, records),
-            Ok(News::State(state)) => self.journal.adopt(*state),
+            Ok(News::State(state)) => self.journal.adopt_with(*state, self.cfg.parse_rules),
             Err(_) => Change::Broken,
         };
         match change {
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -31,6 +31,9 @@
         caller: Arc<str>,
         /// The context header, if the request has one.
         context: Option<Arc<str>>,
+        /// The id of the request that a backend server serves by this one, as far as its own id
+        /// tells. It is a hint: if no such request runs here, this one stands for itself.
+        parent: Option<Arc<str>>,
         /// The `Idempotency-Key` header, if the request has one.
         key: Option<Arc<str>>,
         /// How long the caller will wait, if it says so.
@@ -78,6 +81,17 @@
     LogRead,
     /// The log's state, from a peer; answers [`Output::FetchState`].
     PeerState(Bytes),
+    /// The operators' newest rules file, from a service that gives out versions itself.
+    Published {
+        /// Its version; only rises.
+        version: u64,
+        /// The file.
+        file: Arc<str>,
+    },
+    /// Addresses at which nodes announced themselves; some may be gone.
+    Directory(Vec<SocketAddr>),
+    /// The own backend server says something of itself.
+    Server(Announcement),
     /// The log did not answer.
     LogUnreachable,
     /// The append with this number was answered.
@@ -90,6 +104,36 @@
     Tick,
 }
 
+/// What a backend server says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Announcement {
+    /// It is there.
+    Alive(Heartbeat),
+    /// It leaves, and takes nothing new.
+    Leaves {
+        /// Which incarnation of it.
+        id: Arc<str>,
+    },
+}
+
+/// A backend server's heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The name of the incarnation. A restarted server may use the name again.
+    pub id: Arc<str>,
+    /// When the incarnation started, in milliseconds since the Unix epoch by its own clock. Orders
+    /// the incarnations, whatever their names.
+    pub started_ms: u64,
+    /// Counts the heartbeats of the incarnation, because some arrive late.
+    pub sequence: u64,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// How much it works on at a time.
+    pub slots: u16,
+    /// It is about to leave, and takes nothing new.
+    pub draining: bool,
+}
+
 /// How a run on the own backend server ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunEnd {
@@ -100,6 +144,10 @@
         /// When the server says to come back.
         retry_after: Option<Duration>,
     },
+    /// Another server has the address by now, and said whole that it did not run.
+    Misdirected,
+    /// The time was up before the response was there.
+    TimedOut,
     /// No connection could be made: it did not run.
     NeverSent,
     /// The connection broke before the whole response was there.
@@ -138,6 +186,8 @@
         run: RunId,
         /// What.
         request: Request,
+        /// The incarnation of the server that it is meant for, if servers announce themselves.
+        expect: Option<Arc<str>>,
         /// The time the server has.
         remaining: Duration,
         /// The run may not start after this much time, because the right to start it ends then.
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -30,8 +30,8 @@
     pub(crate) again: bool,
     pub(crate) operation: Option<OperationKey>,
     pub(crate) fingerprint: Fingerprint,
-    /// Running it twice is the same as running it once, so it may be cancelled.
-    pub(crate) idempotent: bool,
+    /// It has a key, whose record outlives the caller.
+    pub(crate) keyed: bool,
     /// The backend server was asked to stop it, so a connection that breaks is no crash.
     pub(crate) cancelled: bool,
     /// What the run met in its child calls.
@@ -96,6 +96,7 @@
             },
             RunEnd::Refused { .. } => Ended::Refused,
             RunEnd::NeverSent => Ended::NeverSent,
+            RunEnd::Misdirected | RunEnd::TimedOut => Ended::Failed,
             RunEnd::Lost => Ended::Lost,
         }
     }
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -96,15 +96,34 @@
 
     fn on_rules(&mut self, now: Time) {
         let limit = self.journal.rules.limit(&self.me.service);
-        let deadlines = self.journal.rules.operations.iter();
-        let longest = deadlines.map(|operation| operation.deadline).max();
+        let rules = &self.journal.rules;
+        let routes = rules.routes.iter().map(|route| &route.operation);
+        let operations = rules.operations.iter().chain(routes);
+        let longest = operations.map(|operation| operation.deadline).max();
         let longest = longest.unwrap_or(limit.key_retention);
         self.home.set_times(limit.key_retention, longest);
-        self.server
-            .set_bounds(limit.min_concurrency, limit.max_concurrency, limit.queue);
+        self.set_server_bounds();
         self.update_roster(now);
     }
 
+    /// Takes a rules file that was given its version elsewhere.
+    pub(crate) fn on_published(&mut self, now: Time, version: u64, file: &str) {
+        self.log.down = false;
+        match self
+            .journal
+            .take_version(version, file, self.cfg.parse_rules)
+        {
+            Change::Rules => {
+                self.count(Counter::RulesInForce);
+                self.log.ready = true;
+                self.on_rules(now);
+                self.spread_offset();
+            }
+            Change::Broken => self.count(Counter::RejectedPublication),
+            _ => {}
+        }
+    }
+
     pub(crate) fn on_restored(&mut self, now: Time) {
         self.count(Counter::Restored);
         self.on_rules(now);
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -105,7 +105,7 @@
         }
     }
 
-    fn apply_members(&mut self, now: Time, effects: Vec<Effect>) {
+    pub(crate) fn apply_members(&mut self, now: Time, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
                 Effect::Send { to, message } => {
--- /dev/null
+++ b/crates/engine/src/own_server.rs
@@ -0,0 +1,127 @@
+//! The own backend server, as it announces itself: which incarnation is there, and whether it takes
+//! work.
+
+use crate::Announcement;
+use crate::Counter;
+use crate::Engine;
+use crate::Heartbeat;
+use proto::Reason;
+use proto::RunId;
+use std::sync::Arc;
+use stdx::Time;
+
+/// The newest incarnation of the own backend server that was heard of.
+#[derive(Debug)]
+pub(crate) struct OwnServer {
+    heartbeat: Heartbeat,
+    /// It has said that it leaves. That is final for this incarnation: it may not be heard again.
+    left: bool,
+}
+
+impl OwnServer {
+    fn is_open(&self) -> bool {
+        !self.left && !self.heartbeat.draining
+    }
+
+    /// Heartbeats arrive late at times, also those of an incarnation that has ended. Taken for
+    /// news, one would open a server that drains, or send work to one that is gone.
+    fn is_overtaken_by(&self, newer: &Heartbeat) -> bool {
+        (newer.started_ms, newer.sequence) > (self.heartbeat.started_ms, self.heartbeat.sequence)
+    }
+
+    fn is_same(&self, other: &Heartbeat) -> bool {
+        self.heartbeat.started_ms == other.started_ms && self.heartbeat.id == other.id
+    }
+}
+
+impl Engine {
+    pub(crate) fn on_announcement(&mut self, now: Time, announcement: Announcement) {
+        match announcement {
+            Announcement::Alive(heartbeat) => self.on_heartbeat(now, heartbeat),
+            Announcement::Leaves { id } => self.on_leaves(now, &id),
+        }
+    }
+
+    fn on_heartbeat(&mut self, now: Time, heartbeat: Heartbeat) {
+        if heartbeat.service != self.me.service {
+            return self.count(Counter::StrangeServer);
+        }
+        match &mut self.own_server {
+            Some(known) if !known.is_overtaken_by(&heartbeat) => {
+                return self.count(Counter::LateHeartbeat);
+            }
+            Some(known) if known.is_same(&heartbeat) => known.heartbeat = heartbeat,
+            _ => {
+                let known = self.own_server.insert(OwnServer {
+                    heartbeat,
+                    left: false,
+                });
+                let slots = known.heartbeat.slots;
+                self.server.restarted(now, slots);
+                self.count(Counter::ServerStarted);
+            }
+        }
+        self.on_server_changed(now);
+    }
+
+    fn on_leaves(&mut self, now: Time, id: &str) {
+        let known = self.own_server.as_mut();
+        if let Some(known) = known.filter(|known| *known.heartbeat.id == *id) {
+            known.left = true;
+            self.on_server_changed(now);
+        }
+    }
+
+    fn on_server_changed(&mut self, now: Time) {
+        self.set_server_bounds();
+        let open = self.server_is_open();
+        self.members.set_open(open);
+        if !open {
+            self.turn_away_waiting(now);
+        }
+    }
+
+    /// Work that waits for a server that leaves would reach it when it has stopped listening. Its
+    /// entry gives it to another node at once.
+    fn turn_away_waiting(&mut self, now: Time) {
+        let waiting = self.jobs.iter().filter(|(_, job)| job.started.is_none());
+        let waiting: Vec<RunId> = waiting.map(|(run, _)| *run).collect();
+        for run in waiting {
+            if self.withdraw(run) {
+                self.end_job(now, run, self.not_run(Reason::Draining));
+            }
+        }
+    }
+
+    /// Whether the own backend server may be given new work.
+    pub(crate) fn server_is_open(&self) -> bool {
+        !self.cfg.announced || self.own_server.as_ref().is_some_and(OwnServer::is_open)
+    }
+
+    /// The incarnation that work is meant for. The address may belong to another server by now,
+    /// which refuses what is not meant for it.
+    pub(crate) fn expected_server(&self) -> Option<Arc<str>> {
+        let known = self.own_server.as_ref();
+        known.map(|known| known.heartbeat.id.clone())
+    }
+
+    /// Another server answered at the address: the announced one is gone.
+    pub(crate) fn on_misdirected(&mut self, now: Time) {
+        if let Some(known) = &mut self.own_server {
+            known.left = true;
+            self.on_server_changed(now);
+        }
+    }
+
+    /// The bounds of the rules; a server that tells its slots is never given more than those,
+    /// because what it has to queue, or can't, it may never answer.
+    pub(crate) fn set_server_bounds(&mut self) {
+        let limit = self.journal.rules.limit(&self.me.service);
+        let slots = self.own_server.as_ref().map(|known| known.heartbeat.slots);
+        let most = slots.map_or(limit.max_concurrency, |slots| {
+            slots.min(limit.max_concurrency)
+        });
+        let least = limit.min_concurrency.min(most);
+        self.server.set_bounds(least, most, limit.queue);
+    }
+}
--- a/crates/engine/src/resends.rs
+++ b/crates/engine/src/resends.rs
@@ -90,7 +90,9 @@
         caller: &str,
         mut draft: Draft,
     ) -> Option<Draft> {
-        let counts = draft.parent.is_none() && draft.key.is_none();
+        // Two non-idempotent requests without a key may be two orders, however alike they are.
+        let alike = draft.operation.idempotent && draft.key.is_none();
+        let counts = draft.parent.is_none() && alike;
         if !self.cfg.policy.resend_limit || !counts {
             return Some(draft);
         }
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -50,6 +50,7 @@
             return;
         };
         let standing = match state {
+            _ if !peer.open => Standing::Closed,
             PeerState::Alive if !peer.load.draining => Standing::Ready,
             PeerState::Suspect if !peer.load.draining => Standing::Doubtful,
             _ => Standing::Closed,
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -76,6 +76,10 @@
             let outcome = self.not_run(Reason::Draining);
             return self.answer_call(call.id, call.allowance, outcome);
         }
+        if !self.server_is_open() {
+            let outcome = self.not_run(Reason::Draining);
+            return self.answer_call(call.id, call.allowance, outcome);
+        }
         if !self.has_rules() {
             return self.answer_call(call.id, call.allowance, self.not_run(Reason::NoRules));
         }
@@ -98,7 +102,12 @@
         };
         let request = call.request;
         let rules = &self.journal.rules;
-        let operation = rules.operation(&request.service, &request.method, &request.path);
+        let operation = if request.host.is_empty() {
+            rules.operation(&request.service, &request.method, &request.path)
+        } else {
+            let route = rules.routes.find(&request.host, &request.path);
+            route.map(|route| &route.operation)
+        };
         let job = Job {
             owner,
             action: call.action,
@@ -109,7 +118,7 @@
             again: call.again,
             operation: operation.map(operation_key),
             fingerprint: Fingerprint::of(&request),
-            idempotent: call.key.is_none(),
+            keyed: call.key.is_some(),
             cancelled: false,
             below: Below::default(),
             path: child_scope(call.action, call.key.map(|(key, _)| key)),
@@ -121,9 +130,12 @@
             waited: Duration::ZERO,
             request,
         };
-        if job.idempotent {
+        if !job.keyed {
             self.timers.set(job.deadline, Timer::Run(run));
         }
+        if !job.request.id.is_empty() {
+            self.jobs_by_id.insert(job.request.id.clone(), run);
+        }
         self.jobs.insert(run, job);
         run
     }
@@ -200,10 +212,14 @@
             return;
         };
         job.started = Some(now);
+        let request = job.request.clone();
+        let remaining = now.until(job.deadline);
+        let expect = self.expected_server();
         self.out.push(Output::Run {
             run,
-            request: job.request.clone(),
-            remaining: now.until(job.deadline),
+            request,
+            expect,
+            remaining,
             start_within,
         });
         self.count(Counter::Run(class));
@@ -231,6 +247,11 @@
                 Outcome::NotRun(Refusal::new(Reason::ServerRefused, retry_after))
             }
             RunEnd::NeverSent => self.not_run(Reason::ServerLost),
+            RunEnd::Misdirected => {
+                self.on_misdirected(now);
+                self.not_run(Reason::Draining)
+            }
+            RunEnd::TimedOut => Outcome::Unknown(Reason::Deadline),
             RunEnd::Lost => {
                 self.count(Counter::RunLost);
                 if !cancelled {
@@ -247,6 +268,9 @@
             return;
         };
         self.timers.clear(job.deadline, Timer::Run(run));
+        if self.jobs_by_id.get(&job.request.id) == Some(&run) {
+            self.jobs_by_id.swap_remove(&job.request.id);
+        }
         let unspent = job.account.left();
         if let Some(operation) = job.operation.as_ref().filter(|_| job.started.is_some()) {
             self.admission.hear_path(now, operation, job.below);
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -20,6 +20,8 @@
         Held(CallId),
         /// A stopping node has waited long enough for its slots to be taken.
         Handover,
+        /// A stopping node takes no new requests any more.
+        Linger,
         /// A call is to be sent again over a new connection.
         Reattach(CallId),
     }
--- a/crates/engine/tests/allowance.rs
+++ b/crates/engine/tests/allowance.rs
@@ -200,6 +200,7 @@
                 token,
                 caller: "shop".into(),
                 context: parent.map(|run| run.to_string().into()),
+                parent: None,
                 key: None,
                 patience: None,
                 request: Request::new(&service, method, &format!("/{call}"), Bytes::new()),
--- a/crates/engine/tests/duplicates.rs
+++ b/crates/engine/tests/duplicates.rs
@@ -67,6 +67,7 @@
         remaining_ms: 5000,
         allowance: 0,
         again: false,
+        idempotent: true,
         key: None,
         fresh: false,
         depth: 0,
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -99,6 +99,7 @@
             token,
             caller: caller.into(),
             context: None,
+            parent: None,
             key: None,
             patience: None,
             request: Request::new("patterns", "GET", path, Bytes::new()),
--- a/crates/engine/tests/log/outage.rs
+++ b/crates/engine/tests/log/outage.rs
@@ -55,6 +55,7 @@
         token: Token(9),
         caller: "shop".into(),
         context: None,
+        parent: None,
         key: None,
         patience: None,
         request: Request::new("press", "GET", "/slots", Bytes::new()),
--- a/crates/engine/tests/refusals.rs
+++ b/crates/engine/tests/refusals.rs
@@ -55,6 +55,7 @@
         token: Token(1),
         caller: "shop".into(),
         context: None,
+        parent: None,
         key: key.map(Into::into),
         patience: None,
         request: Request::new("press", "POST", "/slots", Bytes::new()),
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -11,6 +11,7 @@
 pub use fold::MAX_NAME;
 pub use fold::MAX_RECORD;
 pub use record::Record;
+pub use restore::ParseRules;
 pub use state::Change;
 pub use state::Rejection;
 pub use state::SnapshotMark;
--- a/crates/journal/src/restore.rs
+++ b/crates/journal/src/restore.rs
@@ -11,6 +11,9 @@
 use rules::Rules;
 use std::sync::Arc;
 
+/// Reads a rules file; `None` if it has faults.
+pub type ParseRules = fn(&str) -> Option<Rules>;
+
 impl State {
     /// Takes the log's word that it has no records before `first` any more. If this state lacks
     /// some of them, it goes on from the first snapshot that stands in for them.
@@ -82,16 +85,21 @@
     /// assert_eq!(state.adopt(newer), Change::Old);
     /// ```
     pub fn adopt(&mut self, other: State) -> Change {
+        self.adopt_with(other, |file| Rules::parse(file).ok())
+    }
+
+    /// The same where rules files are in another format.
+    pub fn adopt_with(&mut self, other: State, parse: ParseRules) -> Change {
         if other.next <= self.next {
             return Change::Old;
         }
         if !other.is_bounded() || other.takes_back(self) {
             return Change::Broken;
         }
-        let rules = match Rules::parse(&other.file) {
-            Ok(rules) => rules,
-            Err(_) if other.version == 0 => Rules::default(),
-            Err(_) => return Change::Broken,
+        let rules = match parse(&other.file) {
+            Some(rules) => rules,
+            None if other.version == 0 => Rules::default(),
+            None => return Change::Broken,
         };
         *self = other;
         self.rules = Arc::new(rules);
@@ -99,6 +107,34 @@
         Change::Restored
     }
 
+    /// Takes a rules file that was given its version elsewhere, if that is newer. The version then
+    /// counts as the offset too, so that peers can tell who is ahead.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_journal::{Change, State};
+    ///
+    /// let mut state = State::default();
+    /// let parse = |_: &str| Some(rules::Rules::default());
+    /// assert_eq!(state.take_version(7, "a file", parse), Change::Rules);
+    /// assert_eq!(state.take_version(6, "an older file", parse), Change::Old);
+    /// assert_eq!((state.version, state.next), (7, 7));
+    /// ```
+    pub fn take_version(&mut self, version: u64, file: &str, parse: ParseRules) -> Change {
+        if version <= self.version {
+            return Change::Old;
+        }
+        let Some(rules) = parse(file) else {
+            return Change::Broken;
+        };
+        self.version = version;
+        self.next = version;
+        self.file = file.into();
+        self.rules = Arc::new(rules);
+        Change::Rules
+    }
+
     /// A state without a past, for a stream whose records have all expired without a snapshot.
     ///
     /// # Examples
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -15,6 +15,7 @@
 use proto::PeerState;
 use proto::Rumour;
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rand::SeedableRng;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -32,6 +33,13 @@
 /// The most peers that are told directly; the others hear it by gossip.
 const MAX_TOLD: usize = 64;
 
+/// The most addresses that are kept as hints.
+const MAX_CONTACTS: usize = 1024;
+
+/// The most addresses that are asked at once. They answer with digests of what they know, so a few
+/// that are alive are enough to hear of everybody.
+const MAX_MET: usize = 32;
+
 /// What the driver has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
@@ -72,6 +80,8 @@
     /// The log's views name this node.
     pub(crate) listed: bool,
     pub(crate) leaving: bool,
+    /// The own backend server takes new work.
+    open: bool,
     pub(crate) effects: Vec<Effect>,
     beat: u32,
     rumours: RumourQueue,
@@ -98,6 +108,7 @@
             evictions: Evictions::default(),
             listed: false,
             leaving: false,
+            open: true,
             effects: Vec::new(),
             beat: 0,
             rumours: RumourQueue::default(),
@@ -196,6 +207,38 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Says to all others whether the own backend server takes new work. It goes by gossip, which
+    /// reaches a large fleet in a few rounds; a load report would reach most nodes only with the
+    /// next probe between the two.
+    pub fn set_open(&mut self, open: bool) {
+        if self.open != open {
+            self.open = open;
+            self.raise_beat(self.beat);
+        }
+    }
+
+    /// Asks the nodes at these addresses who they are, and keeps the addresses as hints. Some may
+    /// be gone; who answers tells of the rest.
+    pub fn meet(&mut self, addrs: &[SocketAddr]) -> Vec<Effect> {
+        let strangers = addrs.iter().filter(|addr| **addr != self.me.addr);
+        let mut strangers: Vec<SocketAddr> = strangers.copied().collect();
+        strangers.shuffle(&mut self.rng);
+        self.contacts.extend(&strangers);
+        self.contacts.sort_unstable();
+        self.contacts.dedup();
+        self.contacts.truncate(MAX_CONTACTS);
+        for addr in strangers.into_iter().take(MAX_MET) {
+            self.ping(addr);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn set_open_of(&mut self, incarnation: Incarnation, open: bool) {
+        if let Some(entry) = self.peers.get_mut(&incarnation) {
+            entry.peer.open = open;
+        }
+    }
+
     /// What this node says of its own load from now on.
     pub fn set_load(&mut self, load: LoadReport) {
         self.load = load;
@@ -224,6 +267,7 @@
         self.peers().filter(move |peer| {
             &*peer.instance.service == service
                 && peer.state == PeerState::Alive
+                && peer.open
                 && !peer.load.draining
         })
     }
@@ -245,6 +289,7 @@
             instance: self.me.clone(),
             state: self.my_state(),
             beat: self.beat,
+            open: self.open,
         }
     }
 
@@ -293,7 +338,13 @@
             None if rumour.state == PeerState::Dead => {}
             None => self.discover(now, rumour),
             Some(entry) if entry.is_news(rumour) => {
+                let turned = entry.peer.open != rumour.open;
+                self.set_open_of(incarnation, rumour.open);
                 self.set_state(now, incarnation, rumour.state, rumour.beat);
+                if turned {
+                    let state = rumour.state;
+                    self.effects.push(Effect::Changed { incarnation, state });
+                }
             }
             Some(_) => {}
         }
@@ -326,17 +377,16 @@
         if self.peers.len() >= self.cfg.max_peers {
             return self.effects.push(Effect::TableFull);
         }
-        let instance = rumour.instance.clone();
-        let incarnation = instance.incarnation;
-        self.enter(now, instance, rumour.state, rumour.beat);
+        let incarnation = rumour.instance.incarnation;
+        self.enter(now, rumour.clone());
         self.spread(incarnation);
     }
 
-    pub(crate) fn enter(&mut self, now: Time, instance: Instance, state: PeerState, beat: u32) {
-        let incarnation = instance.incarnation;
-        self.occupants.insert(instance.addr, incarnation);
-        self.peers
-            .insert(incarnation, Entry::new(now, instance, state, beat));
+    pub(crate) fn enter(&mut self, now: Time, rumour: Rumour) {
+        let incarnation = rumour.instance.incarnation;
+        let state = rumour.state;
+        self.occupants.insert(rumour.instance.addr, incarnation);
+        self.peers.insert(incarnation, Entry::new(now, rumour));
         self.after_change(now, incarnation, state);
     }
 
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -45,7 +45,11 @@
     pub(crate) fn disown(&mut self, now: Time, rumour: &Rumour) {
         let incarnation = rumour.instance.incarnation;
         if !self.peers.contains_key(&incarnation) {
-            self.enter(now, rumour.instance.clone(), PeerState::Dead, rumour.beat);
+            let dead = Rumour {
+                state: PeerState::Dead,
+                ..rumour.clone()
+            };
+            self.enter(now, dead);
             self.spread(incarnation);
         }
         self.bury(now, incarnation);
@@ -113,10 +117,10 @@
         let buried = self.is_buried(incarnation);
         if known.is_none() && (other_lives || buried) {
             // Either may be the older one. It counts as a suspect until somebody answers there.
-            self.enter(now, instance.clone(), PeerState::Suspect, 0);
+            self.enter(now, listed_as(instance, PeerState::Suspect));
             self.probes.doubt(instance.addr);
         } else if known.is_none() {
-            self.enter(now, instance.clone(), PeerState::Alive, 0);
+            self.enter(now, listed_as(instance, PeerState::Alive));
         } else if known.is_some_and(|entry| entry.gone) && other.is_none() {
             self.revive(now, incarnation);
         }
@@ -154,3 +158,13 @@
         });
     }
 }
+
+/// What a listed peer is taken for before it has said anything itself.
+fn listed_as(instance: &Instance, state: PeerState) -> Rumour {
+    Rumour {
+        instance: instance.clone(),
+        state,
+        beat: 0,
+        open: true,
+    }
+}
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -15,6 +15,8 @@
     pub state: PeerState,
     /// What it last said of its load.
     pub load: LoadReport,
+    /// Whether its backend server takes new work.
+    pub open: bool,
 }
 
 #[derive(Debug)]
@@ -36,14 +38,15 @@
 }
 
 impl Entry {
-    pub(crate) fn new(now: Time, instance: Instance, state: PeerState, beat: u32) -> Self {
+    pub(crate) fn new(now: Time, rumour: Rumour) -> Self {
         Self {
             peer: Peer {
-                instance,
-                state,
+                instance: rumour.instance,
+                state: rumour.state,
                 load: LoadReport::default(),
+                open: rumour.open,
             },
-            beat,
+            beat: rumour.beat,
             listed: false,
             gone: false,
             since: now,
@@ -70,6 +73,7 @@
             instance: self.peer.instance.clone(),
             state: self.peer.state,
             beat: self.beat,
+            open: self.peer.open,
         }
     }
 }
--- a/crates/membership/tests/probes.rs
+++ b/crates/membership/tests/probes.rs
@@ -165,6 +165,7 @@
         },
         state: PeerState::Alive,
         beat: 0,
+        open: true,
     };
     let (digest, load, rumours) = (0, LoadReport::default(), Vec::new());
     let ping = MemberMessage::Ping {
@@ -205,6 +206,7 @@
         instance: old,
         state: PeerState::Alive,
         beat: 50,
+        open: true,
     }];
     for to in [0, 1, 2] {
         fleet.deliver(
--- /dev/null
+++ b/crates/node/src/attached.rs
@@ -0,0 +1,257 @@
+//! What a node does on the users' platform in place of reading the log's stream: it takes the
+//! operators' configuration and other nodes' addresses from the store, and hears its own server.
+
+use crate::body;
+use crate::body::Limits;
+use crate::caller::serve;
+use crate::settings::PlatformSettings;
+use crate::shell::Shell;
+use crate::shell::StartError;
+use actix_http::body::BoxBody;
+use actix_http::Request as HttpRequest;
+use actix_http::Response as HttpResponse;
+use actix_http::StatusCode;
+use engine::Config;
+use engine::Counter;
+use engine::Input;
+use engine::Keyless;
+use platform::Records;
+use platform::Store;
+use platform::StoreError;
+use proto::Reason;
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+/// How long one read waits for a new configuration. Reads are paid for, and peers tell of a new one
+/// as well.
+const READ_WAIT: Duration = Duration::from_secs(20);
+
+/// How long to wait after a call of the store that failed; doubled up to [`MAX_PAUSE`].
+const MIN_PAUSE: Duration = Duration::from_millis(200);
+
+/// The longest wait after a call that failed. Nodes are to know each other within two seconds of
+/// the store's return.
+const MAX_PAUSE: Duration = Duration::from_millis(1500);
+
+/// How long a node that knows no other waits before it looks again.
+const LOOK_AGAIN: Duration = Duration::from_secs(2);
+
+/// How long a stopping node goes on taking requests. The platform asks each second, and leaves out
+/// a node that said no twice.
+const LINGER: Duration = Duration::from_millis(2200);
+
+/// What a node may spend on retries at its start. All nodes together have about fifty for a whole
+/// service, two for each of the smallest fleet that is run.
+const RETRY_BURST: f64 = 1.5;
+
+/// The largest body of a heartbeat, in bytes.
+const MAX_HEARTBEAT: usize = 64 * 1024;
+
+/// How long a server may take for its heartbeat.
+const HEARTBEAT_TIME: Duration = Duration::from_secs(5);
+
+/// Sets what differs on the platform.
+pub(crate) fn configure(cfg: &mut Config) {
+    cfg.parse_rules = |text| platform::parse_rules(text).ok();
+    cfg.keyless = Keyless::Own;
+    cfg.announced = true;
+    cfg.linger = LINGER;
+    cfg.retry_burst = RETRY_BURST;
+    // Each attempt has an id of its own, so no two requests are alike.
+    cfg.policy.resend_limit = false;
+}
+
+/// Starts the tasks.
+pub(crate) async fn start(shell: &Rc<Shell>, cfg: &PlatformSettings) -> Result<(), StartError> {
+    let ready = bind(cfg.ready_addr).await?;
+    let control = bind(cfg.control_addr).await?;
+    actix_rt::spawn(serve(shell.clone(), ready, on_ready));
+    actix_rt::spawn(serve(shell.clone(), control, on_control));
+    let store = Rc::new(Store::new(cfg.store_addr));
+    actix_rt::spawn(follow_config(shell.clone(), store.clone()));
+    actix_rt::spawn(meet_others(shell.clone(), store));
+    Ok(())
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(addr).await;
+    listener.map_err(|e| StartError::Bind(addr, e))
+}
+
+/// The wait after calls that failed. All nodes lose the store together; a random part of the wait
+/// keeps them from coming back together.
+struct Pause {
+    next: Duration,
+    /// Since when no call has succeeded.
+    down_since: Option<Instant>,
+}
+
+impl Pause {
+    fn new() -> Self {
+        Self {
+            next: MIN_PAUSE,
+            down_since: None,
+        }
+    }
+
+    async fn after(&mut self, what: &str, e: StoreError) {
+        if self.down_since.is_none() {
+            self.down_since = Some(Instant::now());
+            log::warn!("event=store_lost call={what} error=\"{e}\"");
+        }
+        let part = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(self.next.mul_f64(part)).await;
+        self.next = (self.next * 2).min(MAX_PAUSE);
+    }
+
+    fn done(&mut self, what: &str) {
+        self.next = MIN_PAUSE;
+        if let Some(since) = self.down_since.take() {
+            let ms = since.elapsed().as_millis();
+            log::info!("event=store_regained call={what} away_ms={ms}");
+        }
+    }
+}
+
+/// Takes each new configuration as soon as the store has it.
+async fn follow_config(shell: Rc<Shell>, store: Rc<Store>) {
+    let mut pause = Pause::new();
+    let mut from = None;
+    loop {
+        match next_config(&shell, &store, from).await {
+            Ok(next) => {
+                from = next;
+                pause.done("config");
+            }
+            Err(e) => {
+                shell.feed(Input::LogUnreachable);
+                pause.after("config", e).await;
+            }
+        }
+    }
+}
+
+/// Reads once, and gives where to read on; from the start if that is not known.
+async fn next_config(
+    shell: &Rc<Shell>,
+    store: &Store,
+    from: Option<u64>,
+) -> Result<Option<u64>, StoreError> {
+    let Some(from) = from else {
+        let newest = store.newest(platform::CONFIG_TOPIC).await?;
+        take_configs(shell, &newest.items);
+        return Ok(Some(newest.end));
+    };
+    match store.read(platform::CONFIG_TOPIC, from, READ_WAIT).await? {
+        Records::Some { items, next } => {
+            take_configs(shell, &items);
+            Ok(Some(next))
+        }
+        Records::Expired => Ok(None),
+    }
+}
+
+fn take_configs(shell: &Rc<Shell>, items: &[(Arc<str>, bytes::Bytes)]) {
+    for (key, value) in items {
+        if &**key != platform::CONFIG_KEY || value.is_empty() {
+            continue;
+        }
+        let Ok(text) = std::str::from_utf8(value) else {
+            log::warn!("event=config_refused error=\"not text\"");
+            continue;
+        };
+        match platform::version_of(text) {
+            Ok(version) => shell.feed(Input::Published {
+                version,
+                file: text.into(),
+            }),
+            Err(e) => {
+                log::warn!("event=config_refused error=\"{e}\"");
+                shell.count(Counter::RejectedPublication);
+            }
+        }
+    }
+}
+
+/// Announces this node, then asks who else did. Who comes later finds this one, so reading once is
+/// enough; only a node that is alone looks again.
+async fn meet_others(shell: Rc<Shell>, store: Rc<Store>) {
+    let mut pause = Pause::new();
+    let addr = shell.me.addr.to_string();
+    loop {
+        match store
+            .append(platform::NODES_TOPIC, &addr, addr.as_bytes())
+            .await
+        {
+            Ok(()) => break,
+            Err(e) => pause.after("announce", e).await,
+        }
+    }
+    loop {
+        match store.newest(platform::NODES_TOPIC).await {
+            Ok(newest) => {
+                pause.done("directory");
+                let addrs = newest.items.iter().filter_map(|(key, _)| key.parse().ok());
+                let addrs: Vec<SocketAddr> = addrs.collect();
+                log::info!("event=directory nodes={}", addrs.len());
+                shell.feed(Input::Directory(addrs));
+                tokio::time::sleep(LOOK_AGAIN).await;
+                while shell.engine.borrow().has_peers() {
+                    tokio::time::sleep(LOOK_AGAIN).await;
+                }
+            }
+            Err(e) => pause.after("directory", e).await,
+        }
+    }
+}
+
+async fn on_ready(shell: Rc<Shell>, req: HttpRequest) -> HttpResponse<BoxBody> {
+    let ready = shell.engine.borrow().is_ready();
+    let status = match platform::is_readiness_probe(req.method(), req.path()) {
+        true if ready => StatusCode::OK,
+        true => StatusCode::SERVICE_UNAVAILABLE,
+        false => StatusCode::NOT_FOUND,
+    };
+    HttpResponse::build(status).body("").map_into_boxed_body()
+}
+
+/// Hears the own server. It is answered once the engine has taken what it said: from then on no
+/// new work goes to a server that leaves.
+async fn on_control(shell: Rc<Shell>, mut req: HttpRequest) -> HttpResponse<BoxBody> {
+    let status = match hear_server(&shell, &mut req).await {
+        Ok(()) => StatusCode::OK,
+        Err(Reason::NoSuchOperation) => StatusCode::NOT_FOUND,
+        Err(_) => StatusCode::BAD_REQUEST,
+    };
+    let body = platform::acknowledgement();
+    let mut response = HttpResponse::build(status);
+    response.insert_header(("content-type", "application/json"));
+    response.body(body).map_into_boxed_body()
+}
+
+async fn hear_server(shell: &Rc<Shell>, req: &mut HttpRequest) -> Result<(), Reason> {
+    let limits = Limits {
+        max: MAX_HEARTBEAT,
+        time: HEARTBEAT_TIME,
+    };
+    let (body, _reservation) = body::read(req, limits, &shell.bodies).await?;
+    let server = shell.settings.backend_server_addr;
+    match platform::announcement(req.method(), req.path(), &body, server) {
+        Ok(announcement) => {
+            shell.feed(Input::Server(announcement));
+            Ok(())
+        }
+        Err(platform::HeartbeatError::NoSuchCall) => Err(Reason::NoSuchOperation),
+        Err(e) => {
+            let path = req.path();
+            log::warn!("event=heartbeat_refused path={path} error=\"{e}\"");
+            shell.count(Counter::StrangeServer);
+            Err(Reason::BadRequest)
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,9 +3,11 @@
 //! It takes no decisions: whatever happens becomes an `engine::Input`, and whatever the engine asks
 //! for is done. One thread, one `actix-rt` system.
 
+mod attached;
 mod backend;
 mod body;
 mod caller;
+mod dialect;
 mod events;
 mod fetch;
 mod link;
--- a/crates/node/src/link/tests.rs
+++ b/crates/node/src/link/tests.rs
@@ -26,6 +26,7 @@
         remaining_ms: 1000,
         allowance: 0,
         again: false,
+        idempotent: true,
         key: None,
         fresh: false,
         depth: 0,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -45,7 +45,9 @@
     pub refusal_header: String,
     /// The header that names the caller.
     pub caller_header: String,
-    /// The log service.
+    /// The users' platform, in place of the log service.
+    pub platform: Option<PlatformSettings>,
+    /// The log service; unused where there is a platform.
     pub log_addr: SocketAddr,
     /// The stream there.
     pub log_stream: String,
@@ -63,6 +65,17 @@
     pub body_timeout: Duration,
 }
 
+/// Where the users' platform is met.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Its store.
+    pub store_addr: SocketAddr,
+    /// Where it asks whether this node takes clients.
+    pub ready_addr: SocketAddr,
+    /// Where the own backend server announces itself.
+    pub control_addr: SocketAddr,
+}
+
 /// The largest `max_body`: a body travels in one frame, with its head.
 const MAX_BODY: usize = 3 << 20;
 
@@ -82,11 +95,14 @@
 const LOG_ADDR: Key = Key::new("log_service", "addr");
 const LOG_STREAM: Key = Key::new("log_service", "stream");
 const LOG_RETENTION: Key = Key::new("log_service", "retention");
+const STORE_ADDR: Key = Key::new("platform", "store_addr");
+const READY_ADDR: Key = Key::new("platform", "ready_addr");
+const CONTROL_ADDR: Key = Key::new("platform", "control_addr");
 const LOG_LEVEL: Key = Key::new("logging", "level");
 const METRICS_ADDR: Key = Key::new("metrics", "addr");
 
 /// Every key there is.
-const KNOWN: [Key; 18] = [
+const KNOWN: [Key; 21] = [
     SERVICE,
     FAILURE_DOMAIN,
     REGION,
@@ -103,6 +119,9 @@
     LOG_ADDR,
     LOG_STREAM,
     LOG_RETENTION,
+    STORE_ADDR,
+    READY_ADDR,
+    CONTROL_ADDR,
     LOG_LEVEL,
     METRICS_ADDR,
 ];
@@ -134,6 +153,7 @@
         let ini = Ini::load_from_str(text).map_err(|e| SettingsError::Syntax(e.to_string()))?;
         refuse_unknown(&ini)?;
         let told = ADVERTISED_ADDR.is_set(&ini);
+        let platform = platform_settings(&ini)?;
         let max_body = MAX_BODY_KEY.or(&ini, 1 << 20, bytes(1, MAX_BODY))?;
         Ok(Self {
             service: SERVICE.required(&ini, service)?,
@@ -146,7 +166,11 @@
             backend_server_addr: BACKEND_ADDR.required(&ini, reachable)?,
             refusal_header: REFUSAL_HEADER.or(&ini, "x-not-run".to_owned(), header)?,
             caller_header: CALLER_HEADER.or(&ini, "x-caller".to_owned(), header)?,
-            log_addr: LOG_ADDR.required(&ini, reachable)?,
+            log_addr: match &platform {
+                Some(platform) => platform.store_addr,
+                None => LOG_ADDR.required(&ini, reachable)?,
+            },
+            platform,
             log_stream: LOG_STREAM.or(&ini, "bilberrycove".to_owned(), word)?,
             log_retention: LOG_RETENTION.or(&ini, DAY, duration(RETENTIONS))?,
             log_level: LOG_LEVEL.or(&ini, log::LevelFilter::Info, level)?,
@@ -162,6 +186,17 @@
     }
 }
 
+fn platform_settings(ini: &Ini) -> Result<Option<PlatformSettings>, SettingsError> {
+    if !STORE_ADDR.is_set(ini) {
+        return Ok(None);
+    }
+    Ok(Some(PlatformSettings {
+        store_addr: STORE_ADDR.required(ini, reachable)?,
+        ready_addr: READY_ADDR.required(ini, bound)?,
+        control_addr: CONTROL_ADDR.required(ini, bound)?,
+    }))
+}
+
 const DAY: Duration = Duration::from_secs(24 * 3600);
 
 /// What `log_service.retention` may be.
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -1,7 +1,7 @@
 //! Values of settings: how each kind is read, and what is allowed.
 
 use crate::SettingsError;
-use awc::http::header::HeaderName;
+use actix_http::header::HeaderName;
 use ini::Ini;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -1,8 +1,12 @@
 //! The node as one `actix-rt` system: starts everything, and carries inputs and outputs.
 
+use crate::attached;
 use crate::backend::Backend;
+use crate::backend::Work;
 use crate::body::Budget;
 use crate::caller;
+use crate::dialect::Dialect;
+use crate::dialect::Reply;
 use crate::events;
 use crate::fetch;
 use crate::log_reader;
@@ -23,12 +27,10 @@
 use logservice::LogClient;
 use proto::Incarnation;
 use proto::Instance;
-use proto::Outcome;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use stdx::Time;
 use tokio::net::TcpListener;
@@ -49,9 +51,6 @@
 /// How often gauges go to the metrics service.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(10);
 
-/// What a waiting request is answered with: the outcome and a key that was made for it.
-pub(crate) type Reply = (Outcome, Option<Arc<str>>);
-
 /// Why a node did not start.
 #[derive(Debug)]
 pub enum StartError {
@@ -114,6 +113,7 @@
     pub(crate) settings: Settings,
     pub(crate) me: Instance,
     pub(crate) engine: RefCell<Engine>,
+    pub(crate) dialect: Dialect,
     pub(crate) log: LogClient,
     pub(crate) read_log: Notify,
     pub(crate) metrics: Metrics,
@@ -155,10 +155,14 @@
         log_retention: settings.log_retention,
         ..Config::default()
     };
+    if settings.platform.is_some() {
+        attached::configure(&mut cfg);
+    }
     cfg.membership.seed = seed;
     let socket = Rc::new(socket);
     let shell = Rc::new(Shell {
         engine: RefCell::new(Engine::new(cfg, me.clone())),
+        dialect: Dialect::new(&settings),
         log: LogClient::new(&settings.log_addr.to_string(), &settings.log_stream),
         read_log: Notify::new(),
         metrics: Metrics::new(settings.metrics_addr).map_err(StartError::Metrics)?,
@@ -182,7 +186,12 @@
     actix_rt::spawn(caller::accept(shell.clone(), http));
     actix_rt::spawn(peers::accept(shell.clone(), tcp));
     actix_rt::spawn(udp::receive(shell.clone(), socket));
-    actix_rt::spawn(log_reader::run(shell.clone()));
+    match &shell.settings.platform {
+        Some(cfg) => attached::start(&shell, cfg).await?,
+        None => {
+            actix_rt::spawn(log_reader::run(shell.clone()));
+        }
+    }
     actix_rt::spawn(run_timers(shell.clone()));
     actix_rt::spawn(send_gauges(shell.clone()));
     Ok(Node {
@@ -238,6 +247,11 @@
         Time::ZERO + self.origin.elapsed()
     }
 
+    /// Whether the process was asked to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.engine.borrow().is_stopping()
+    }
+
     pub(crate) fn count(&self, counter: Counter) {
         self.metrics.count(counter);
     }
@@ -288,7 +302,7 @@
             } => {
                 if let Some(tx) = self.waiting.borrow_mut().swap_remove(&token) {
                     // The caller may have gone meanwhile.
-                    let _ = tx.send((outcome, made_key));
+                    let _ = tx.send(Reply { outcome, made_key });
                 }
             }
             Output::Send { to, frame } => self.peers.send(self, to, frame),
@@ -296,13 +310,21 @@
             Output::Run {
                 run,
                 request,
+                expect,
                 remaining,
                 start_within,
             } => {
                 // Counted from the time that the engine was told. Counted from here, a pause in
                 // between would lengthen the right to start, and another home's run be the second.
                 let start_by = start_within.map(|within| decided + within);
-                self.backend.run(self, run, request, remaining, start_by);
+                let work = Work {
+                    run,
+                    request,
+                    expect,
+                    remaining,
+                    start_by,
+                };
+                self.backend.run(self, work);
             }
             Output::CancelRun(run) => self.backend.cancel(run),
             Output::Append { number, record } => self.append(number, record),
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -2,7 +2,7 @@
 
 use stdx::Time;
 
-/// What a bucket holds at most, and at its start.
+/// What a bucket holds at most, and at its start, unless it is made with another bound.
 const BURST: f64 = 10.0;
 
 /// What comes in a second without any first send, so that a quiet node may retry at all.
@@ -24,28 +24,36 @@
 #[derive(Debug)]
 pub struct Budget {
     tokens: f64,
+    burst: f64,
     at: Time,
 }
 
 impl Budget {
     /// A full budget.
     pub fn new() -> Self {
+        Self::with_burst(BURST)
+    }
+
+    /// A full budget that holds at most `burst` extra sends. Many nodes that each save up a full
+    /// bucket would spend them all in the same few seconds, when something fails for all of them.
+    pub fn with_burst(burst: f64) -> Self {
         Self {
-            tokens: BURST,
+            tokens: burst,
+            burst,
             at: Time::ZERO,
         }
     }
 
     /// Counts a first send that allows `ratio` of an extra one.
     pub fn earn(&mut self, ratio: f64) {
-        self.tokens = (self.tokens + ratio).min(BURST);
+        self.tokens = (self.tokens + ratio).min(self.burst);
     }
 
     /// Takes one extra send; `false` if there is none.
     pub fn spend(&mut self, now: Time) -> bool {
         let elapsed = now.since(self.at).as_secs_f64();
         self.at = now;
-        self.tokens = (self.tokens + elapsed * PER_SECOND).min(BURST);
+        self.tokens = (self.tokens + elapsed * PER_SECOND).min(self.burst);
         let may = self.tokens >= 1.0;
         if may {
             self.tokens -= 1.0;
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -163,6 +163,15 @@
         server
     }
 
+    /// Another incarnation of the server has started. What was learned of the limit of the one
+    /// before it says nothing of this one; a server that tells its slots starts with those.
+    pub fn restarted(&mut self, now: Time, slots: u16) {
+        self.down_until = None;
+        self.limit.restart(now);
+        self.limit.set_bounds(1, slots.max(1));
+        self.limit.set_to_max();
+    }
+
     /// Takes new bounds from the rules.
     pub fn set_bounds(&mut self, min: u16, max: u16, max_wait: Duration) {
         self.limit.set_bounds(min, max);
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -81,7 +81,8 @@
     /// What the receiver of a call is asked to be.
     #[derive(Hash)]
     pub enum Leg {
-        /// Run an idempotent call on the receiver's own backend server.
+        /// Run the call on the receiver's own backend server. If it is not idempotent, the sender
+        /// owns it, and gives it to no other node unless this one says that it did not run.
         Serve,
         /// Be the home of the call's key: check the records, then run it.
         Home,
@@ -109,7 +110,9 @@
         /// The work below may have been done before, because an answer was lost: each child call
         /// counts as a retry.
         pub again: bool,
-        /// The key, for non-idempotent calls.
+        /// Running it twice is the same as running it once.
+        pub idempotent: bool,
+        /// The key, for non-idempotent calls that have a home.
         pub key: Option<(KeyHash, Fingerprint)>,
         /// The sender knows that no attempt with this key was ever made before.
         pub fresh: bool,
--- a/crates/proto/src/member.rs
+++ b/crates/proto/src/member.rs
@@ -32,8 +32,12 @@
         pub instance: Instance,
         /// Its state.
         pub state: PeerState,
-        /// A count that only the instance itself raises, to refute a suspicion.
+        /// A count that only the instance itself raises, to refute a suspicion or to tell news of
+        /// itself.
         pub beat: u32,
+        /// Whether its backend server takes new work. A node whose server drains, or has not been
+        /// heard of yet, still takes its callers' requests.
+        pub open: bool,
     }
 }
 
--- a/crates/proto/src/request.rs
+++ b/crates/proto/src/request.rs
@@ -53,6 +53,11 @@
     /// A request to a service.
     #[derive(Hash)]
     pub struct Request {
+        /// The caller's own name of this attempt, for logs and for the calls that the backend
+        /// server makes while it serves it; empty if the caller gave none.
+        pub id: Arc<str>,
+        /// The host that the caller asked, where routes decide by host; else empty.
+        pub host: Arc<str>,
         /// The service that is asked.
         pub service: Arc<str>,
         /// The method, as in HTTP.
@@ -70,6 +75,8 @@
     /// A request without headers.
     pub fn new(service: &str, method: &str, path: &str, body: Bytes) -> Self {
         Self {
+            id: "".into(),
+            host: "".into(),
             service: service.into(),
             method: method.into(),
             path: path.into(),
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod model;
 mod parse;
+mod route;
 
 pub use duration::parse_duration;
 pub use error::RuleError;
@@ -20,3 +21,5 @@
 pub use model::Rules;
 pub use parse::MAX_FILE;
 pub use parse::MAX_RULES;
+pub use route::Route;
+pub use route::Routes;
--- a/crates/rules/src/model.rs
+++ b/crates/rules/src/model.rs
@@ -1,6 +1,7 @@
 //! The rules, parsed.
 
 use crate::Bound;
+use crate::Routes;
 use indexmap::IndexMap;
 use proto::Class;
 use std::sync::Arc;
@@ -81,6 +82,8 @@
         pub operations: Vec<Operation>,
         /// `limit`, `keys` and `resends` rules by service.
         pub limits: IndexMap<Arc<str>, Limit>,
+        /// Routes by host and path.
+        pub routes: Routes,
     }
 }
 
--- /dev/null
+++ b/crates/rules/src/route.rs
@@ -0,0 +1,96 @@
+//! Routes: which service a host and path lead to, where callers name no service.
+
+use crate::Operation;
+use crate::Rules;
+use indexmap::IndexMap;
+use std::sync::Arc;
+use std::time::Duration;
+use stdx::data;
+
+data! {
+    /// What the requests for one host and path prefix mean.
+    pub struct Route {
+        /// What they mean, but for the service: that is the first of `targets`.
+        pub operation: Operation,
+        /// The services that share the requests, with their weights; at least one.
+        pub targets: Vec<(Arc<str>, u32)>,
+        /// The time within which an answer is worth most to its caller.
+        pub objective: Duration,
+    }
+}
+
+data! {
+    /// The routes of all hosts.
+    #[derive(Default)]
+    pub struct Routes {
+        /// By host, then by path prefix. Every prefix ends with a slash.
+        hosts: IndexMap<Arc<str>, IndexMap<Arc<str>, Route>>,
+    }
+}
+
+impl Routes {
+    /// Enters a route. One that was entered before for the same host and prefix is replaced.
+    pub fn insert(&mut self, host: &Arc<str>, prefix: Arc<str>, route: Route) {
+        let prefixes = self.hosts.entry(host.clone()).or_default();
+        prefixes.insert(prefix, route);
+    }
+
+    /// The route with the longest prefix of the path. Each slash of the path is looked up once, so
+    /// the cost does not grow with the number of routes.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let prefixes = self.hosts.get(host)?;
+        let path = path.split('?').next().unwrap_or(path);
+        let mut rest = path;
+        while let Some(slash) = rest.rfind('/') {
+            if let Some(route) = prefixes.get(&path[..=slash]) {
+                return Some(route);
+            }
+            rest = &path[..slash];
+        }
+        None
+    }
+
+    /// Every route.
+    pub fn iter(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flat_map(IndexMap::values)
+    }
+}
+
+impl Route {
+    /// The service for a request with this random value. The values are cut in proportion to the
+    /// weights, so the same request gets the same service at every node.
+    pub fn target(&self, dice: u16) -> &Arc<str> {
+        let total: u64 = self
+            .targets
+            .iter()
+            .map(|(_, weight)| u64::from(*weight))
+            .sum();
+        let mut point = u64::from(dice) * total / (u64::from(u16::MAX) + 1);
+        for (service, weight) in &self.targets {
+            match point.checked_sub(u64::from(*weight)) {
+                Some(rest) => point = rest,
+                None => return service,
+            }
+        }
+        &self.operation.service
+    }
+}
+
+impl Rules {
+    /// Rules that consist of routes alone.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_rules::{Routes, Rules};
+    ///
+    /// let rules = Rules::with_routes(Routes::default());
+    /// assert!(rules.routes.find("shop.example", "/patterns/7").is_none());
+    /// ```
+    pub fn with_routes(routes: Routes) -> Self {
+        Self {
+            routes,
+            ..Self::default()
+        }
+    }
+}
--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -218,6 +218,7 @@
             token,
             caller,
             context,
+            parent: None,
             key,
             patience,
             request,
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -430,6 +430,7 @@
             Output::Run {
                 run,
                 request,
+                expect: _,
                 remaining,
                 start_within,
             } => {
