--- /dev/null
+++ b/crates/policy/tests/admitted.rs
@@ -0,0 +1,117 @@
+//! Calls of actions that were admitted at their first hop, in front of a server without room.
+
+use bilberry_policy::Ended;
+use bilberry_policy::Offer;
+use bilberry_policy::Server;
+use bilberry_policy::Switches;
+use bilberry_policy::Ticket;
+use proto::Class;
+use proto::Reason;
+use std::time::Duration;
+use stdx::Time;
+
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
+/// How long one piece of work takes, in milliseconds.
+const WORK: u64 = 50;
+
+fn at(ms: u64) -> Time {
+    Time::from_micros(ms * 1000)
+}
+
+fn lookup(id: u64, now: Time, admitted: bool) -> Ticket {
+    Ticket {
+        id,
+        class: Class::Lookup,
+        dice: 100,
+        deadline: now + Duration::from_secs(2),
+        arrived: now,
+        admitted,
+    }
+}
+
+/// Offers a lookup every 20 ms to a server with room for one every 50 ms, for a second, and gives
+/// how many were refused.
+fn refused_in_a_surge(admitted: bool) -> usize {
+    let mut switches = Switches::ALL;
+    switches.adaptive_limit = false;
+    let mut server = Server::new(switches, 1, 1, MAX_WAIT);
+    let mut ends: Option<u64> = None;
+    let mut refused = 0;
+    for ms in 0..1000 {
+        let now = at(ms);
+        if ends == Some(ms) {
+            let took = Duration::from_millis(WORK);
+            server.finished(now, Class::Lookup, Ended::Whole { took, own: took });
+            ends = None;
+        }
+        if ms % 20 == 0 {
+            match server.offer(now, lookup(ms, now, admitted)) {
+                Offer::Start => ends = Some(ms + WORK),
+                Offer::Queued => {}
+                Offer::Refused(_) => refused += 1,
+            }
+        }
+        while let Some((_, offer)) = server.next(now) {
+            match offer {
+                Offer::Start => ends = Some(ms + WORK),
+                Offer::Refused(_) => refused += 1,
+                Offer::Queued => {}
+            }
+        }
+    }
+    refused
+}
+
+/// A lookup reads eight times from a deep service, which is asked for more than it can do. With one
+/// read in three refused, hardly a lookup gets through, and all that was done for it is lost. What
+/// begins at the service is refused early instead.
+#[test]
+fn reads_of_an_admitted_lookup_wait_while_others_are_shed() {
+    assert_eq!(refused_in_a_surge(true), 0);
+    assert!(refused_in_a_surge(false) > 10);
+}
+
+/// A read of an admitted lookup waits behind so many others that its answer would come too late. It
+/// is refused at once; kept waiting, it would hold up its lookup for nothing.
+#[test]
+fn a_read_that_would_be_late_is_refused_at_once() {
+    let mut server = Server::new(Switches::ALL, 1, 1, MAX_WAIT);
+    let took = Duration::from_millis(WORK);
+    assert_eq!(server.offer(at(0), lookup(0, at(0), true)), Offer::Start);
+    server.finished(at(WORK), Class::Lookup, Ended::Whole { took, own: took });
+    let now = at(WORK);
+    assert_eq!(server.offer(now, lookup(1, now, true)), Offer::Start);
+    for id in 2..12 {
+        assert_eq!(server.offer(now, lookup(id, now, true)), Offer::Queued);
+    }
+    let hurried = Ticket {
+        deadline: now + Duration::from_millis(200),
+        ..lookup(12, now, true)
+    };
+    let offer = server.offer(now, hurried);
+    let Offer::Refused(refusal) = offer else {
+        panic!("{offer:?}");
+    };
+    assert_eq!(refusal.reason, Reason::QueueFull);
+}
+
+/// Lookups that were admitted elsewhere wait, and an order comes. It is served before them all; a
+/// shop that orders is not to wait for shops that browse.
+#[test]
+fn an_order_goes_before_admitted_lookups() {
+    let mut server = Server::new(Switches::ALL, 1, 1, MAX_WAIT);
+    assert_eq!(server.offer(at(0), lookup(0, at(0), true)), Offer::Start);
+    assert_eq!(server.offer(at(1), lookup(1, at(1), true)), Offer::Queued);
+    let order = Ticket {
+        class: Class::Order,
+        ..lookup(2, at(2), false)
+    };
+    assert_eq!(server.offer(at(2), order), Offer::Queued);
+    let took = Duration::from_millis(WORK);
+    server.finished(at(WORK), Class::Lookup, Ended::Whole { took, own: took });
+    let next = server
+        .next(at(WORK))
+        .map(|(ticket, offer)| (ticket.id, offer));
+    assert_eq!(next, Some((2, Offer::Start)));
+}
