--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -112,6 +112,13 @@
     }
 }
 
+/// Serves counters and times.
+pub(crate) async fn on_metrics(shell: Rc<Shell>, _req: HttpRequest) -> HttpResponse<BoxBody> {
+    HttpResponse::build(StatusCode::OK)
+        .body(shell.metrics.page())
+        .map_into_boxed_body()
+}
+
 async fn handle(shell: Rc<Shell>, mut req: HttpRequest) -> HttpResponse<BoxBody> {
     if req.path() == STATUS_PATH {
         return HttpResponse::build(StatusCode::OK)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,6 +8,7 @@
 use cadence::UdpMetricSink;
 use engine::Counter;
 use engine::Gauge;
+use hdrhistogram::Histogram;
 use indexmap::IndexMap;
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -17,6 +18,20 @@
 
 const PREFIX: &str = "bilberry";
 
+/// The quantiles of times that are told.
+const QUANTILES: [f64; 5] = [0.5, 0.9, 0.99, 0.999, 1.0];
+
+/// The longest time that is told apart from longer ones, in microseconds.
+const MAX_TIME: u64 = 60_000_000;
+
+/// Two digits tell 10 ms from 10.1 ms, and take some 20 KB a histogram.
+const DIGITS: u8 = 2;
+
+fn new_histogram() -> Histogram<u64> {
+    let histogram = Histogram::new_with_bounds(1, MAX_TIME, DIGITS);
+    histogram.expect("the bounds are constants that the library takes")
+}
+
 /// Bytes on the control paths, without the headers of IP, UDP and TCP.
 #[derive(Debug, Default)]
 pub(crate) struct ControlBytes {
@@ -33,6 +48,8 @@
 pub(crate) struct Metrics {
     client: StatsdClient,
     totals: RefCell<IndexMap<Counter, u64>>,
+    /// Times of requests in microseconds, by outcome.
+    times: RefCell<IndexMap<&'static str, Histogram<u64>>>,
     pub(crate) bytes: ControlBytes,
 }
 
@@ -50,6 +67,7 @@
         Ok(Self {
             client,
             totals: RefCell::default(),
+            times: RefCell::default(),
             bytes: ControlBytes::default(),
         })
     }
@@ -63,6 +81,28 @@
     /// How long a request took, by its outcome.
     pub(crate) fn time(&self, outcome: &'static str, took: Duration) {
         let _ = self.client.time(&format!("latency.{outcome}"), took);
+        let mut times = self.times.borrow_mut();
+        let histogram = times.entry(outcome).or_insert_with(new_histogram);
+        histogram.saturating_record(took.as_micros() as u64);
+    }
+
+    /// Counters and quantiles of times, a name and a value a line.
+    pub(crate) fn page(&self) -> String {
+        let mut lines: Vec<String> = self
+            .totals()
+            .into_iter()
+            .map(|(name, count)| format!("{PREFIX}_{} {count}", name.replace(['.', '-'], "_")))
+            .collect();
+        for (outcome, histogram) in &*self.times.borrow() {
+            let name = format!("{PREFIX}_latency_us_{}", outcome.replace('-', "_"));
+            lines.push(format!("{name}_count {}", histogram.len()));
+            for quantile in QUANTILES {
+                let value = histogram.value_at_quantile(quantile);
+                lines.push(format!("{name}{{quantile=\"{quantile}\"}} {value}"));
+            }
+        }
+        lines.push(String::new());
+        lines.join("\n")
     }
 
     pub(crate) fn gauge(&self, gauges: &[Gauge]) {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -57,6 +57,8 @@
     pub log_level: log::LevelFilter,
     /// Where metrics go, by UDP.
     pub metrics_addr: Option<SocketAddr>,
+    /// Where counters and times are served, by HTTP.
+    pub metrics_http_addr: Option<SocketAddr>,
     /// The largest body of a request or response, in bytes.
     pub max_body: usize,
     /// The most bytes of callers' bodies in flight together.
@@ -99,10 +101,11 @@
 const READY_ADDR: Key = Key::new("platform", "ready_addr");
 const CONTROL_ADDR: Key = Key::new("platform", "control_addr");
 const LOG_LEVEL: Key = Key::new("logging", "level");
+const METRICS_HTTP_ADDR: Key = Key::new("metrics", "http_addr");
 const METRICS_ADDR: Key = Key::new("metrics", "addr");
 
 /// Every key there is.
-const KNOWN: [Key; 21] = [
+const KNOWN: [Key; 22] = [
     SERVICE,
     FAILURE_DOMAIN,
     REGION,
@@ -123,6 +126,7 @@
     READY_ADDR,
     CONTROL_ADDR,
     LOG_LEVEL,
+    METRICS_HTTP_ADDR,
     METRICS_ADDR,
 ];
 
@@ -175,6 +179,7 @@
             log_retention: LOG_RETENTION.or(&ini, DAY, duration(RETENTIONS))?,
             log_level: LOG_LEVEL.or(&ini, log::LevelFilter::Info, level)?,
             metrics_addr: METRICS_ADDR.optional(&ini, reachable)?,
+            metrics_http_addr: METRICS_HTTP_ADDR.optional(&ini, bound)?,
             max_body,
             max_bodies: MAX_BODIES.or(
                 &ini,
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -195,6 +195,11 @@
             actix_rt::spawn(log_reader::run(shell.clone()));
         }
     }
+    if let Some(addr) = shell.settings.metrics_http_addr {
+        let listener = TcpListener::bind(addr).await;
+        let listener = listener.map_err(|e| StartError::Bind(addr, e))?;
+        actix_rt::spawn(caller::serve(shell.clone(), listener, caller::on_metrics));
+    }
     actix_rt::spawn(run_timers(shell.clone()));
     actix_rt::spawn(send_gauges(shell.clone()));
     Ok(Node {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -47,6 +47,11 @@
              [backend_server]\naddr = {backend}\n[log_service]\naddr = {log}\n\
              [logging]\nlevel = warn\n"
         );
+        Self::start_from(&text)
+    }
+
+    /// Starts with the text of a settings file.
+    pub fn start_from(text: &str) -> Self {
         let settings = std::env::temp_dir().join(format!("node-{}.ini", uuid::Uuid::new_v4()));
         std::fs::write(&settings, text).unwrap();
         let mut process = Command::new(env!("CARGO_BIN_EXE_bilberry-node"))
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod http;
 mod load;
 mod log;
+mod store;
 
 pub use backend::Backend;
 pub use backend::Child;
@@ -21,3 +22,5 @@
 pub use load::Report;
 pub use log::Faults;
 pub use log::Log;
+pub use store::Store;
+pub use store::StoreFaults;
