Logs: to standard output, never waiting; peers and the own server as lines

A reader that stops reading would have held up a node in the middle of a decision. Lines now wait in a bounded queue for a thread of their own; what finds no room is dropped and counted. Changes of what a node believes of peers and of its server are lines with their inputs.

--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -4,6 +4,7 @@
 use crate::Counter;
 use crate::Engine;
 use crate::LinkEvent;
+use crate::Note;
 use crate::Output;
 use journal::Record;
 use membership::Effect;
@@ -105,6 +106,17 @@
         }
     }
 
+    fn note_peer(&mut self, incarnation: Incarnation, state: PeerState) {
+        if let Some(peer) = self.members.get(incarnation) {
+            self.out.push(Output::Note(Note::Peer {
+                incarnation,
+                addr: peer.instance.addr,
+                state,
+                open: peer.open,
+            }));
+        }
+    }
+
     pub(crate) fn apply_members(&mut self, now: Time, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
@@ -118,6 +130,7 @@
                 }
                 Effect::Changed { incarnation, state } => {
                     self.count(Counter::PeerChanged);
+                    self.note_peer(incarnation, state);
                     self.set_standing(now, incarnation, state);
                     // An eviction may have waited for the log through an outage; by now it would
                     // take out a live instance, and its share of the keys with it.
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -1,7 +1,9 @@
 //! What is written down of a decision: the request, what was decided, and the inputs that decided.
 
 use proto::Class;
+use proto::Incarnation;
 use proto::Outcome;
+use proto::PeerState;
 use proto::Reason;
 use std::fmt;
 use std::net::SocketAddr;
@@ -69,6 +71,26 @@
         /// The version of the rules that decided.
         rules: u64,
     },
+    /// Another node is taken for something else than before.
+    Peer {
+        /// Which.
+        incarnation: Incarnation,
+        /// Where it is.
+        addr: SocketAddr,
+        /// Its state.
+        state: PeerState,
+        /// Whether its backend server takes new work.
+        open: bool,
+    },
+    /// The own backend server opened or closed, or is another incarnation.
+    OwnServer {
+        /// The incarnation.
+        id: Arc<str>,
+        /// Whether it takes new work.
+        open: bool,
+        /// The heartbeat that decided, by its count.
+        sequence: u64,
+    },
     /// Work for the own backend server ended.
     Ran {
         /// The request.
@@ -138,6 +160,21 @@
                 "event=refused request={request} reason={} rules={rules}",
                 reason.name()
             ),
+            Note::Peer {
+                incarnation,
+                addr,
+                state,
+                open,
+            } => write!(
+                f,
+                "event=peer incarnation={incarnation} addr={addr} state={state:?} open={open}"
+            ),
+            Note::OwnServer { id, open, sequence } => {
+                write!(
+                    f,
+                    "event=own_server id={id} open={open} sequence={sequence}"
+                )
+            }
             Note::Ran {
                 request,
                 class,
--- a/crates/engine/src/own_server.rs
+++ b/crates/engine/src/own_server.rs
@@ -5,6 +5,8 @@
 use crate::Counter;
 use crate::Engine;
 use crate::Heartbeat;
+use crate::Note;
+use crate::Output;
 use proto::Reason;
 use proto::RunId;
 use std::sync::Arc;
@@ -59,6 +61,7 @@
                 let slots = known.heartbeat.slots;
                 self.server.restarted(now, slots);
                 self.count(Counter::ServerStarted);
+                self.note_own_server(self.server_is_open());
             }
         }
         self.on_server_changed(now);
@@ -75,12 +78,24 @@
     fn on_server_changed(&mut self, now: Time) {
         self.set_server_bounds();
         let open = self.server_is_open();
-        self.members.set_open(open);
+        if self.members.set_open(open) {
+            self.note_own_server(open);
+        }
         if !open {
             self.turn_away_waiting(now);
         }
     }
 
+    fn note_own_server(&mut self, open: bool) {
+        if let Some(known) = &self.own_server {
+            self.out.push(Output::Note(Note::OwnServer {
+                id: known.heartbeat.id.clone(),
+                open,
+                sequence: known.heartbeat.sequence,
+            }));
+        }
+    }
+
     /// Work that waits for a server that leaves would reach it when it has stopped listening. Its
     /// entry gives it to another node at once.
     fn turn_away_waiting(&mut self, now: Time) {
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -210,11 +210,14 @@
     /// Says to all others whether the own backend server takes new work. It goes by gossip, which
     /// reaches a large fleet in a few rounds; a load report would reach most nodes only with the
     /// next probe between the two.
-    pub fn set_open(&mut self, open: bool) {
-        if self.open != open {
+    /// Gives whether that is news.
+    pub fn set_open(&mut self, open: bool) -> bool {
+        let news = self.open != open;
+        if news {
             self.open = open;
             self.raise_beat(self.beat);
         }
+        news
     }
 
     /// Asks the nodes at these addresses who they are, and keeps the addresses as hints. Some may
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -66,6 +66,8 @@
             matches!(ending, Ending::Whole(status) if *status < 500)
         }
         Note::Refused { .. } => false,
+        // Changes of belief are rare.
+        Note::Peer { .. } | Note::OwnServer { .. } => return log::info!("{note}"),
     };
     if whole {
         log::debug!("{note}");
@@ -98,7 +100,6 @@
         Counter::NoSnapshot => log::warn!("event=no_snapshot next_offset={}", journal.next),
         Counter::Expelled => log::warn!("event=evicted"),
         Counter::LeaveUnsaid => log::warn!("event=leave_unsaid"),
-        Counter::ServerStarted => log::info!("event=server_started"),
         Counter::LateHeartbeat => log::info!("event=late_heartbeat"),
         Counter::StrangeServer => log::warn!("event=strange_heartbeat"),
         _ => {}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod events;
 mod fetch;
 mod link;
+mod log_queue;
 mod log_reader;
 mod metrics;
 mod peers;
@@ -20,6 +21,7 @@
 mod udp;
 mod wire;
 
+pub use log_queue::LogQueue;
 pub use settings::Settings;
 pub use settings::SettingsError;
 pub use shell::start;
--- /dev/null
+++ b/crates/node/src/log_queue.rs
@@ -0,0 +1,84 @@
+//! Log lines on their way out: bounded, and written by a thread of their own.
+//!
+//! Whoever reads the output may stop reading. A node that then waits in the middle of a decision
+//! would take its callers with it, so lines that find no room are dropped and counted.
+
+use log4rs::append::Append;
+use log4rs::encode::writer::simple::SimpleWriter;
+use log4rs::encode::Encode;
+use std::fmt;
+use std::io::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::sync_channel;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
+
+/// Lines that may wait; with some 300 bytes each, about half a megabyte.
+const MAX_LINES: usize = 2048;
+
+/// An appender that never waits.
+pub struct LogQueue {
+    encoder: Box<dyn Encode>,
+    tx: SyncSender<Vec<u8>>,
+    dropped: AtomicU64,
+}
+
+impl LogQueue {
+    /// An appender whose lines `out` gets, from a thread of its own.
+    pub fn new<W>(encoder: Box<dyn Encode>, out: W) -> Self
+    where
+        W: Write + Send + 'static,
+    {
+        let (tx, rx) = sync_channel(MAX_LINES);
+        std::thread::spawn(move || write_all(&rx, out));
+        Self {
+            encoder,
+            tx,
+            dropped: AtomicU64::new(0),
+        }
+    }
+
+    /// Sends a line that stands for so many dropped ones, itself included if it finds no room.
+    fn send(&self, line: Vec<u8>, stands_for: u64) {
+        if let Err(TrySendError::Full(_)) = self.tx.try_send(line) {
+            self.dropped.fetch_add(stands_for, Ordering::Relaxed);
+        }
+    }
+}
+
+impl fmt::Debug for LogQueue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LogQueue").finish_non_exhaustive()
+    }
+}
+
+impl Append for LogQueue {
+    fn append(&self, record: &log::Record<'_>) -> anyhow::Result<()> {
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let line = format!("event=lines_dropped count={dropped}\n");
+            self.send(line.into_bytes(), dropped);
+        }
+        let mut line = SimpleWriter(Vec::new());
+        self.encoder.encode(&mut line, record)?;
+        self.send(line.0, 1);
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+/// Writes lines until the last sender is gone or nobody reads any more. What waits goes out in one
+/// write.
+fn write_all(rx: &Receiver<Vec<u8>>, mut out: impl Write) {
+    while let Ok(mut lines) = rx.recv() {
+        while let Ok(line) = rx.try_recv() {
+            lines.extend_from_slice(&line);
+        }
+        if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,10 +1,9 @@
 //! `bilberry-node`: the process beside a backend server instance.
 
 use bilberry_node::start;
+use bilberry_node::LogQueue;
 use bilberry_node::Settings;
 use gumdrop::Options;
-use log4rs::append::console::ConsoleAppender;
-use log4rs::append::console::Target;
 use log4rs::config::Appender;
 use log4rs::config::Logger;
 use log4rs::config::Root;
@@ -106,16 +105,13 @@
 
 fn start_logging(level: log::LevelFilter) {
     let encoder = Box::new(PatternEncoder::new(LOG_PATTERN));
-    let stderr = ConsoleAppender::builder()
-        .target(Target::Stderr)
-        .encoder(encoder)
-        .build();
+    let stdout = LogQueue::new(encoder, std::io::stdout());
     let cfg = log4rs::Config::builder()
-        .appender(Appender::builder().build("stderr", Box::new(stderr)))
+        .appender(Appender::builder().build("stdout", Box::new(stdout)))
         // It writes an error for each caller that speaks no HTTP, which the node counts and tells
         // at debug; callers could fill the log with it.
         .logger(Logger::builder().build("actix_http", log::LevelFilter::Off))
-        .build(Root::builder().appender("stderr").build(level));
+        .build(Root::builder().appender("stdout").build(level));
     match cfg.map(log4rs::init_config) {
         Ok(Ok(_)) => {}
         _ => eprintln!("no log: the logger could not be set up"),
