A slow order no longer takes the waiting lookups with it

Cause: a call of an order that reaches a full server with hardly any time left was refused as for load; that refuses all waiting lookups and holds new ones back for 100 ms. At the deep leaf one such order cost a score of reads, each of a lookup half done, while 6 of 13 places were taken. Ruled out: too little room (running fell to 6 of 13); the level (queued work went within microseconds, not by level). Change: an admitted call that cannot be in time is refused for its deadline; it counts for the level and holds nobody back. What begins at the server and is refused for load still takes the lookups with it.

--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -404,6 +404,11 @@
 
     fn refuse_for_load(&mut self, now: Time, ticket: Ticket) -> Offer {
         self.level.refused(ticket.class, now.since(ticket.arrived));
+        if ticket.admitted {
+            // Its own time is over: it was slow on its way here. Room for others like it would not
+            // have helped, and the lookups that wait are work half done as well.
+            return self.refuse(Reason::Deadline, ticket);
+        }
         self.hold_lookups(now, ticket.class);
         self.refuse(Reason::QueueFull, ticket)
     }
