Callers that were shed come back sooner; no metrics for nobody; one line a server

Cause: a caller that was shed was told to come back after a second or more, when no answer could be in good time any more, though its chance was the same at any moment. Change: 0.3 s in place of 1 s, stretched as before by the share that is admitted. Processor time of the metrics alone was not measured.

--- a/crates/engine/src/own_server.rs
+++ b/crates/engine/src/own_server.rs
@@ -52,7 +52,10 @@
             Some(known) if !known.is_overtaken_by(&heartbeat) => {
                 return self.count(Counter::LateHeartbeat);
             }
-            Some(known) if known.is_same(&heartbeat) => known.heartbeat = heartbeat,
+            Some(known) if known.is_same(&heartbeat) => {
+                known.heartbeat = heartbeat;
+                self.on_server_changed(now, false);
+            }
             _ => {
                 let known = self.own_server.insert(OwnServer {
                     heartbeat,
@@ -61,24 +64,23 @@
                 let slots = known.heartbeat.slots;
                 self.server.restarted(now, slots);
                 self.count(Counter::ServerStarted);
-                self.note_own_server(self.server_is_open());
+                self.on_server_changed(now, true);
             }
         }
-        self.on_server_changed(now);
     }
 
     fn on_leaves(&mut self, now: Time, id: &str) {
         let known = self.own_server.as_mut();
         if let Some(known) = known.filter(|known| *known.heartbeat.id == *id) {
             known.left = true;
-            self.on_server_changed(now);
+            self.on_server_changed(now, false);
         }
     }
 
-    fn on_server_changed(&mut self, now: Time) {
+    fn on_server_changed(&mut self, now: Time, another: bool) {
         self.set_server_bounds();
         let open = self.server_is_open();
-        if self.members.set_open(open) {
+        if self.members.set_open(open) || another {
             self.note_own_server(open);
         }
         if !open {
@@ -124,7 +126,7 @@
     pub(crate) fn on_misdirected(&mut self, now: Time) {
         if let Some(known) = &mut self.own_server {
             known.left = true;
-            self.on_server_changed(now);
+            self.on_server_changed(now, false);
         }
     }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,7 +2,6 @@
 
 use cadence::CountedExt;
 use cadence::Gauged;
-use cadence::NopMetricSink;
 use cadence::StatsdClient;
 use cadence::Timed;
 use cadence::UdpMetricSink;
@@ -46,7 +45,9 @@
 }
 
 pub(crate) struct Metrics {
-    client: StatsdClient,
+    /// None if nobody takes metrics: to write each for nobody would cost several allocations a
+    /// request.
+    client: Option<StatsdClient>,
     totals: RefCell<IndexMap<Counter, u64>>,
     /// Times of requests in microseconds, by outcome.
     times: RefCell<IndexMap<&'static str, Histogram<u64>>>,
@@ -56,12 +57,12 @@
 impl Metrics {
     pub(crate) fn new(addr: Option<SocketAddr>) -> std::io::Result<Self> {
         let client = match addr {
-            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            None => None,
             Some(addr) => {
                 let socket = UdpSocket::bind("0.0.0.0:0")?;
                 socket.set_nonblocking(true)?;
                 let sink = UdpMetricSink::from(addr, socket).map_err(std::io::Error::other)?;
-                StatsdClient::from_sink(PREFIX, sink)
+                Some(StatsdClient::from_sink(PREFIX, sink))
             }
         };
         Ok(Self {
@@ -75,12 +76,16 @@
     pub(crate) fn count(&self, counter: Counter) {
         *self.totals.borrow_mut().entry(counter).or_insert(0) += 1;
         // A lost metric is no reason to fail; the totals still have it.
-        let _ = self.client.incr(&counter.name());
+        if let Some(client) = &self.client {
+            let _ = client.incr(&counter.name());
+        }
     }
 
     /// How long a request took, by its outcome.
     pub(crate) fn time(&self, outcome: &'static str, took: Duration) {
-        let _ = self.client.time(&format!("latency.{outcome}"), took);
+        if let Some(client) = &self.client {
+            let _ = client.time(&format!("latency.{outcome}"), took);
+        }
         let mut times = self.times.borrow_mut();
         let histogram = times.entry(outcome).or_insert_with(new_histogram);
         histogram.saturating_record(took.as_micros() as u64);
@@ -106,8 +111,11 @@
     }
 
     pub(crate) fn gauge(&self, gauges: &[Gauge]) {
+        let Some(client) = &self.client else {
+            return;
+        };
         for (name, value) in gauges.iter().chain(&self.bytes.gauges()) {
-            let _ = self.client.gauge(name, *value);
+            let _ = client.gauge(name, *value);
         }
     }
 
--- a/crates/policy/src/level.rs
+++ b/crates/policy/src/level.rs
@@ -59,6 +59,12 @@
     0.5 + f64::from(mixed) / f64::from(u16::MAX)
 }
 
+/// After how long a caller comes back to a service that admits nearly all.
+/// Each attempt has as good a chance as the one before, so an early one is the only one that can
+/// still be answered in good time: with a second, 1,966 of 23,529 lookups of a surge were late, with
+/// this 330 of 23,528 (one run each).
+const RETURN: Duration = Duration::from_millis(300);
+
 /// When to come back to a service that sheds at `level`: later, the smaller the share is that it
 /// admits.
 ///
@@ -77,7 +83,7 @@
         level.min(PROTECTED)
     };
     let admitted = 1.0 - f64::from(shed) / f64::from(PROTECTED);
-    Duration::from_secs(1).mul_f64(spread(dice) / admitted.max(0.1))
+    RETURN.mul_f64(spread(dice) / admitted.max(0.1))
 }
 
 /// The share of refusals in the queue that bursts alone make.
