--- a/crates/engine/src/own_server.rs
+++ b/crates/engine/src/own_server.rs
@@ -50,7 +50,7 @@
         }
         match &mut self.own_server {
             Some(known) if !known.is_overtaken_by(&heartbeat) => {
-                return self.count(Counter::LateHeartbeat);
+                self.count(Counter::LateHeartbeat);
             }
             Some(known) if known.is_same(&heartbeat) => {
                 known.heartbeat = heartbeat;
