--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -2,8 +2,8 @@
 
 use crate::admission::operation_key;
 use crate::admission::OperationKey;
-use crate::entry::Draft;
 use crate::job::Job;
+use crate::request::Draft;
 use crate::timers::Timer;
 use crate::Counter;
 use crate::Ending;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,8 +3,6 @@
 use crate::admission::Admission;
 use crate::answered::Answered;
 use crate::calls::Outgoing;
-use crate::entry::OpenRequest;
-use crate::entry::Parents;
 use crate::fetch::FetchLink;
 use crate::homes::HeldCalls;
 use crate::homes::KeyWork;
@@ -12,6 +10,8 @@
 use crate::log::LogLink;
 use crate::own_server::OwnServer;
 use crate::quarantine::Suspects;
+use crate::request::OpenRequest;
+use crate::request::Parents;
 use crate::resends::Resends;
 use crate::serve::Inbound;
 use crate::timers::Timer;
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -1,7 +1,9 @@
 //! Requests from callers and from the own backend server: the filter chain.
 
 use crate::job::JobOwner;
-use crate::resends::Sent;
+use crate::request::Draft;
+use crate::request::OpenRequest;
+use crate::request::Parents;
 use crate::Counter;
 use crate::Engine;
 use crate::Keyless;
@@ -11,10 +13,8 @@
 use policy::Account;
 use proto::ActionId;
 use proto::CallId;
-use proto::Class;
 use proto::Fingerprint;
 use proto::IdempotencyKey;
-use proto::KeyHash;
 use proto::Outcome;
 use proto::Reason;
 use proto::Refusal;
@@ -26,53 +26,6 @@
 use std::time::Duration;
 use stdx::Time;
 
-/// A request in flight at this node.
-#[derive(Debug)]
-pub(crate) struct OpenRequest {
-    /// The present attempt.
-    pub(crate) call: CallId,
-    /// The run that asked, for a child call.
-    pub(crate) parent: Option<RunId>,
-    /// The retries that the parent lent.
-    pub(crate) lent: u16,
-    /// The key that this node made.
-    pub(crate) made_key: Option<Arc<str>>,
-    pub(crate) operation: Operation,
-    /// What was sent, for a request whose re-sends may wait for it.
-    pub(crate) sent: Option<Sent>,
-    /// Requests that wait for this one's answer.
-    pub(crate) followers: Vec<Token>,
-}
-
-/// What a request says of the run that it is part of.
-pub(crate) struct Parents {
-    pub(crate) context: Option<Arc<str>>,
-    pub(crate) parent: Option<Arc<str>>,
-}
-
-/// What the filters have found out about a request.
-pub(crate) struct Draft {
-    pub(crate) token: Token,
-    pub(crate) request: Request,
-    pub(crate) operation: Operation,
-    pub(crate) action: ActionId,
-    pub(crate) dice: u16,
-    /// What the whole action is for.
-    pub(crate) class: Class,
-    pub(crate) depth: u8,
-    pub(crate) deadline: Time,
-    pub(crate) account: Account,
-    pub(crate) parent: Option<RunId>,
-    pub(crate) lent: u16,
-    pub(crate) key: Option<(KeyHash, Fingerprint)>,
-    /// No attempt with this key can have been made before.
-    pub(crate) fresh: bool,
-    pub(crate) made_key: Option<Arc<str>>,
-    /// Each attempt below counts as a retry.
-    pub(crate) again: bool,
-    pub(crate) sent: Option<Sent>,
-}
-
 impl Engine {
     #[expect(clippy::too_many_arguments, reason = "the fields of one input")]
     pub(crate) fn on_request(
--- /dev/null
+++ b/crates/engine/src/request.rs
@@ -0,0 +1,62 @@
+//! A request from a caller or from the own backend server, as its entry holds it.
+
+use crate::resends::Sent;
+use crate::Token;
+use policy::Account;
+use proto::ActionId;
+use proto::CallId;
+use proto::Class;
+use proto::Fingerprint;
+use proto::KeyHash;
+use proto::Request;
+use proto::RunId;
+use rules::Operation;
+use std::sync::Arc;
+use stdx::Time;
+
+/// A request in flight at this node.
+#[derive(Debug)]
+pub(crate) struct OpenRequest {
+    /// The present attempt.
+    pub(crate) call: CallId,
+    /// The run that asked, for a child call.
+    pub(crate) parent: Option<RunId>,
+    /// The retries that the parent lent.
+    pub(crate) lent: u16,
+    /// The key that this node made.
+    pub(crate) made_key: Option<Arc<str>>,
+    pub(crate) operation: Operation,
+    /// What was sent, for a request whose re-sends may wait for it.
+    pub(crate) sent: Option<Sent>,
+    /// Requests that wait for this one's answer.
+    pub(crate) followers: Vec<Token>,
+}
+
+/// What a request says of the run that it is part of.
+pub(crate) struct Parents {
+    pub(crate) context: Option<Arc<str>>,
+    pub(crate) parent: Option<Arc<str>>,
+}
+
+/// What the filters have found out about a request.
+pub(crate) struct Draft {
+    pub(crate) token: Token,
+    pub(crate) request: Request,
+    pub(crate) operation: Operation,
+    pub(crate) action: ActionId,
+    pub(crate) dice: u16,
+    /// What the whole action is for.
+    pub(crate) class: Class,
+    pub(crate) depth: u8,
+    pub(crate) deadline: Time,
+    pub(crate) account: Account,
+    pub(crate) parent: Option<RunId>,
+    pub(crate) lent: u16,
+    pub(crate) key: Option<(KeyHash, Fingerprint)>,
+    /// No attempt with this key can have been made before.
+    pub(crate) fresh: bool,
+    pub(crate) made_key: Option<Arc<str>>,
+    /// Each attempt below counts as a retry.
+    pub(crate) again: bool,
+    pub(crate) sent: Option<Sent>,
+}
--- a/crates/engine/src/resends.rs
+++ b/crates/engine/src/resends.rs
@@ -6,7 +6,7 @@
 //! a share of first sends that the rules set. A call with a key is never counted: only the key's
 //! home knows whether it ran, and the caller may be asking just that.
 
-use crate::entry::Draft;
+use crate::request::Draft;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
