A refusal meant for an earlier incarnation does not close the next server

Cause: a request that expected an earlier incarnation and was turned away by the next one at its address closed whichever server was known by then; if the next one had announced itself meanwhile it stayed closed for as long as it lived. Ruled out: that the heartbeats after it open the server again (its leave is final for an incarnation). Change: the run remembers whom it was given to, and only that one is closed. Test: fails before (no instance), passes after.

--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -38,7 +38,7 @@
     /// How long a stopping node goes on taking new requests from its callers, who need a moment to
     /// notice. They run on other nodes' backend servers.
     pub linger: Duration,
-    /// What a node may spend on retries at a service without having earned it by first attempts.
+    /// Bounds of a node's retries at each service.
     pub retries: policy::Bounds,
 }
 
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -43,6 +43,8 @@
     /// What the whole action is for.
     pub(crate) class: Class,
     pub(crate) started: Option<Time>,
+    /// The incarnation of the server that it was given to.
+    pub(crate) expect: Option<Arc<str>>,
     /// Child calls in flight, since when there are any, and how long there were some.
     pub(crate) waiting: Vec<Token>,
     pub(crate) waiting_since: Time,
--- a/crates/engine/src/own_server.rs
+++ b/crates/engine/src/own_server.rs
@@ -122,11 +122,11 @@
         known.map(|known| known.heartbeat.id.clone())
     }
 
-    /// Another server answered at the address: the announced one is gone.
-    pub(crate) fn on_misdirected(&mut self, now: Time) {
-        if let Some(known) = &mut self.own_server {
-            known.left = true;
-            self.on_server_changed(now, false);
+    /// Another server answered at the address in place of the expected one, which is gone. The other
+    /// one may have announced itself meanwhile, and is not meant.
+    pub(crate) fn on_misdirected(&mut self, now: Time, expected: Option<Arc<str>>) {
+        if let Some(id) = expected {
+            self.on_leaves(now, &id);
         }
     }
 
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -128,6 +128,7 @@
             children: IndexMap::new(),
             class: call.class,
             started: None,
+            expect: None,
             waiting: Vec::new(),
             waiting_since: now,
             waited: Duration::ZERO,
@@ -216,13 +217,14 @@
                 return self.end_job(now, run, self.not_run(reason));
             }
         };
+        let expect = self.expected_server();
         let Some(job) = self.jobs.get_mut(&run) else {
             return;
         };
         job.started = Some(now);
+        job.expect = expect.clone();
         let request = job.request.clone();
         let remaining = now.until(job.deadline);
-        let expect = self.expected_server();
         self.out.push(Output::Run {
             run,
             request,
@@ -239,6 +241,7 @@
         };
         let (class, fingerprint) = (job.class, job.fingerprint);
         let cancelled = job.cancelled;
+        let expect = job.expect.clone();
         let made_calls = matches!(job.owner, JobOwner::Key(_)) && !job.children.is_empty();
         let ended = job.ended(now, &end);
         self.server.finished(now, class, ended);
@@ -256,7 +259,7 @@
             }
             RunEnd::NeverSent => self.not_run(Reason::ServerLost),
             RunEnd::Misdirected => {
-                self.on_misdirected(now);
+                self.on_misdirected(now, expect);
                 self.not_run(Reason::Draining)
             }
             RunEnd::TimedOut => Outcome::Unknown(Reason::Deadline),
--- a/crates/engine/tests/announced.rs
+++ b/crates/engine/tests/announced.rs
@@ -293,3 +293,17 @@
     let outputs = engine.handle(at(4), Input::CallerGone(Token(1)));
     assert!(outputs.contains(&Output::CancelRun(run)));
 }
+
+/// A server crashes and the next one starts at its address. A booking that was meant for the first
+/// is turned away by the second, which has announced itself meanwhile. Taken for gone with the
+/// first, the second one would stand idle for as long as it lives.
+#[test]
+fn what_was_meant_for_an_earlier_incarnation_does_not_close_the_next_one() {
+    let mut engine = node();
+    engine.handle(at(1), heartbeat("a", 100, 1, false));
+    let (run, _) = book(&mut engine, at(2), 1).unwrap();
+    engine.handle(at(3), heartbeat("b", 200, 1, false));
+    let end = RunEnd::Misdirected;
+    engine.handle(at(4), Input::RunEnded { run, end });
+    assert_eq!(server(&mut engine, at(5)), Ok("b".into()));
+}
