--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -22,6 +22,7 @@
 use proto::RunId;
 use rand::RngExt;
 use rules::Operation;
+use rules::Rule;
 use std::sync::Arc;
 use std::time::Duration;
 use stdx::Time;
@@ -81,16 +82,11 @@
             return Err(Reason::TableFull);
         }
         let rules = &self.journal.rules;
-        let operation = if request.host.is_empty() {
-            let operation = rules.operation(&request.service, &request.method, &request.path);
-            operation.ok_or(Reason::NoSuchOperation)?
-        } else {
-            let route = rules.routes.find(&request.host, &request.path);
-            let route = route.ok_or(Reason::NoSuchOperation)?;
+        let rule = rules.decide(request).ok_or(Reason::NoSuchOperation)?;
+        if let Rule::Route(route) = rule {
             request.service = route.target(dice).clone();
-            &route.operation
-        };
-        let operation = operation.clone();
+        }
+        let operation = rule.operation().clone();
         self.count(Counter::Request(operation.class));
         Ok(operation)
     }
--- a/crates/engine/src/resends.rs
+++ b/crates/engine/src/resends.rs
@@ -12,7 +12,8 @@
 use crate::Output;
 use crate::Token;
 use indexmap::IndexMap;
-use policy::Budget;
+use policy::Bounds;
+use policy::Budgets;
 use proto::hash64;
 use proto::Outcome;
 use proto::Reason;
@@ -28,9 +29,6 @@
 /// The most requests that wait for one answer.
 const MAX_FOLLOWERS: usize = 16;
 
-/// Services that have a ratio of their own.
-const MAX_SERVICES: usize = 1024;
-
 /// Stands for a caller and its request, whole.
 pub(crate) type Sent = u64;
 
@@ -40,7 +38,7 @@
     in_flight: IndexMap<Sent, Token>,
     /// When a refused caller may come back.
     refused: Bounded<Sent, Time>,
-    budgets: Bounded<Arc<str>, Budget>,
+    budgets: Budgets,
 }
 
 impl Resends {
@@ -48,7 +46,7 @@
         Self {
             in_flight: IndexMap::new(),
             refused: Bounded::new(REFUSALS_KEPT),
-            budgets: Bounded::new(MAX_SERVICES),
+            budgets: Budgets::new(Bounds::default()),
         }
     }
 
@@ -67,15 +65,11 @@
 
     /// Takes one from the ratio if the request comes back too early, and tells when it may.
     fn draw(&mut self, now: Time, sent: Sent, service: &Arc<str>, ratio: f64) -> Option<Time> {
-        if self.budgets.get(service).is_none() {
-            self.budgets.insert(service.clone(), Budget::new());
-        }
-        let budget = self.budgets.get_mut(service)?;
         let not_before = self.refused.get(&sent).copied();
         match not_before.filter(|at| now < *at) {
-            Some(at) => Some(at).filter(|_| !budget.spend(now)),
+            Some(at) => Some(at).filter(|_| !self.budgets.spend(now, service)),
             None => {
-                budget.earn(ratio);
+                self.budgets.earn_at(service, ratio);
                 None
             }
         }
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -32,6 +32,7 @@
 use proto::Reason;
 use proto::Refusal;
 use proto::RunId;
+use rules::Rule;
 use std::sync::Arc;
 use std::time::Duration;
 use stdx::Time;
@@ -105,12 +106,7 @@
         };
         let request = call.request;
         let rules = &self.journal.rules;
-        let operation = if request.host.is_empty() {
-            rules.operation(&request.service, &request.method, &request.path)
-        } else {
-            let route = rules.routes.find(&request.host, &request.path);
-            route.map(|route| &route.operation)
-        };
+        let operation = rules.decide(&request).map(Rule::operation);
         let job = Job {
             owner,
             action: call.action,
--- a/crates/httpconn/src/headers.rs
+++ b/crates/httpconn/src/headers.rs
@@ -20,6 +20,40 @@
     "date",
 ];
 
+/// A header stands more than once, or is not visible ASCII.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadHeader;
+
+/// A header that may stand once, in visible ASCII.
+///
+/// # Errors
+///
+/// [`BadHeader`] if it is neither that nor missing.
+///
+/// # Examples
+///
+/// ```
+/// use actix_http::header::{HeaderMap, HeaderValue, ACCEPT};
+/// use bilberry_httpconn::{single_header, BadHeader};
+///
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(single_header(&headers, "accept"), Ok(None));
+/// headers.append(ACCEPT, HeaderValue::from_static("*/*"));
+/// assert_eq!(single_header(&headers, "accept"), Ok(Some("*/*")));
+/// headers.append(ACCEPT, HeaderValue::from_static("*/*"));
+/// assert_eq!(single_header(&headers, "accept"), Err(BadHeader));
+/// ```
+pub fn single_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, BadHeader> {
+    let mut values = headers.get_all(name);
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(BadHeader);
+    }
+    value.to_str().map(Some).map_err(|_| BadHeader)
+}
+
 /// The headers that are passed on: all but those about one connection, those that its `Connection`
 /// header names, and `not_these`, in lower case.
 ///
--- a/crates/httpconn/src/lib.rs
+++ b/crates/httpconn/src/lib.rs
@@ -15,6 +15,8 @@
 pub use connection::Connection;
 pub use error::Failure;
 pub use headers::end_to_end;
+pub use headers::single_header;
+pub use headers::BadHeader;
 pub use pool::Pool;
 pub use request::encode_request;
 pub use response::Parser;
--- a/crates/httpconn/src/response.rs
+++ b/crates/httpconn/src/response.rs
@@ -68,7 +68,7 @@
     R: AsyncRead + Unpin,
 {
     let mut codec = ClientCodec::new(parser.0.clone());
-    let head = loop {
+    let mut head = loop {
         match codec.decode(buf) {
             // An interim response: the final one follows.
             Ok(Some(head)) if head.status.is_informational() => {
@@ -79,7 +79,7 @@
             Err(_) => return Err(Failure::Malformed),
         }
     };
-    let (status, headers) = (head.status, head.headers().clone());
+    let (status, headers) = (head.status, std::mem::take(head.headers_mut()));
     let (body, marked) = match framing(codec, status, &headers) {
         Framing::Empty => (Bytes::new(), true),
         Framing::Marked(payload) => (read_marked(stream, buf, payload, max_body).await?, true),
--- a/crates/node/src/dialect/own.rs
+++ b/crates/node/src/dialect/own.rs
@@ -18,6 +18,7 @@
 use engine::RunEnd;
 use httpconn::encode_request;
 use httpconn::end_to_end;
+use httpconn::single_header;
 use httpconn::Whole;
 use proto::Outcome;
 use proto::Reason;
@@ -145,17 +146,9 @@
     Ok(Some(Duration::from_millis(millis)))
 }
 
-/// A header that may stand once, in visible ASCII.
 fn header(req: &HttpRequest, name: &str, bad: Reason) -> Result<Option<Arc<str>>, Reason> {
-    let mut values = req.headers().get_all(name);
-    let Some(value) = values.next() else {
-        return Ok(None);
-    };
-    if values.next().is_some() {
-        return Err(bad);
-    }
-    let text = value.to_str().map_err(|_| bad)?;
-    Ok(Some(text.into()))
+    let text = single_header(req.headers(), name).map_err(|_| bad)?;
+    Ok(text.map(Into::into))
 }
 
 fn not_run(reason: Reason, keyed: bool) -> Outcome {
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -133,7 +133,11 @@
 
     /// Counts a first send to a service, which allows [`Bounds::ratio`] of an extra one.
     pub fn earn(&mut self, service: &Arc<str>) {
-        let ratio = self.bounds.ratio;
+        self.earn_at(service, self.bounds.ratio);
+    }
+
+    /// Counts a first send to a service that has a ratio of its own.
+    pub fn earn_at(&mut self, service: &Arc<str>, ratio: f64) {
         self.of(service).earn(ratio);
     }
 
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -23,3 +23,4 @@
 pub use parse::MAX_RULES;
 pub use route::Route;
 pub use route::Routes;
+pub use route::Rule;
--- a/crates/rules/src/route.rs
+++ b/crates/rules/src/route.rs
@@ -3,6 +3,7 @@
 use crate::Operation;
 use crate::Rules;
 use indexmap::IndexMap;
+use proto::Request;
 use std::sync::Arc;
 use std::time::Duration;
 use stdx::data;
@@ -76,7 +77,44 @@
     }
 }
 
+/// What decides a request.
+#[derive(Debug, Clone, Copy)]
+pub enum Rule<'a> {
+    /// The request names its service; this says what its method and path mean.
+    Operation(&'a Operation),
+    /// The request names a host; this says where it leads.
+    Route(&'a Route),
+}
+
+impl<'a> Rule<'a> {
+    /// What the request means.
+    pub fn operation(self) -> &'a Operation {
+        match self {
+            Rule::Operation(operation) => operation,
+            Rule::Route(route) => &route.operation,
+        }
+    }
+}
+
 impl Rules {
+    /// The rule that decides a request: by its host if it names one, else by its service.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let text = "operation press POST /slots class=booking deadline=2s # asked by Anna";
+    /// let rules = bilberry_rules::Rules::parse(text).unwrap();
+    /// let request = proto::Request::new("press", "POST", "/slots", Default::default());
+    /// assert!(!rules.decide(&request).unwrap().operation().idempotent);
+    /// ```
+    pub fn decide(&self, req: &Request) -> Option<Rule<'_>> {
+        if req.host.is_empty() {
+            let operation = self.operation(&req.service, &req.method, &req.path);
+            return operation.map(Rule::Operation);
+        }
+        self.routes.find(&req.host, &req.path).map(Rule::Route)
+    }
+
     /// Rules that consist of routes alone.
     ///
     /// # Examples
