An evicted node that holds nothing ends in its time

Cause: a node was started while it reached the store but none of the others, joined, and was evicted by them. It held no slots and none came, so no timer of its home was due, and the end of its patience (transfer_timeout after the view that leaves it out) was checked only when another timer fired. It lived on in no view: its share of the service stayed out for good.

Ruled out: that the eviction did not reach them (their view was the newest), and that they could not stop (no work in flight, never told to).

Test, seen failing first: an_evicted_node_that_never_got_anything_ends.

Change: the end of the patience is a timer of the home.

--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -235,7 +235,8 @@
             .map(|slot| &self.slots[usize::from(*slot)]);
         let moves = moving.filter_map(|slot| self.slot_due(slot));
         let moved = self.moved.values().filter_map(|moved| moved.send_at);
-        [self.next_round, fence, self.records.next_end()]
+        let expulsion = self.expulsion_ends();
+        [self.next_round, fence, self.records.next_end(), expulsion]
             .into_iter()
             .flatten()
             .chain(moves)
@@ -337,17 +338,22 @@
 
     /// Tells the driver once that this incarnation is over.
     pub(crate) fn check_expelled(&mut self, now: Time) {
-        let Some(since) = self.expelled else {
+        let Some(ends) = self.expulsion_ends() else {
             return;
         };
+        if self.is_handed_over() || ends <= now {
+            self.expelled = None;
+            self.expel();
+        }
+    }
+
+    /// How long an incarnation that is over still hands its records over.
+    fn expulsion_ends(&self) -> Option<Time> {
         let patience = match self.moved.values().any(Moved::is_running) {
             true => self.longest_run + self.cfg.transfer_timeout,
             false => self.cfg.transfer_timeout,
         };
-        if self.is_handed_over() || since + patience <= now {
-            self.expelled = None;
-            self.expel();
-        }
+        self.expelled.map(|since| since + patience)
     }
 }
 
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -373,6 +373,37 @@
         .contains(&bilberry_once::Effect::Expelled));
 }
 
+/// A node is started while it reaches the store but none of the others, and they evict it. It holds
+/// nothing and waits for nothing that comes, so nothing wakes it; left running it would be in no view
+/// for good, and its part of the service would be missing until an operator noticed.
+#[test]
+fn an_evicted_node_that_never_got_anything_ends() {
+    let cluster = Cluster::new(6);
+    let newcomer = common::instance(9, cluster.node(3).instance.addr.port());
+    let mut members = cluster.members();
+    members.retain(|member| member.addr != newcomer.addr);
+    let others = members.clone();
+    members.push(newcomer.clone());
+    let view = |number, members: &[proto::Instance], departed: u64| journal::View {
+        number,
+        members: members.to_vec(),
+        departed: vec![(proto::Incarnation(departed), Departure::Evicted)],
+        steps: Vec::new(),
+    };
+    let mut home = bilberry_once::Home::new(cluster.cfg.clone(), newcomer.incarnation);
+    let mut now = cluster.now;
+    home.on_view(now, &view(10, &cluster.members(), 0));
+    home.on_view(now, &view(20, &members, 3));
+    home.on_view(now, &view(30, &others, 9));
+    let end = now + 2 * cluster.cfg.transfer_timeout;
+    let mut seen = Vec::new();
+    while let Some(due) = home.next_timer().filter(|due| *due <= end) {
+        now = now.max(due);
+        seen.extend(home.tick(now));
+    }
+    assert!(seen.contains(&bilberry_once::Effect::Expelled));
+}
+
 /// A response larger than the table, and more keys than it has room for. Live records must stay.
 #[test]
 fn a_full_table_refuses_new_keys_and_keeps_the_old() {
