--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -26,7 +26,7 @@
     Status(Status),
     #[options(help = "show which rules decide a call, and who asked for them")]
     Explain(Explain),
-    #[options(help = "list accepted and rejected publications")]
+    #[options(help = "list the publications that the store still has")]
     Log(Log),
 }
 
@@ -46,8 +46,8 @@
     help: bool,
     #[options(free, required, help = "the rules file")]
     pub(crate) file: PathBuf,
-    #[options(no_short, required, meta = "IP:PORT", help = "the log service")]
-    pub(crate) log: Option<SocketAddr>,
+    #[options(no_short, required, meta = "IP:PORT", help = "the store")]
+    pub(crate) store: Option<SocketAddr>,
     #[options(no_short, default = "bilberrycove", meta = "NAME", help = "the stream")]
     pub(crate) stream: String,
     #[options(
@@ -62,12 +62,6 @@
         help = "publish only on top of this version; the newest one if not given"
     )]
     pub(crate) expect: Option<u64>,
-    #[options(
-        no_short,
-        meta = "VERSION",
-        help = "only if the log has lost its state: begin again with this version, above any before"
-    )]
-    pub(crate) begin_again: Option<u64>,
 }
 
 /// Arguments of `status`.
@@ -78,9 +72,9 @@
     #[options(
         no_short,
         meta = "IP:PORT",
-        help = "the log service; names all nodes, and the version that they should have"
+        help = "the store; names all nodes, and the version that they should have"
     )]
-    pub(crate) log: Option<SocketAddr>,
+    pub(crate) store: Option<SocketAddr>,
     #[options(no_short, default = "bilberrycove", meta = "NAME", help = "the stream")]
     pub(crate) stream: String,
     #[options(
@@ -101,8 +95,8 @@
         help = "[FILE] METHOD /SERVICE/PATH; without a file, the rules in force"
     )]
     pub(crate) call: Vec<String>,
-    #[options(no_short, meta = "IP:PORT", help = "the log service")]
-    pub(crate) log: Option<SocketAddr>,
+    #[options(no_short, meta = "IP:PORT", help = "the store")]
+    pub(crate) store: Option<SocketAddr>,
     #[options(no_short, default = "bilberrycove", meta = "NAME", help = "the stream")]
     pub(crate) stream: String,
 }
@@ -112,8 +106,8 @@
 pub(crate) struct Log {
     #[options(help = "print this help")]
     help: bool,
-    #[options(no_short, required, meta = "IP:PORT", help = "the log service")]
-    pub(crate) log: Option<SocketAddr>,
+    #[options(no_short, required, meta = "IP:PORT", help = "the store")]
+    pub(crate) store: Option<SocketAddr>,
     #[options(no_short, default = "bilberrycove", meta = "NAME", help = "the stream")]
     pub(crate) stream: String,
 }
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -9,7 +9,7 @@
 use crate::publish::publish;
 use crate::status::status;
 use crate::stream::Stream;
-use journal::Rejection;
+use journal::Record;
 use rules::Rules;
 use std::path::Path;
 
@@ -39,7 +39,7 @@
 
 async fn explain(args: Explain) -> Result<(), CommandError> {
     let words: Vec<&str> = args.call.iter().map(String::as_str).collect();
-    let (file, method, target) = match (words.as_slice(), args.log) {
+    let (file, method, target) = match (words.as_slice(), args.store) {
         ([file, method, target], None) => (Some(file), method, target),
         ([method, target], Some(_)) => (None, method, target),
         _ => return Err(CommandError::BadCall),
@@ -49,10 +49,10 @@
         .and_then(|target| target.split_once('/'))
         .ok_or(CommandError::BadCall)?;
     let path = format!("/{path}");
-    let rules = match (file, args.log) {
+    let rules = match (file, args.store) {
         (Some(file), _) => read_rules(Path::new(file))?.1.into(),
-        (None, Some(log)) => {
-            let stream = Stream::open(log, &args.stream).await?;
+        (None, Some(store)) => {
+            let stream = Stream::open(store, &args.stream).await?;
             println!("version {}", stream.state.version);
             stream.state.rules
         }
@@ -63,24 +63,27 @@
 }
 
 async fn log(args: Log) -> Result<(), CommandError> {
-    let addr = args.log.ok_or(CommandError::NoAddress)?;
+    let addr = args.store.ok_or(CommandError::NoAddress)?;
     let stream = Stream::open(addr, &args.stream).await?;
-    for (publication, verdict) in &stream.state.verdicts {
-        let result = match verdict.result {
-            Ok(version) => format!("accepted version={version}"),
-            Err(Rejection::Overtaken(version)) => {
-                format!("rejected reason=overtaken in_force={version}")
-            }
-            Err(Rejection::BadFile) => "rejected reason=bad-file".to_owned(),
+    for item in stream.records().await? {
+        let Ok(Record::Publish {
+            version,
+            publication,
+            operator,
+            ..
+        }) = proto::decode(&item.value)
+        else {
+            continue;
         };
         println!(
-            "offset={} {result} operator={} publication={publication:032x}",
-            verdict.offset, verdict.operator
+            "offset={} version={version} operator={operator} publication={publication:032x}",
+            item.offset
         );
     }
+    let state = stream.state;
     println!(
-        "in force: version={} next_offset={}",
-        stream.state.version, stream.state.next
+        "in force: version={} operator={} publication={:032x} next_offset={}",
+        state.version, state.operator, state.publication, state.next
     );
     Ok(())
 }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -1,11 +1,11 @@
 //! Why a command failed, and its exit code.
 
-use journal::Rejection;
-use logservice::LogError;
+use platform::StoreError;
 use rules::RuleError;
 use std::fmt;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 /// Why a command failed.
 #[derive(Debug)]
@@ -13,27 +13,25 @@
     NoCommand,
     /// The words after `explain` are not what it takes.
     BadCall,
-    /// Neither a log service nor a node was given.
+    /// Neither a store nor a node was given.
     NoAddress,
     OperatorName,
     Unreadable(PathBuf),
     Rules(PathBuf, Vec<RuleError>),
-    Log(LogError),
-    /// The log's older records have expired, and no snapshot stands for them.
-    NoState,
-    /// The log has its state; it cannot begin again.
-    HasState,
-    Rejected {
+    Store(StoreError),
+    /// Another publication came first.
+    Overtaken {
         /// The version that the publication was to follow.
         expected: u64,
-        rejection: Rejection,
-        /// Who published the version that came first.
-        winner: Option<(String, u64)>,
+        /// The version in force.
+        version: u64,
+        /// Who published that.
+        operator: Arc<str>,
     },
     /// The publication may still arrive.
     Open {
         publication: u128,
-        cause: Option<LogError>,
+        cause: StoreError,
     },
     /// So many nodes did not answer.
     Silent(usize),
@@ -49,10 +47,9 @@
             | CommandError::NoAddress
             | CommandError::OperatorName
             | CommandError::Unreadable(_)
-            | CommandError::HasState
             | CommandError::Rules(..) => 2,
-            CommandError::Log(_) | CommandError::NoState | CommandError::Open { .. } => 3,
-            CommandError::Rejected { .. } => 4,
+            CommandError::Store(_) | CommandError::Open { .. } => 3,
+            CommandError::Overtaken { .. } => 4,
         })
     }
 }
@@ -64,10 +61,10 @@
             CommandError::BadCall => {
                 write!(
                     f,
-                    "explain takes FILE METHOD /SERVICE/PATH, or --log without FILE"
+                    "explain takes FILE METHOD /SERVICE/PATH, or --store without FILE"
                 )
             }
-            CommandError::NoAddress => write!(f, "neither --log nor --node is given"),
+            CommandError::NoAddress => write!(f, "neither --store nor --node is given"),
             CommandError::OperatorName => write!(
                 f,
                 "the operator's name takes 1 to {} bytes; give it with --operator",
@@ -78,47 +75,28 @@
                 let lines = errors.iter().map(|e| format!("{}:{e}", path.display()));
                 write!(f, "{}", lines.collect::<Vec<_>>().join("\n"))
             }
-            CommandError::Log(e) => write!(f, "{e}"),
-            CommandError::NoState => write!(
+            CommandError::Store(e) => write!(f, "the store: {e}"),
+            CommandError::Overtaken {
+                expected,
+                version,
+                operator,
+            } => write!(
                 f,
-                "the log has lost its older records and holds no snapshot of them; \
-                 see `begin again` in docs/OPERATIONS.md"
+                "rejected: published on top of version {expected}, but version {version} by \
+                 {operator} is in force"
+            ),
+            CommandError::Open { publication, cause } => write!(
+                f,
+                "outcome open: publication {publication:032x} is not in the store yet ({cause}); \
+                 see bilberryctl log before publishing again"
             ),
-            CommandError::HasState => {
-                write!(f, "the log has its state; publish without --begin-again")
-            }
-            CommandError::Rejected {
-                expected,
-                rejection: Rejection::Overtaken(version),
-                winner,
-            } => {
-                write!(f, "rejected: published on top of version {expected}, but ")?;
-                match winner {
-                    Some((operator, offset)) => write!(
-                        f,
-                        "version {version} by {operator} (offset {offset}) came first"
-                    ),
-                    None => write!(f, "version {version} is in force"),
-                }
-            }
-            CommandError::Rejected { .. } => write!(f, "rejected: the file has faults"),
-            CommandError::Open { publication, cause } => {
-                write!(
-                    f,
-                    "outcome open: publication {publication:032x} is not in the log yet"
-                )?;
-                match cause {
-                    Some(e) => write!(f, " ({e}); see bilberryctl log before publishing again"),
-                    None => write!(f, "; see bilberryctl log before publishing again"),
-                }
-            }
             CommandError::Silent(count) => write!(f, "{count} nodes did not answer"),
         }
     }
 }
 
-impl From<LogError> for CommandError {
-    fn from(e: LogError) -> Self {
-        CommandError::Log(e)
+impl From<StoreError> for CommandError {
+    fn from(e: StoreError) -> Self {
+        CommandError::Store(e)
     }
 }
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -4,11 +4,8 @@
 use crate::commands::read_rules;
 use crate::error::CommandError;
 use crate::stream::Stream;
-use bytes::Bytes;
 use journal::Record;
-use journal::State;
-use journal::Verdict;
-use logservice::LogError;
+use platform::StoreError;
 use std::time::Duration;
 
 /// The operator of a publication that names none.
@@ -20,6 +17,9 @@
 /// How long to wait before it is sent again; doubled each time.
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// How often a publication gives way to another record. Nodes that start write one record each.
+const MAX_CONFLICTS: u32 = 10_000;
+
 pub(crate) async fn publish(args: Publish) -> Result<(), CommandError> {
     let (file, _) = read_rules(&args.file)?;
     let user = std::env::var("USER").ok().filter(|user| !user.is_empty());
@@ -27,85 +27,61 @@
     if !(1..=journal::MAX_NAME).contains(&operator.len()) {
         return Err(CommandError::OperatorName);
     }
-    let log = args.log.ok_or(CommandError::NoAddress)?;
-    if let Some(version) = args.begin_again {
-        return begin_again(Stream::new(log, &args.stream), version, &file).await;
-    }
-    let mut stream = Stream::open(log, &args.stream).await?;
+    let store = args.store.ok_or(CommandError::NoAddress)?;
+    let mut stream = Stream::open(store, &args.stream).await?;
     let expected = args.expect.unwrap_or(stream.state.version);
     let publication = uuid::Uuid::new_v4().as_u128();
     let record = Record::Publish {
-        expected,
+        version: expected + 1,
         publication,
         operator: operator.into(),
         file: file.into(),
     };
-    let verdict = settle(&mut stream, publication, proto::encode(&record).into()).await?;
-    match verdict.result {
-        Ok(version) => {
-            println!("version {version} accepted at offset {}", verdict.offset);
-            Ok(())
-        }
-        Err(rejection) => Err(CommandError::Rejected {
-            expected,
-            rejection,
-            winner: match rejection {
-                journal::Rejection::Overtaken(version) => winner(&stream.state, version),
-                journal::Rejection::BadFile => None,
-            },
-        }),
-    }
+    settle(&mut stream, expected, publication, &record).await?;
+    println!("version {} accepted", expected + 1);
+    Ok(())
 }
 
-/// Appends until the stream shows the verdict.
+/// Appends until the stream shows this publication, or another one in its place.
 ///
 /// Whether or not an answer comes, only the stream tells what became of a publication. Sending it
-/// once more is safe, because a publication counts once, by its id; without that, the operator
-/// would have to guess whether the first one still arrives.
+/// once more is safe, because both are appended only at the same offset, so one of them at most;
+/// without that, the operator would have to guess whether the first one still arrives.
 async fn settle(
     stream: &mut Stream,
+    expected: u64,
     publication: u128,
-    record: Bytes,
-) -> Result<Verdict, CommandError> {
-    let mut cause = None;
-    for attempt in 0..ATTEMPTS {
-        if attempt > 0 {
-            tokio::time::sleep(PAUSE * (1 << (attempt - 1))).await;
+    record: &Record,
+) -> Result<(), CommandError> {
+    let (mut attempts, mut conflicts) = (0, 0);
+    loop {
+        let state = &stream.state;
+        if state.publication == publication {
+            return Ok(());
         }
-        match append_and_read(stream, record.clone()).await {
-            Ok(()) => {}
-            Err(e) => cause = Some(e),
+        if state.version != expected {
+            return Err(CommandError::Overtaken {
+                expected,
+                version: state.version,
+                operator: state.operator.clone(),
+            });
         }
-        if let Some(verdict) = stream.state.verdicts.get(&publication) {
-            return Ok(verdict.clone());
+        let appended = stream.append(record).await;
+        let cause = match (appended, stream.read().await) {
+            (Ok(_), Ok(())) => continue,
+            (Err(StoreError::Conflict), Ok(())) if conflicts < MAX_CONFLICTS => {
+                conflicts += 1;
+                continue;
+            }
+            (Err(e), _) | (_, Err(e)) => e,
+        };
+        if stream.state.publication == publication {
+            return Ok(());
         }
+        attempts += 1;
+        if attempts == ATTEMPTS {
+            return Err(CommandError::Open { publication, cause });
+        }
+        tokio::time::sleep(PAUSE * (1 << (attempts - 1))).await;
     }
-    Err(CommandError::Open { publication, cause })
-}
-
-async fn append_and_read(stream: &mut Stream, record: Bytes) -> Result<(), LogError> {
-    let appended = stream.log.append(record).await;
-    stream.read().await?;
-    appended.map(|_| ())
-}
-
-fn winner(state: &State, version: u64) -> Option<(String, u64)> {
-    let verdict = state.winner(version)?;
-    Some((verdict.operator.to_string(), verdict.offset))
-}
-
-/// Writes a state without a past, in a stream that has lost its own.
-async fn begin_again(mut stream: Stream, version: u64, file: &str) -> Result<(), CommandError> {
-    stream.read().await?;
-    if !stream.state.is_scanning() {
-        return Err(CommandError::HasState);
-    }
-    let state = State::without_past(stream.state.read_from(), version, file);
-    let record = Record::Snapshot(Box::new(state));
-    let appended = append_and_read(&mut stream, proto::encode(&record).into()).await;
-    if stream.state.is_scanning() {
-        return Err(appended.map_or_else(CommandError::Log, |()| CommandError::NoState));
-    }
-    println!("version {} in force", stream.state.version);
-    Ok(())
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -1,4 +1,4 @@
-//! `status`: what the nodes say of themselves, held against the log.
+//! `status`: what the nodes say of themselves, held against the store.
 
 use crate::args::Status;
 use crate::error::CommandError;
@@ -21,15 +21,15 @@
 }
 
 pub(crate) async fn status(args: Status) -> Result<(), CommandError> {
-    let stream = match args.log {
-        Some(log) => Some(Stream::open(log, &args.stream).await?),
+    let stream = match args.store {
+        Some(store) => Some(Stream::open(store, &args.stream).await?),
         None => None,
     };
     let mut doors: Vec<Door> = args.node.iter().copied().map(Door::Http).collect();
     let state = stream.as_ref().map(|stream| &stream.state);
     if let Some(state) = state {
         println!(
-            "log version={} next_offset={} instances={}",
+            "store version={} next_offset={} instances={}",
             state.version,
             state.next,
             state.instances().count()
@@ -83,7 +83,7 @@
         line.push_str(&format!(" {key}={}", value(key)));
     }
     line.push_str(&format!(" version={}", value("rules_version")));
-    // Records that the log has and the node has not folded.
+    // Records that the store has and the node has not folded.
     let theirs = page.get("next_offset").and_then(|next| next.parse().ok());
     if let (Some(next), Some(theirs)) = (next, theirs) {
         line.push_str(&format!(" lag={}", next.saturating_sub(theirs)));
--- a/crates/ctl/src/stream.rs
+++ b/crates/ctl/src/stream.rs
@@ -1,49 +1,84 @@
-//! The log's stream, as every reader folds it.
+//! The stream of rules and views in the store, as every reader folds it.
 
 use crate::error::CommandError;
+use bytes::Bytes;
+use journal::Record;
 use journal::State;
-use logservice::LogClient;
-use logservice::LogError;
+use platform::Item;
+use platform::Records;
+use platform::Store;
+use platform::StoreError;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The stream and what it says so far.
 pub(crate) struct Stream {
-    pub(crate) log: LogClient,
+    store: Store,
+    topic: String,
     pub(crate) state: State,
 }
 
 impl Stream {
-    pub(crate) fn new(log: SocketAddr, name: &str) -> Self {
-        Self {
-            log: LogClient::new(&log.to_string(), name),
+    /// A stream that was read to its end.
+    pub(crate) async fn open(store: SocketAddr, name: &str) -> Result<Self, CommandError> {
+        let mut stream = Self {
+            store: Store::new(store),
+            topic: platform::topic(name),
             state: State::default(),
-        }
+        };
+        stream.restart().await?;
+        Ok(stream)
     }
 
-    /// A stream that was read to its end.
-    pub(crate) async fn open(log: SocketAddr, name: &str) -> Result<Self, CommandError> {
-        let mut stream = Self::new(log, name);
-        stream.read().await?;
-        if stream.state.is_scanning() {
-            return Err(CommandError::NoState);
-        }
-        Ok(stream)
+    async fn restart(&mut self) -> Result<(), StoreError> {
+        let newest = self.store.newest(&self.topic).await?;
+        let end = newest.end;
+        let values = newest.items.into_iter().filter(|item| item.offset < end);
+        let mut values: Vec<(u64, Bytes)> = values.map(|item| (item.offset, item.value)).collect();
+        values.sort_by_key(|(offset, _)| *offset);
+        self.state = State::from_newest(&values, end);
+        Ok(())
     }
 
     /// Reads to the end.
-    pub(crate) async fn read(&mut self) -> Result<(), LogError> {
+    pub(crate) async fn read(&mut self) -> Result<(), StoreError> {
         loop {
-            let batch = self
-                .log
-                .read(self.state.read_from(), Duration::ZERO)
-                .await?;
-            self.state.expired_before(batch.first);
-            for (offset, record) in &batch.records {
-                self.state.apply(*offset, record);
+            let next = self.state.next;
+            match self.store.read(&self.topic, next, Duration::ZERO).await? {
+                Records::Expired { .. } => self.restart().await?,
+                Records::Some { items, end, .. } => {
+                    for item in &items {
+                        self.state.apply(item.offset, &item.value);
+                    }
+                    if self.state.next >= end || items.is_empty() {
+                        return Ok(());
+                    }
+                }
             }
-            if self.state.read_from() >= batch.end || batch.records.is_empty() {
-                return Ok(());
+        }
+    }
+
+    /// Appends a record if nothing was appended since the stream was read.
+    pub(crate) async fn append(&self, record: &Record) -> Result<u64, StoreError> {
+        let at = Some(self.state.next);
+        self.store.append(&self.topic, at, &record.entries()).await
+    }
+
+    /// The records that the store still has.
+    pub(crate) async fn records(&self) -> Result<Vec<Item>, StoreError> {
+        let mut all = Vec::new();
+        let mut from = 0;
+        loop {
+            match self.store.read(&self.topic, from, Duration::ZERO).await? {
+                Records::Expired { first } => from = first,
+                Records::Some { items, next, end } => {
+                    let done = next >= end || items.is_empty();
+                    all.extend(items);
+                    from = next;
+                    if done {
+                        return Ok(all);
+                    }
+                }
             }
         }
     }
--- a/crates/engine/src/appends.rs
+++ b/crates/engine/src/appends.rs
@@ -1,15 +1,15 @@
-//! Records on their way to the log's stream: a bounded queue, one append in flight.
+//! What this node has to say in the topic: a bounded queue, one append in flight.
 
-use bytes::Bytes;
 use proto::Incarnation;
 use stdx::plain;
 use stdx::Time;
 
-/// The most records that wait. What is left out is asked for again by whoever wanted it.
+/// The most that waits. What is left out is asked for again by whoever wanted it.
 const MAX_WAITING: usize = 64;
 
 plain! {
-    /// What a record says; the queue holds one record for each. In the order of their urgency.
+    /// What is to be said. The record is made when it is sent, because it has to follow from all
+    /// records before it. In the order of their urgency.
     #[derive(PartialOrd, Ord)]
     pub(crate) enum AppendKey {
         /// This node leaves.
@@ -18,20 +18,19 @@
         Join,
         /// Another node is taken for dead.
         Evict(Incarnation),
-        /// The state, before older records expire.
-        Snapshot,
+        /// The oldest departure is dropped.
+        Forget,
     }
 }
 
 #[derive(Debug)]
 struct Entry {
     key: AppendKey,
-    record: Bytes,
     due: Time,
     attempts: u32,
 }
 
-/// Records that the stream does not show yet.
+/// What the topic does not show yet.
 #[derive(Debug, Default)]
 pub(crate) struct AppendQueue {
     entries: Vec<Entry>,
@@ -44,16 +43,15 @@
         self.entries.iter().any(|entry| entry.key == key)
     }
 
-    /// Whether there is room for a record that says something new.
+    /// Whether there is room for something new.
     pub(crate) fn has_room(&self, key: AppendKey) -> bool {
         // What this node says of itself always fits.
         !matches!(key, AppendKey::Evict(_)) || self.entries.len() < MAX_WAITING
     }
 
-    pub(crate) fn push(&mut self, key: AppendKey, record: Bytes) {
+    pub(crate) fn push(&mut self, key: AppendKey) {
         self.entries.push(Entry {
             key,
-            record,
             due: Time::ZERO,
             attempts: 0,
         });
@@ -63,7 +61,7 @@
         self.entries.retain(|entry| entry.key != key);
     }
 
-    /// Keeps only the records that `wanted` still wants said.
+    /// Keeps only what `wanted` still wants said.
     pub(crate) fn retain(&mut self, wanted: impl Fn(AppendKey) -> bool) {
         self.entries.retain(|entry| wanted(entry.key));
     }
@@ -77,7 +75,7 @@
     }
 
     /// Starts the most urgent append that is due, under `number`.
-    pub(crate) fn start(&mut self, now: Time, number: u64) -> Option<(AppendKey, Bytes)> {
+    pub(crate) fn start(&mut self, now: Time, number: u64) -> Option<AppendKey> {
         if self.in_flight.is_some() {
             return None;
         }
@@ -85,7 +83,7 @@
         let entry = due.min_by_key(|entry| entry.key)?;
         entry.attempts += 1;
         self.in_flight = Some((number, entry.key));
-        Some((entry.key, entry.record.clone()))
+        Some(entry.key)
     }
 
     /// The append in flight has ended; says which it was and how often it was tried.
@@ -95,7 +93,7 @@
         Some((key, entry.map_or(1, |entry| entry.attempts)))
     }
 
-    /// Does not try a record again before `due`.
+    /// Does not try again before `due`.
     pub(crate) fn postpone(&mut self, key: AppendKey, due: Time) {
         for entry in &mut self.entries {
             if entry.key == key {
--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -24,8 +24,6 @@
     pub max_depth: u8,
     /// How long to wait before a lost append is tried again.
     pub append_retry: Duration,
-    /// How long the log keeps records.
-    pub log_retention: Duration,
     /// How long a stop waits until the log has taken its `Leave`.
     pub leave_patience: Duration,
     /// How rules files are read.
@@ -64,7 +62,6 @@
             max_key: 255,
             max_depth: 32,
             append_retry: Duration::from_secs(1),
-            log_retention: Duration::from_secs(24 * 3600),
             leave_patience: Duration::from_secs(10),
             parse_rules: |file| rules::Rules::parse(file).ok(),
             keyless: Keyless::MakeKey,
--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -88,14 +88,14 @@
         BrokenRecord,
         /// A publication was rejected.
         RejectedPublication,
-        /// The whole state was taken from a snapshot or from a peer.
+        /// Rules or views were taken from a peer, or anew from the store.
         Restored,
-        /// The log lacks older records, and has no snapshot of them.
-        NoSnapshot,
-        /// A peer was asked for the log's state.
+        /// A peer was asked for rules and views.
         StateFetch,
         /// A rules file came in force.
         RulesInForce,
+        /// Another record came before an append; it is made anew.
+        AppendConflict,
         /// An append got no answer; it is tried again unless the stream shows it.
         AppendLost,
         /// The queue of appends was full.
@@ -154,9 +154,9 @@
             Counter::BrokenRecord => "broken_record".to_owned(),
             Counter::RejectedPublication => "rejected_publication".to_owned(),
             Counter::Restored => "restored".to_owned(),
-            Counter::NoSnapshot => "no_snapshot".to_owned(),
             Counter::StateFetch => "state_fetch".to_owned(),
             Counter::RulesInForce => "rules_in_force".to_owned(),
+            Counter::AppendConflict => "append_conflict".to_owned(),
             Counter::AppendLost => "append_lost".to_owned(),
             Counter::AppendLeftOut => "append_left_out".to_owned(),
             Counter::LeaveUnsaid => "leave_unsaid".to_owned(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -72,7 +72,7 @@
     pub(crate) cfg: Config,
     pub(crate) me: Instance,
     pub(crate) rng: StdRng,
-    /// What the log's stream says.
+    /// What nodes share through the store.
     pub(crate) journal: State,
     pub(crate) log: LogLink,
     pub(crate) fetch: FetchLink,
@@ -211,7 +211,7 @@
             Input::Datagram { from, datagram } => self.on_datagram(now, from, datagram),
             Input::RunEnded { run, end } => self.on_run_ended(now, run, end),
             Input::Records(records) => self.on_records(now, records),
-            Input::LogStart(first) => self.on_log_start(first),
+            Input::Newest { values, end } => self.on_newest(now, values, end),
             Input::LogRead => self.on_log_read(now),
             Input::Published { version, file } => self.on_published(now, version, &file),
             Input::Directory(addrs) => {
@@ -222,6 +222,7 @@
             Input::LogUnreachable => self.on_log_unreachable(now),
             Input::PeerState(state) => self.on_peer_state(now, &state),
             Input::Appended(number) => self.on_appended(now, number),
+            Input::AppendConflict(number) => self.on_append_conflict(now, number),
             Input::AppendLost(number) => self.on_append_lost(now, number),
             Input::Stop => self.on_stop(now),
             Input::Tick => {}
@@ -244,7 +245,7 @@
             self.members.next_timer(),
             self.home.next_timer(),
             self.server.next_timer(),
-            self.log.next_timer(),
+            self.log.next_timer(self.journal.next),
             self.fetch.due,
         ]
         .into_iter()
@@ -257,12 +258,12 @@
         self.journal.version
     }
 
-    /// Where the log has to be read from.
+    /// The offset from which the topic of views has to be read.
     pub fn next_offset(&self) -> u64 {
-        self.journal.read_from()
+        self.journal.next
     }
 
-    /// What the log's stream says, as far as it was read.
+    /// What the topic of views says, as far as it was read.
     pub fn journal(&self) -> &State {
         &self.journal
     }
--- a/crates/engine/src/fetch.rs
+++ b/crates/engine/src/fetch.rs
@@ -1,20 +1,18 @@
-//! The log's state from peers, while the log itself cannot be read.
+//! Rules and views from peers, while the store does not answer.
 
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
 use bytes::Bytes;
 use journal::Change;
-use journal::State;
 use proto::Datagram;
 use proto::MemberMessage;
 use proto::PeerState;
+use proto::Progress;
 use proto::PROTOCOL_VERSION;
 use rand::RngExt;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
-use stdx::data;
 use stdx::Time;
 
 /// How long a node that reaches the log waits for the log itself before it asks a peer.
@@ -26,95 +24,39 @@
 /// How many others a node tells that new rules are in force.
 const FANOUT: usize = 3;
 
-/// The most bytes of records that are kept for peers: two of the largest rules files fit.
-const MAX_TAIL: usize = 640 * 1024;
-
-data! {
-    /// What a node tells a peer that lacks records.
-    enum News {
-        /// The records that it lacks, so that it takes every view in turn.
-        Records(Vec<(u64, Bytes)>),
-        /// The state, where those records are not at hand any more.
-        State(Box<State>),
-    }
-}
-
-/// The newest records, without a gap.
-#[derive(Debug, Default)]
-pub(crate) struct Tail {
-    records: VecDeque<(u64, Bytes)>,
-    bytes: usize,
-}
-
-impl Tail {
-    /// Takes a record that was folded.
-    pub(crate) fn push(&mut self, offset: u64, record: Bytes) {
-        if self
-            .records
-            .back()
-            .is_some_and(|(last, _)| last + 1 != offset)
-        {
-            self.records.clear();
-            self.bytes = 0;
-        }
-        self.bytes += record.len();
-        self.records.push_back((offset, record));
-        while self.bytes > MAX_TAIL {
-            let Some((_, oldest)) = self.records.pop_front() else {
-                return;
-            };
-            self.bytes -= oldest.len();
-        }
-    }
-
-    /// The records from `next` on, if all of them are here.
-    fn after(&self, next: u64) -> Option<Vec<(u64, Bytes)>> {
-        let (first, _) = self.records.front()?;
-        let skip = usize::try_from(next.checked_sub(*first)?).ok()?;
-        Some(self.records.iter().skip(skip).cloned().collect())
-    }
-}
-
 /// What is missing and who has it.
 #[derive(Debug, Default)]
 pub(crate) struct FetchLink {
     pub(crate) due: Option<Time>,
     /// A peer that knows more than this node, and how far it is.
-    ahead: Option<(SocketAddr, u64)>,
+    ahead: Option<(SocketAddr, Progress)>,
 }
 
 impl Engine {
-    /// News for a peer that lacks the records from `next` on, encoded; nothing if this node
-    /// knows no more itself.
-    pub fn state_after(&self, next: u64) -> Option<Bytes> {
-        if !self.log.ready || self.journal.next <= next {
-            return None;
-        }
-        let news = match self.log.tail.after(next) {
-            Some(records) => News::Records(records),
-            None => News::State(Box::new(self.journal.clone())),
-        };
-        Some(Bytes::from(proto::encode(&news)))
+    /// This node's state for a peer that knows so much; nothing if this node knows no more itself.
+    pub fn state_beyond(&self, theirs: Progress) -> Option<Bytes> {
+        let has_more = self.log.ready && self.journal.progress().has_more_than(theirs);
+        has_more.then(|| Bytes::from(proto::encode(&self.journal)))
     }
 
-    /// A peer says how far it has read the log.
-    pub(crate) fn on_peer_offset(&mut self, now: Time, from: SocketAddr, next: u64) {
-        if next <= self.journal.next {
+    /// A peer says how much it knows.
+    pub(crate) fn on_peer_progress(&mut self, now: Time, from: SocketAddr, theirs: Progress) {
+        if !theirs.has_more_than(self.journal.progress()) {
             return;
         }
-        let furthest = self.fetch.ahead.is_none_or(|(_, known)| known < next);
-        if furthest {
-            self.fetch.ahead = Some((from, next));
+        let furthest = |(_, known): (_, Progress)| theirs.has_more_than(known);
+        if self.fetch.ahead.is_none_or(furthest) {
+            self.fetch.ahead = Some((from, theirs));
         }
         // Each publication reaches some nodes a little earlier. Asking at once would have all the
-        // others fetch what the log is about to give them.
+        // others fetch what the store is about to give them.
         let grace = if self.log.down { Duration::ZERO } else { GRACE };
         self.schedule_fetch(now, grace);
     }
 
-    /// Tells a few others at once how far this node is. Probes tell as well, but only one peer a
-    /// second; while few nodes reach the log, old and new rules would stand side by side for long.
-    pub(crate) fn spread_offset(&mut self) {
+    /// Tells a few others at once how much this node knows. Probes tell as well, but only one peer a
+    /// second; while few nodes reach the store, old and new rules would stand side by side for long.
+    pub(crate) fn spread_progress(&mut self) {
         let others = self.members.peers();
         let others = others.filter(|peer| peer.state != PeerState::Dead);
         let others = others.map(|peer| peer.instance.addr);
@@ -123,7 +65,7 @@
             let to = addrs.swap_remove(self.rng.random_range(0..addrs.len()));
             let datagram = Datagram::Member {
                 version: PROTOCOL_VERSION,
-                log_next: self.journal.next,
+                progress: self.journal.progress(),
                 message: MemberMessage::Gossip {
                     rumours: Vec::new(),
                 },
@@ -148,8 +90,9 @@
             return;
         }
         self.fetch.due = None;
-        let next = self.journal.next;
-        let ahead = self.fetch.ahead.take().filter(|(_, theirs)| *theirs > next);
+        let known = self.journal.progress();
+        let ahead = self.fetch.ahead.take();
+        let ahead = ahead.filter(|(_, theirs)| theirs.has_more_than(known));
         if ahead.is_none() && self.log.ready {
             return;
         }
@@ -158,7 +101,7 @@
             .or_else(|| self.any_peer_address());
         if let Some(from) = from {
             self.count(Counter::StateFetch);
-            self.out.push(Output::FetchState { from, next });
+            self.out.push(Output::FetchState { from, known });
         }
         if !self.log.ready {
             let wait = INTERVAL.mul_f64(self.rng.random_range(0.5..1.0));
@@ -181,29 +124,21 @@
         Some(addrs[index])
     }
 
-    /// A peer's state, as [`Engine::state_after`] gave it there.
-    pub(crate) fn on_peer_state(&mut self, now: Time, news: &[u8]) {
-        let change = match proto::decode(news) {
-            Ok(News::Records(records)) => return self.on_peer_records(now, records),
-            Ok(News::State(state)) => self.journal.adopt_with(*state, self.cfg.parse_rules),
+    /// A peer's state, as [`Engine::state_beyond`] gave it there.
+    pub(crate) fn on_peer_state(&mut self, now: Time, state: &[u8]) {
+        let change = match proto::decode(state) {
+            Ok(state) => self.journal.adopt_with(state, self.cfg.parse_rules),
             Err(_) => Change::Broken,
         };
         match change {
             Change::Restored => {
                 self.log.ready = true;
                 self.on_restored(now);
-                self.spread_offset();
+                self.spread_progress();
                 self.out.push(Output::ReadLog);
             }
             Change::Broken => self.count(Counter::BrokenRecord),
             _ => {}
         }
     }
-
-    fn on_peer_records(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
-        let before = self.journal.next;
-        self.on_records(now, records);
-        // From the start of the stream on, it is the same as having read the log.
-        self.log.ready |= before == 0 && self.journal.next > 0;
-    }
 }
--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -231,8 +231,9 @@
         }
     }
 
-    /// Takes the service's views from the log's state, if they are newer than the home's, one by
-    /// one. A state that was taken from a snapshot or a peer may have skipped more than it remembers.
+    /// Takes the service's views from the topic's state, if they are newer than the home's, one by
+    /// one. A state that was taken from a peer may have skipped more than it remembers, and after
+    /// departures that were forgotten nobody can tell what was before the first view.
     pub(crate) fn update_home(&mut self, now: Time) {
         let Some(view) = self.journal.view(&self.me.service) else {
             return;
@@ -243,6 +244,7 @@
         let view = view.clone();
         let missed = match self.home.newest() {
             Some(known) => view.since(known),
+            None if self.journal.forgotten.is_some() => None,
             None => view.history(),
         };
         let Some(missed) = missed else {
@@ -303,7 +305,7 @@
             Effect::Ended(key) => self.on_ended_elsewhere(key),
             Effect::Recall(key) => self.recall(now, key),
             Effect::Behind => self.out.push(Output::ReadLog),
-            Effect::Expelled => self.on_expelled(now),
+            Effect::Expelled => self.expel(now),
             Effect::Fault(fault) => {
                 debug_assert!(false, "{fault:?}");
                 self.count(Counter::Fault);
@@ -344,13 +346,13 @@
     pub(crate) fn check_departed(&mut self, now: Time) {
         let departed = self.journal.departed.contains_key(&self.me.incarnation);
         if departed && !self.home.has_joined() && !self.stopping {
-            self.on_expelled(now);
+            self.expel(now);
         }
     }
 
-    /// The log's views leave this incarnation out for good. It takes nothing new, ends what is in
+    /// The views leave this incarnation out for good. It takes nothing new, ends what is in
     /// flight, and the shell starts another incarnation.
-    fn on_expelled(&mut self, now: Time) {
+    pub(crate) fn expel(&mut self, now: Time) {
         self.count(Counter::Expelled);
         self.on_stop(now);
     }
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -3,11 +3,13 @@
 use crate::Counter;
 use crate::Note;
 use bytes::Bytes;
+use journal::Entry;
 use proto::Datagram;
 use proto::Frame;
 use proto::Incarnation;
 use proto::Instance;
 use proto::Outcome;
+use proto::Progress;
 use proto::Request;
 use proto::RunId;
 use std::net::SocketAddr;
@@ -74,13 +76,18 @@
         /// How.
         end: RunEnd,
     },
-    /// Records of the log's stream, by offset.
+    /// Values of the topic of views in their order, by offset.
     Records(Vec<(u64, Bytes)>),
-    /// The oldest record that the log still has; comes before the records of the same read.
-    LogStart(u64),
-    /// The log was read to its end.
+    /// The newest value of each key of the topic, by offset.
+    Newest {
+        /// Offsets and values, in any order.
+        values: Vec<(u64, Bytes)>,
+        /// Where to read on.
+        end: u64,
+    },
+    /// The topic was read to its end.
     LogRead,
-    /// The log's state, from a peer; answers [`Output::FetchState`].
+    /// A peer's state; answers [`Output::FetchState`].
     PeerState(Bytes),
     /// The operators' newest rules file, from a service that gives out versions itself.
     Published {
@@ -93,11 +100,13 @@
     Directory(Vec<SocketAddr>),
     /// The own backend server says something of itself.
     Server(Announcement),
-    /// The log did not answer.
+    /// The store did not answer.
     LogUnreachable,
-    /// The append with this number was answered.
+    /// The append with this number was done.
     Appended(u64),
-    /// The append with this number got no answer; it may have taken effect.
+    /// The append with this number was not done, because the topic goes on beyond its offset.
+    AppendConflict(u64),
+    /// The append with this number got no answer; it may have taken effect, or may later.
     AppendLost(u64),
     /// The process is asked to stop.
     Stop,
@@ -196,22 +205,24 @@
     },
     /// Cancel a run; it still ends with [`Input::RunEnded`].
     CancelRun(RunId),
-    /// Append a record to the log's stream.
+    /// Append to the topic of views, if it ends at this offset, all or nothing.
     Append {
         /// For the answer.
         number: u64,
-        /// The record.
-        record: Bytes,
+        /// The offset.
+        at: u64,
+        /// Keys and values.
+        entries: Vec<Entry>,
     },
-    /// Ask a node for [`crate::Engine::state_after`]; ends with an [`Input::PeerState`] if it has
+    /// Ask a node for [`crate::Engine::state_beyond`]; ends with an [`Input::PeerState`] if it has
     /// any. No answer is no fault.
     FetchState {
         /// Its address.
         from: SocketAddr,
-        /// The next offset that this node lacks.
-        next: u64,
+        /// What this node knows.
+        known: Progress,
     },
-    /// Read the log at once, because something is missing.
+    /// Read the topic at once, because something is missing.
     ReadLog,
     /// Count something.
     Count(Counter),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -27,7 +27,6 @@
 mod resends;
 mod routing;
 mod serve;
-mod snapshots;
 mod timers;
 
 pub use config::Config;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -1,16 +1,14 @@
-//! The log controller: folds the stream, announces this node, and takes it out again.
+//! The log controller: folds the topic of views, announces this node, and takes it out again.
 
 use crate::appends::AppendKey;
 use crate::appends::AppendQueue;
-use crate::fetch::Tail;
-use crate::snapshots::SnapshotClock;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
 use bytes::Bytes;
 use journal::Change;
 use journal::Record;
-use proto::Incarnation;
+use journal::State;
 use rand::RngExt;
 use std::time::Duration;
 use stdx::Time;
@@ -21,6 +19,13 @@
 /// How often the wait between two tries doubles at most.
 const MAX_DOUBLINGS: u32 = 5;
 
+/// The wait after an append that came second, doubled with each try and taken in a random part. A
+/// read and an append take some 20 ms together; of nodes that start at once, one wins each round.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How often that wait doubles at most: up to 2.5 s.
+const MAX_CONFLICT_DOUBLINGS: u32 = 7;
+
 /// What this node has to say to the log and whether it got through.
 #[derive(Debug, Default)]
 pub(crate) struct LogLink {
@@ -29,13 +34,13 @@
     /// The log was read to its end once, or its state came from a peer. Before that the rules and
     /// views may be older than what this address had in force when it was last up.
     pub(crate) ready: bool,
-    pub(crate) snapshots: SnapshotClock,
-    /// The oldest record that the log still has.
-    pub(crate) first: u64,
-    /// The newest records, for peers that lack them.
-    pub(crate) tail: Tail,
     pub(crate) appends: AppendQueue,
-    /// A `Join` may stand in the stream, now or later.
+    /// Where the append in flight is to stand, or the last one was.
+    append_at: u64,
+    /// The last append came second. Before the record that came first is read, each further one would
+    /// come second as well.
+    overtaken: bool,
+    /// A `Join` may stand in the topic, now or later.
     join_sent: bool,
     /// When a stop no longer waits for its `Leave`.
     give_up: Option<Time>,
@@ -52,9 +57,14 @@
         self.give_up.is_none()
     }
 
-    /// When the controller has something to do.
-    pub(crate) fn next_timer(&self) -> Option<Time> {
-        let timers = [self.appends.next_due(), self.give_up];
+    fn may_append(&self, next: u64) -> bool {
+        !self.overtaken || next > self.append_at
+    }
+
+    /// When the controller has something to do, if the topic was read up to `next`.
+    pub(crate) fn next_timer(&self, next: u64) -> Option<Time> {
+        let append = self.appends.next_due().filter(|_| self.may_append(next));
+        let timers = [append, self.give_up];
         timers.into_iter().flatten().min()
     }
 }
@@ -62,36 +72,62 @@
 impl Engine {
     pub(crate) fn on_records(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
         let before = self.journal.version;
-        self.fold(now, records);
-        // What is read at the start is no news to anybody.
-        if self.log.ready && self.journal.version > before {
-            self.spread_offset();
-        }
-    }
-
-    fn fold(&mut self, now: Time, records: Vec<(u64, Bytes)>) {
-        for (offset, record) in records {
-            let change = self.journal.apply(offset, &record);
-            if self.journal.next == offset + 1 && change != Change::Old {
-                self.log.tail.push(offset, record);
-            }
-            match change {
-                Change::Nothing | Change::Old => {}
+        for (offset, value) in records {
+            match self.journal.apply(offset, &value) {
+                Change::Nothing | Change::Old | Change::Restored => {}
                 Change::Broken => self.count(Counter::BrokenRecord),
-                Change::Rejected => self.count(Counter::RejectedPublication),
                 Change::Rules => {
                     self.count(Counter::RulesInForce);
                     self.on_rules(now);
                 }
                 Change::View(_) => self.on_view_change(now),
-                Change::Restored => {
-                    self.on_restored(now);
-                    // What follows here comes after records that the snapshot does not cover.
-                    return self.out.push(Output::ReadLog);
-                }
                 Change::Gap => return self.out.push(Output::ReadLog),
             }
         }
+        // What is read at the start is no news to anybody.
+        if self.log.ready && self.journal.version > before {
+            self.spread_progress();
+        }
+    }
+
+    /// Takes the newest record of each key, at a start or after records that this node lacks have
+    /// expired.
+    pub(crate) fn on_newest(&mut self, now: Time, mut values: Vec<(u64, Bytes)>, end: u64) {
+        // What came while the pages were read is read again from `end` on, in its order.
+        values.retain(|(offset, _)| *offset < end);
+        values.sort_by_key(|(offset, _)| *offset);
+        let newest = State::from_newest(&values, end);
+        if !newest.is_whole_since(self.journal.next) {
+            return self.begin_anew(now, newest);
+        }
+        for (offset, value) in values {
+            if offset >= self.journal.next {
+                self.journal.skip_to(offset);
+                self.on_records(now, vec![(offset, value)]);
+            }
+        }
+        self.journal.skip_to(end);
+    }
+
+    /// Views were missed, and the topic does not have them any more.
+    fn begin_anew(&mut self, now: Time, newest: State) {
+        let rules_back = newest.version < self.journal.version;
+        let views_back = newest.next < self.journal.next;
+        if rules_back || views_back {
+            return self.count(Counter::BrokenRecord);
+        }
+        self.journal = newest;
+        self.count(Counter::Restored);
+        self.on_rules(now);
+        if let Some(view) = self.journal.view(&self.me.service).cloned() {
+            let effects = self.home.on_baseline(now, &view);
+            self.apply_home(now, effects);
+        }
+        // Whether this incarnation was in one of the views that were missed cannot be told. In a
+        // view again, after others took its place for lost, it could start what they have started.
+        if self.log.join_sent && !self.stopping {
+            self.expel(now);
+        }
     }
 
     fn on_rules(&mut self, now: Time) {
@@ -117,7 +153,7 @@
                 self.count(Counter::RulesInForce);
                 self.log.ready = true;
                 self.on_rules(now);
-                self.spread_offset();
+                self.spread_progress();
             }
             Change::Broken => self.count(Counter::RejectedPublication),
             _ => {}
@@ -136,62 +172,63 @@
         self.update_home(now);
     }
 
-    pub(crate) fn on_log_start(&mut self, first: u64) {
-        self.log.first = first;
-        self.journal.expired_before(first);
-    }
-
     pub(crate) fn on_log_read(&mut self, now: Time) {
         self.log.down = false;
-        if self.journal.is_scanning() {
-            // The records that this node lacks have expired, and no snapshot stands in for them.
-            self.count(Counter::NoSnapshot);
-            return self.schedule_fetch(now, Duration::ZERO);
-        }
         self.log.ready = true;
         self.home.on_log_read(now);
         self.check_departed(now);
-        self.check_snapshot(now);
         // An incarnation that the views have dropped never comes back: it ends, and its next start
         // is another one.
-        let mine = self.me.incarnation;
-        let dropped = self.journal.departed.contains_key(&mine);
-        if !self.stopping && !dropped && !self.is_listed() {
-            self.append(&Record::Join(self.me.clone()));
+        let dropped = self.journal.departed.contains_key(&self.me.incarnation);
+        if !self.stopping && !dropped && !self.is_listed() && self.journal.admits(&self.me) {
+            self.append(AppendKey::Join);
+        }
+        if self.is_eldest() && self.journal.to_forget().is_some() {
+            self.append(AppendKey::Forget);
         }
     }
 
-    /// Has a record appended, unless the same is waiting already. It is tried until the fold shows
-    /// its effect. When the queue is full it is left out and counted; ask again later.
-    pub(crate) fn append(&mut self, record: &Record) {
-        let key = match record {
-            Record::Join(_) => AppendKey::Join,
-            Record::Leave(_) => AppendKey::Leave,
-            Record::Evict { incarnation, .. } => AppendKey::Evict(*incarnation),
-            Record::Snapshot(_) => AppendKey::Snapshot,
-            // Only operators publish.
-            Record::Publish { .. } => return self.count(Counter::Unexpected),
-        };
+    /// Whether this is the first instance that the views name: the one that drops what is old.
+    fn is_eldest(&self) -> bool {
+        let eldest = self.journal.instances().next();
+        eldest.is_some_and(|eldest| eldest.incarnation == self.me.incarnation)
+    }
+
+    /// Has something said, unless it waits to be said already. It is tried until the fold shows its
+    /// effect. When the queue is full it is left out and counted; ask again later.
+    pub(crate) fn append(&mut self, key: AppendKey) {
         if self.log.appends.contains(key) {
             return;
         }
         if !self.log.appends.has_room(key) {
             return self.count(Counter::AppendLeftOut);
         }
-        let record = Bytes::from(proto::encode(record));
-        self.log.appends.push(key, record);
+        self.log.appends.push(key);
+    }
+
+    fn record(&self, key: AppendKey) -> Option<Record> {
+        let mine = self.me.incarnation;
+        Some(match key {
+            AppendKey::Join => Record::Join(self.me.clone()),
+            AppendKey::Leave => Record::Leave(mine),
+            AppendKey::Evict(incarnation) => Record::Evict {
+                incarnation,
+                by: mine,
+            },
+            AppendKey::Forget => self.journal.to_forget()?,
+        })
     }
 
-    /// Drops what the stream shows by now, and starts the next append that is due.
+    /// Drops what the topic shows by now, and starts the next append that is due.
     pub(crate) fn pump_appends(&mut self, now: Time) {
         let mine = self.me.incarnation;
         let journal = &self.journal;
-        let snapshot_missing = self.log.snapshots.is_missing(journal.snapshot);
+        // A record that would change nothing must not land: it would take the key of one that did.
         self.log.appends.retain(|key| match key {
             AppendKey::Join => !journal.is_listed(mine),
-            AppendKey::Leave => true,
-            AppendKey::Evict(other) => journal.is_listed(other),
-            AppendKey::Snapshot => snapshot_missing,
+            AppendKey::Leave => !journal.departed.contains_key(&mine),
+            AppendKey::Evict(other) => journal.is_listed(other) && journal.is_listed(mine),
+            AppendKey::Forget => journal.to_forget().is_some(),
         });
         if self.log.give_up.is_some_and(|give_up| give_up <= now) {
             self.log.give_up = None;
@@ -200,14 +237,25 @@
                 self.count(Counter::LeaveUnsaid);
             }
         }
-        if self.log.appends.next_due().is_none_or(|due| due > now) {
+        let due = self.log.appends.next_due();
+        if due.is_none_or(|due| due > now) || !self.log.may_append(self.journal.next) {
             return;
         }
         let number = self.number();
-        if let Some((key, record)) = self.log.appends.start(now, number) {
-            self.log.join_sent |= key == AppendKey::Join;
-            self.out.push(Output::Append { number, record });
-        }
+        let Some(key) = self.log.appends.start(now, number) else {
+            return;
+        };
+        let Some(record) = self.record(key) else {
+            return;
+        };
+        self.log.join_sent |= key == AppendKey::Join;
+        self.log.append_at = self.journal.next;
+        self.log.overtaken = false;
+        self.out.push(Output::Append {
+            number,
+            at: self.journal.next,
+            entries: record.entries(),
+        });
     }
 
     pub(crate) fn on_appended(&mut self, now: Time, number: u64) {
@@ -222,7 +270,21 @@
         self.out.push(Output::ReadLog);
     }
 
-    /// The record may stand in the stream all the same; reading it again tells. All nodes lose
+    /// Another record came first, so this one was not appended and never will be. It is made anew
+    /// once the other has been read.
+    pub(crate) fn on_append_conflict(&mut self, now: Time, number: u64) {
+        let Some((key, attempts)) = self.log.appends.ended(number) else {
+            return;
+        };
+        self.count(Counter::AppendConflict);
+        let doublings = attempts.saturating_sub(1).min(MAX_CONFLICT_DOUBLINGS);
+        let wait = CONFLICT_PAUSE * (1 << doublings);
+        let wait = wait.mul_f64(self.rng.random_range(0.0..1.0));
+        self.log.appends.postpone(key, now + wait);
+        self.log.overtaken = true;
+    }
+
+    /// The record may stand in the topic all the same; reading it again tells. All nodes lose
     /// their answers together when the log goes down, so the next try waits longer each time and
     /// for a random part of it; else they would all come back at once.
     pub(crate) fn on_append_lost(&mut self, now: Time, number: u64) {
@@ -239,13 +301,13 @@
         self.out.push(Output::ReadLog);
     }
 
-    /// Says to the log that this node leaves. A `Join` that may be on its way makes no difference:
-    /// the `Leave` is said after it.
+    /// Says in the topic that this node leaves. A `Join` that may be on its way makes no difference:
+    /// of the two, the one that is appended first keeps the other out or comes before it.
     pub(crate) fn leave_log(&mut self, now: Time) {
         self.log.appends.remove(AppendKey::Join);
         let gone = self.journal.departed.contains_key(&self.me.incarnation);
         if !gone && (self.log.join_sent || self.is_listed()) {
-            self.append(&Record::Leave(self.me.incarnation));
+            self.append(AppendKey::Leave);
             // In an outage of the log a stop would never end. The views go on naming this node
             // then, until another one evicts it.
             self.log.give_up = Some(now + self.cfg.leave_patience);
@@ -259,7 +321,6 @@
 
     /// Whether the log's views name this incarnation.
     pub fn is_listed(&self) -> bool {
-        let mine: Incarnation = self.me.incarnation;
-        self.journal.is_listed(mine)
+        self.journal.is_listed(self.me.incarnation)
     }
 }
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -6,7 +6,6 @@
 use crate::LinkEvent;
 use crate::Note;
 use crate::Output;
-use journal::Record;
 use membership::Effect;
 use proto::Datagram;
 use proto::Frame;
@@ -23,10 +22,10 @@
         match datagram {
             Datagram::Member {
                 version: PROTOCOL_VERSION,
-                log_next,
+                progress,
                 message,
             } => {
-                self.on_peer_offset(now, from, log_next);
+                self.on_peer_progress(now, from, progress);
                 self.on_member_message(now, from, message);
             }
             Datagram::Lease {
@@ -123,7 +122,7 @@
                 Effect::Send { to, message } => {
                     let datagram = Datagram::Member {
                         version: PROTOCOL_VERSION,
-                        log_next: self.journal.next,
+                        progress: self.journal.progress(),
                         message,
                     };
                     self.out.push(Output::Datagram { to, datagram });
@@ -140,10 +139,7 @@
                 }
                 Effect::Evict(incarnation) => {
                     self.count(Counter::EvictionAsked);
-                    self.append(&Record::Evict {
-                        incarnation,
-                        by: self.me.incarnation,
-                    });
+                    self.append(AppendKey::Evict(incarnation));
                 }
                 Effect::TableFull => self.count(Counter::PeerTableFull),
             }
--- a/crates/engine/tests/log/appends.rs
+++ b/crates/engine/tests/log/appends.rs
@@ -102,3 +102,59 @@
     }
     assert_eq!(d.count(Counter::AppendLost), 8);
 }
+
+/// Many nodes start at once, and each append is taken only if it is the next one. The losers try
+/// again at different times, or the same ones would come second each time.
+#[test]
+fn an_append_that_came_second_is_made_anew() {
+    let mut d = Driver::new();
+    d.feed(Input::LogRead);
+    let mut gaps = Vec::new();
+    for n in 2..8 {
+        let (join, record) = d.one_append();
+        assert_eq!(record, Record::Join(instance(1)));
+        let before = d.now;
+        d.feed(Input::AppendConflict(join));
+        d.show(&Record::Join(instance(n)));
+        while d.appends.is_empty() {
+            d.pass_one();
+        }
+        gaps.push(d.now.since(before));
+    }
+    assert_eq!(d.count(Counter::AppendConflict), 6);
+    for (gap, base) in gaps.iter().zip([20, 40, 80, 160, 320, 640]) {
+        assert!(*gap <= Duration::from_millis(base), "{gaps:?}");
+    }
+}
+
+/// This node takes another for dead, and is evicted by it first. Its own eviction must not stand in
+/// the topic: under the key of the other's departure it would hide the one that counted.
+#[test]
+fn a_node_that_is_out_evicts_nobody() {
+    let mut d = Driver::new();
+    d.show(&Record::Join(instance(1)));
+    d.show(&Record::Join(instance(2)));
+    d.appended();
+    d.show(&Record::Evict {
+        incarnation: Incarnation(1),
+        by: Incarnation(2),
+    });
+    d.pass(Duration::from_secs(60));
+    assert_eq!(d.appended(), []);
+}
+
+/// The store is slow, and other records come first. Before the node has read them, each further try
+/// comes second too; and were the read begun anew each time, it would never end.
+#[test]
+fn an_overtaken_append_waits_for_what_came_first() {
+    let mut d = Driver::new();
+    d.feed(Input::LogRead);
+    let (join, _) = d.one_append();
+    d.feed(Input::AppendConflict(join));
+    d.pass(Duration::from_secs(60));
+    assert_eq!(d.appended(), []);
+    assert_eq!(d.reads, 0);
+    d.show(&Record::Join(instance(2)));
+    d.pass(Duration::from_secs(1));
+    assert_eq!(d.one_append().1, Record::Join(instance(1)));
+}
--- a/crates/journal/src/fold.rs
+++ b/crates/journal/src/fold.rs
@@ -4,10 +4,7 @@
 use crate::Change;
 use crate::Departure;
 use crate::Record;
-use crate::Rejection;
-use crate::SnapshotMark;
 use crate::State;
-use crate::Verdict;
 use proto::Incarnation;
 use proto::Instance;
 use rules::Rules;
@@ -25,15 +22,12 @@
 /// The most services that ever had a view.
 pub const MAX_SERVICES: usize = 256;
 
-/// How many verdicts on publications are kept for `bilberryctl`.
-pub const MAX_VERDICTS: usize = 256;
-
-/// How many departed incarnations are remembered. A `Join` can be overtaken by the departure of
-/// its sender only for as long as an append may be under way.
+/// How many departed incarnations the topic has records of before the oldest are forgotten: two
+/// records of some 100 bytes each, so that a start reads 200 KB of them at most.
 pub const MAX_DEPARTED: usize = 1024;
 
 impl State {
-    /// Folds the record at `offset`.
+    /// Folds the value of the record at `offset`.
     ///
     /// # Examples
     ///
@@ -47,47 +41,58 @@
     /// assert_eq!(state.apply(2, b"too early"), Change::Gap);
     /// assert_eq!(state.next, 1);
     /// ```
-    pub fn apply(&mut self, offset: u64, bytes: &[u8]) -> Change {
-        let expected = self.read_from();
-        if offset < expected {
+    pub fn apply(&mut self, offset: u64, value: &[u8]) -> Change {
+        if offset < self.next {
             return Change::Old;
         }
-        if offset > expected {
+        if offset > self.next {
             return Change::Gap;
         }
-        let record = match bytes.len() {
-            0..=MAX_RECORD => proto::decode::<Record>(bytes).ok(),
+        self.next = offset + 1;
+        // The value of a key that is dropped. `Record::Forget` beside it says what that means.
+        if value.is_empty() {
+            return Change::Nothing;
+        }
+        let record = match value.len() {
+            0..=MAX_RECORD => proto::decode::<Record>(value).ok(),
             _ => None,
         };
-        if self.scan.is_some() {
-            return self.scan_record(offset, record);
-        }
-        self.next = offset + 1;
         match record {
             Some(record) => self.fold(offset, record),
             None => Change::Broken,
         }
     }
 
+    /// Goes on at a later offset. What stood in between was replaced or dropped.
+    pub fn skip_to(&mut self, next: u64) {
+        self.next = self.next.max(next);
+    }
+
     fn fold(&mut self, offset: u64, record: Record) -> Change {
         match record {
             Record::Publish {
-                expected,
+                version,
                 publication,
                 operator,
                 file,
-            } => self.publish(offset, expected, publication, operator, file),
+            } => self.publish(version, publication, operator, file),
             Record::Join(instance) => self.join(offset, instance),
             Record::Leave(incarnation) => self.leave(offset, incarnation),
             Record::Evict { incarnation, by } => self.evict(offset, incarnation, by),
-            Record::Snapshot(snapshot) => self.mark_snapshot(offset, &snapshot),
+            Record::Forget {
+                incarnation,
+                departed,
+            } => {
+                self.departed.shift_remove(&incarnation);
+                self.forgotten = self.forgotten.max(Some(departed));
+                Change::Nothing
+            }
         }
     }
 
     fn publish(
         &mut self,
-        offset: u64,
-        expected: u64,
+        version: u64,
         publication: u128,
         operator: Arc<str>,
         file: Arc<str>,
@@ -95,54 +100,29 @@
         if operator.len() > MAX_NAME {
             return Change::Broken;
         }
-        // An operator's tool that lost the answer may append again; the first record counts. A
-        // record whose verdict is forgotten by now cannot be accepted: versions only rise.
-        if self.verdicts.contains_key(&publication) {
-            return Change::Nothing;
+        if version <= self.version {
+            return Change::Old;
         }
-        let parsed = Rules::parse(&file);
-        let result = match &parsed {
-            Ok(_) if expected == self.version => Ok(self.version + 1),
-            Ok(_) => Err(Rejection::Overtaken(self.version)),
-            Err(_) => Err(Rejection::BadFile),
+        let Ok(rules) = Rules::parse(&file) else {
+            return Change::Broken;
         };
-        if self.verdicts.len() == MAX_VERDICTS {
-            self.verdicts.shift_remove_index(0);
-        }
-        self.verdicts.insert(
-            publication,
-            Verdict {
-                operator,
-                offset,
-                result,
-            },
-        );
-        match (result, parsed) {
-            (Ok(version), Ok(rules)) => {
-                self.version = version;
-                self.file = file;
-                self.rules = Arc::new(rules);
-                Change::Rules
-            }
-            _ => Change::Rejected,
-        }
+        self.version = version;
+        self.publication = publication;
+        self.operator = operator;
+        self.file = file;
+        self.rules = Arc::new(rules);
+        Change::Rules
     }
 
     fn join(&mut self, offset: u64, instance: Instance) -> Change {
         let incarnation = instance.incarnation;
-        // The record came twice, or its sender went before the record arrived. Taking it all the
-        // same would list a process that has ended.
         if self.is_listed(incarnation) || self.departed.contains_key(&incarnation) {
             return Change::Nothing;
         }
-        let service = instance.service.clone();
-        let known = self.views.contains_key(&service);
-        if !is_bounded(&instance)
-            || self.instances().count() >= MAX_INSTANCES
-            || (!known && self.views.len() >= MAX_SERVICES)
-        {
+        if !self.admits(&instance) {
             return Change::Broken;
         }
+        let service = instance.service.clone();
         self.replace_at_address(offset, &instance);
         let view = self.views.entry(service.clone()).or_default();
         view.join(offset, instance);
@@ -159,8 +139,8 @@
 
     fn leave(&mut self, offset: u64, incarnation: Incarnation) -> Change {
         let change = self.depart(offset, incarnation, Departure::Left);
-        // Its `Join` may still be under way, and must not count any more when it arrives.
-        self.remember_departed(incarnation, Departure::Left);
+        // One that never joined, and may have asked to, does not any more.
+        self.remember_departed(offset, incarnation);
         change
     }
 
@@ -177,30 +157,42 @@
         for (service, view) in &mut self.views {
             if view.depart(offset, incarnation, how) {
                 let service = service.clone();
-                self.remember_departed(incarnation, how);
+                self.remember_departed(offset, incarnation);
                 return Change::View(service);
             }
         }
         Change::Nothing
     }
 
-    fn remember_departed(&mut self, incarnation: Incarnation, how: Departure) {
-        if self.departed.contains_key(&incarnation) {
-            return;
-        }
-        if self.departed.len() == MAX_DEPARTED {
-            self.departed.shift_remove_index(0);
-        }
-        self.departed.insert(incarnation, how);
+    fn remember_departed(&mut self, offset: u64, incarnation: Incarnation) {
+        self.departed.entry(incarnation).or_insert(offset);
     }
 
-    fn mark_snapshot(&mut self, offset: u64, snapshot: &State) -> Change {
-        let base = snapshot.next;
-        let newer = self.snapshot.is_none_or(|mark| mark.base < base);
-        if base <= offset && newer && snapshot.version <= self.version {
-            self.snapshot = Some(SnapshotMark { offset, base });
-        }
-        Change::Nothing
+    /// Which departure is to be forgotten next, if there are too many. They go in their order, so
+    /// what one record needs of an earlier one, an eviction of its author's `Join` for example, is
+    /// never dropped first.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(bilberry_journal::State::default().to_forget(), None);
+    /// ```
+    pub fn to_forget(&self) -> Option<Record> {
+        let (incarnation, departed) = self.departed.first()?;
+        let many = self.departed.len() > MAX_DEPARTED;
+        many.then_some(Record::Forget {
+            incarnation: *incarnation,
+            departed: *departed,
+        })
+    }
+
+    /// Whether a `Join` of this instance would be taken. One that is not must not be appended: a
+    /// reader that begins later, after others were forgotten, could find room for it.
+    pub fn admits(&self, instance: &Instance) -> bool {
+        let known = self.views.contains_key(&instance.service);
+        is_bounded(instance)
+            && self.instances().count() < MAX_INSTANCES
+            && (known || self.views.len() < MAX_SERVICES)
     }
 }
 
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -1,4 +1,5 @@
-//! The log's stream: its records, and the fold by which every reader comes to the same state.
+//! What nodes keep on the store: the topic's records, and the fold by which every reader comes to the
+//! same state, whether it saw all records or begins with the newest of each key.
 //!
 //! This package does no I/O. It knows nothing about how records reach it, about calls or leases.
 
@@ -8,15 +9,14 @@
 mod state;
 mod view;
 
+pub use fold::MAX_DEPARTED;
 pub use fold::MAX_NAME;
 pub use fold::MAX_RECORD;
+pub use record::Entry;
 pub use record::Record;
 pub use restore::ParseRules;
 pub use state::Change;
-pub use state::Rejection;
-pub use state::SnapshotMark;
 pub use state::State;
-pub use state::Verdict;
 pub use view::Departure;
 pub use view::Step;
 pub use view::View;
--- a/crates/journal/src/restore.rs
+++ b/crates/journal/src/restore.rs
@@ -1,72 +1,51 @@
-//! Taking over a whole state: from a snapshot in the stream, or from a peer.
+//! Taking over what others know: the topic's newest records, and a peer's state.
 
-use crate::fold::MAX_DEPARTED;
 use crate::fold::MAX_INSTANCES;
 use crate::fold::MAX_SERVICES;
-use crate::fold::MAX_VERDICTS;
-use crate::state::Scan;
 use crate::Change;
-use crate::Record;
 use crate::State;
+use crate::View;
+use bytes::Bytes;
 use rules::Rules;
 use std::sync::Arc;
 
 /// Reads a rules file; `None` if it has faults.
 pub type ParseRules = fn(&str) -> Option<Rules>;
 
+/// How many departures a peer's state may hold: those that are not forgotten yet may pile up while
+/// the store is away.
+const MAX_PEER_DEPARTED: usize = 8 * crate::fold::MAX_DEPARTED;
+
 impl State {
-    /// Takes the log's word that it has no records before `first` any more. If this state lacks
-    /// some of them, it goes on from the first snapshot that stands in for them.
-    ///
-    /// A snapshot is written some records after the state that it holds, so the records between
-    /// are needed as well; one whose own base has expired is of no use.
+    /// The state by the newest value of each key, with the offsets at which they stand. `end` is
+    /// where to read on.
     ///
     /// # Examples
     ///
     /// ```
-    /// let mut state = bilberry_journal::State::default();
-    /// state.expired_before(7);
-    /// assert!(state.is_scanning());
-    /// assert_eq!(state.read_from(), 7);
+    /// use bilberry_journal::{Record, State};
+    ///
+    /// let left = Record::Leave(proto::Incarnation(7));
+    /// let values = [(5, proto::encode(&left).into())];
+    /// let state = State::from_newest(&values, 9);
+    /// assert_eq!((state.next, state.departed.len()), (9, 1));
     /// ```
-    pub fn expired_before(&mut self, first: u64) {
-        if first <= self.next {
-            return;
-        }
-        match &mut self.scan {
-            // What the search has passed may expire behind its back.
-            Some(scan) => {
-                scan.start = scan.start.max(first);
-                scan.next = scan.next.max(first);
-            }
-            None => {
-                self.scan = Some(Scan {
-                    start: first,
-                    next: first,
-                });
-            }
+    pub fn from_newest(values: &[(u64, Bytes)], end: u64) -> Self {
+        let mut state = Self::default();
+        for (offset, value) in values {
+            state.skip_to(*offset);
+            state.apply(*offset, value);
         }
+        state.skip_to(end);
+        state
     }
 
-    /// Looks at a record in search of a snapshot.
-    pub(crate) fn scan_record(&mut self, offset: u64, record: Option<Record>) -> Change {
-        let Some(scan) = &mut self.scan else {
-            return Change::Nothing;
-        };
-        scan.next = offset + 1;
-        let start = scan.start;
-        match record {
-            Some(Record::Snapshot(snapshot))
-                if start <= snapshot.next && snapshot.next <= offset =>
-            {
-                self.adopt(*snapshot)
-            }
-            Some(_) => Change::Nothing,
-            None => Change::Broken,
-        }
+    /// Whether going on from `next` with this state's newest records leaves no view out.
+    pub fn is_whole_since(&self, next: u64) -> bool {
+        self.forgotten.is_none_or(|departed| departed < next)
     }
 
-    /// Takes over another reader's state, if it is newer and takes nothing back.
+    /// Takes over another reader's state as far as it is newer, if it takes nothing back.
     ///
     /// Without the check a stale copy would put an older version in force, or let an older view
     /// decide who is home to a key.
@@ -90,25 +69,33 @@
 
     /// The same where rules files are in another format.
     pub fn adopt_with(&mut self, other: State, parse: ParseRules) -> Change {
-        if other.next <= self.next {
+        let (rules_newer, views_newer) = (other.version > self.version, other.next > self.next);
+        if !rules_newer && !views_newer {
             return Change::Old;
         }
-        if !other.is_bounded() || other.takes_back(self) {
+        if !other.is_bounded() || (views_newer && other.takes_back(self)) {
             return Change::Broken;
         }
-        let rules = match parse(&other.file) {
-            Some(rules) => rules,
-            None if other.version == 0 => Rules::default(),
-            None => return Change::Broken,
-        };
-        *self = other;
-        self.rules = Arc::new(rules);
-        self.scan = None;
+        if rules_newer {
+            let Some(rules) = parse(&other.file) else {
+                return Change::Broken;
+            };
+            self.version = other.version;
+            self.publication = other.publication;
+            self.operator = other.operator;
+            self.file = other.file;
+            self.rules = Arc::new(rules);
+        }
+        if views_newer {
+            self.next = other.next;
+            self.views = other.views;
+            self.departed = other.departed;
+            self.forgotten = other.forgotten;
+        }
         Change::Restored
     }
 
-    /// Takes a rules file that was given its version elsewhere, if that is newer. The version then
-    /// counts as the offset too, so that peers can tell who is ahead.
+    /// Takes a rules file that was given its version elsewhere, if that is newer.
     ///
     /// # Examples
     ///
@@ -119,7 +106,7 @@
     /// let parse = |_: &str| Some(rules::Rules::default());
     /// assert_eq!(state.take_version(7, "a file", parse), Change::Rules);
     /// assert_eq!(state.take_version(6, "an older file", parse), Change::Old);
-    /// assert_eq!((state.version, state.next), (7, 7));
+    /// assert_eq!((state.version, state.next), (7, 0));
     /// ```
     pub fn take_version(&mut self, version: u64, file: &str, parse: ParseRules) -> Change {
         if version <= self.version {
@@ -129,43 +116,28 @@
             return Change::Broken;
         };
         self.version = version;
-        self.next = version;
         self.file = file.into();
         self.rules = Arc::new(rules);
         Change::Rules
     }
 
-    /// A state without a past, for a stream whose records have all expired without a snapshot.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// let state = bilberry_journal::State::without_past(40, 7, "a rules file");
-    /// assert_eq!((state.next, state.version), (40, 7));
-    /// ```
-    pub fn without_past(next: u64, version: u64, file: &str) -> Self {
-        Self {
-            next,
-            version,
-            file: file.into(),
-            ..Self::default()
-        }
-    }
-
     /// Whether the state keeps the fold's own bounds, as every honest one does.
     fn is_bounded(&self) -> bool {
         self.instances().count() <= MAX_INSTANCES
             && self.views.len() <= MAX_SERVICES
-            && self.verdicts.len() <= MAX_VERDICTS
-            && self.departed.len() <= MAX_DEPARTED
+            && self.departed.len() <= MAX_PEER_DEPARTED
             && self.views.values().all(|view| view.number < self.next)
     }
 
-    /// Whether a version or a view would go back from what `earlier` has.
+    /// Whether a version or a view would go back from what `earlier` has. Versions and views of one
+    /// topic come in one order, so who is ahead in the one is not behind in the other.
     fn takes_back(&self, earlier: &State) -> bool {
         let rules_back = self.version < earlier.version
             || (self.version == earlier.version && self.file != earlier.file);
-        let views_back = earlier.views.iter().any(|(service, view)| {
+        // A reader that began late does not know views that were made by forgotten departures.
+        let known = |view: &View| self.forgotten.is_none_or(|departed| departed < view.number);
+        let mut views = earlier.views.iter().filter(|(_, view)| known(view));
+        let views_back = views.any(|(service, view)| {
             self.view(service)
                 .is_none_or(|newer| newer.number < view.number)
         });
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -1,46 +1,13 @@
-//! What the stream says, and the questions that it answers.
+//! What the topic says, and the questions that it answers.
 
-use crate::view::Departure;
 use crate::view::View;
 use indexmap::IndexMap;
 use proto::Incarnation;
 use proto::Instance;
+use proto::Progress;
 use rules::Rules;
 use std::sync::Arc;
 use stdx::data;
-use stdx::plain;
-
-data! {
-    /// What became of a publication.
-    pub struct Verdict {
-        /// Who published.
-        pub operator: Arc<str>,
-        /// The offset of its record.
-        pub offset: u64,
-        /// The version it became, or why it was rejected.
-        pub result: Result<u64, Rejection>,
-    }
-}
-
-plain! {
-    /// Why a publication was rejected.
-    pub enum Rejection {
-        /// Another publication came first; this version was in force by then.
-        Overtaken(u64),
-        /// The file has faults.
-        BadFile,
-    }
-}
-
-plain! {
-    /// The newest snapshot in the stream.
-    pub struct SnapshotMark {
-        /// Where it stands.
-        pub offset: u64,
-        /// The first record that it does not cover; a reader needs the records from there on.
-        pub base: u64,
-    }
-}
 
 /// What a record changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,64 +18,50 @@
     Broken,
     /// A rules file is in force.
     Rules,
-    /// A publication was rejected.
-    Rejected,
     /// This service has a new view; perhaps others too.
     View(Arc<str>),
-    /// The whole state was taken from a snapshot. Read on from [`State::read_from`].
+    /// Rules, views or both were taken from a peer.
     Restored,
-    /// The offset was applied before.
+    /// The offset or version was applied before.
     Old,
-    /// Records between [`State::read_from`] and this offset are missing; nothing was applied.
+    /// Records between [`State::next`] and this offset are missing; nothing was applied.
     Gap,
 }
 
-plain! {
-    /// The search for a snapshot, after records that the state lacks have expired.
-    pub(crate) struct Scan {
-        /// The oldest record that the log still has.
-        pub(crate) start: u64,
-        /// The next record to look at.
-        pub(crate) next: u64,
-    }
-}
-
 data! {
-    /// What the stream says up to `next`.
+    /// What the topic says up to `next`.
     #[derive(Default)]
     pub struct State {
         /// The offset of the next record to fold.
         pub next: u64,
         /// The version of the rules in force; 0 if there are none.
         pub version: u64,
+        /// The id of their publication.
+        pub publication: u128,
+        /// Who published them.
+        pub operator: Arc<str>,
         /// The rules file in force.
         pub file: Arc<str>,
         /// Its parsed form; rebuilt from `file`.
         #[serde(skip)]
         pub rules: Arc<Rules>,
-        /// Verdicts by publication, oldest first.
-        pub verdicts: IndexMap<u128, Verdict>,
         /// The current view of each service.
         pub views: IndexMap<Arc<str>, View>,
-        /// Incarnations that went, oldest first. They never come back.
-        pub departed: IndexMap<Incarnation, Departure>,
-        /// The newest snapshot.
-        pub snapshot: Option<SnapshotMark>,
-        #[serde(skip)]
-        pub(crate) scan: Option<Scan>,
+        /// Incarnations that went, oldest first, and the offset at which they did. They never come
+        /// back.
+        pub departed: IndexMap<Incarnation, u64>,
+        /// The newest departure of which the topic has no record any more.
+        pub forgotten: Option<u64>,
     }
 }
 
 impl State {
-    /// The offset that the log has to be read from.
-    pub fn read_from(&self) -> u64 {
-        self.scan.map_or(self.next, |scan| scan.next)
-    }
-
-    /// Whether records that this state lacks have expired, and no snapshot was found yet that
-    /// stands in for them.
-    pub fn is_scanning(&self) -> bool {
-        self.scan.is_some()
+    /// How much of what nodes share this state has.
+    pub fn progress(&self) -> Progress {
+        Progress {
+            version: self.version,
+            next: self.next,
+        }
     }
 
     /// Every instance of every service, as the views have them.
@@ -126,11 +79,4 @@
     pub fn view(&self, service: &str) -> Option<&View> {
         self.views.get(service)
     }
-
-    /// Who published the rules of a version, if that is still known.
-    pub fn winner(&self, version: u64) -> Option<&Verdict> {
-        self.verdicts
-            .values()
-            .find(|verdict| verdict.result == Ok(version))
-    }
 }
--- a/crates/node/src/attached.rs
+++ b/crates/node/src/attached.rs
@@ -7,6 +7,9 @@
 use crate::settings::PlatformSettings;
 use crate::shell::Shell;
 use crate::shell::StartError;
+use crate::store_reader::follow;
+use crate::store_reader::Batch;
+use crate::store_reader::Pause;
 use actix_http::body::BoxBody;
 use actix_http::Request as HttpRequest;
 use actix_http::Response as HttpResponse;
@@ -15,30 +18,18 @@
 use engine::Counter;
 use engine::Input;
 use engine::Keyless;
-use platform::Records;
-use platform::Store;
-use platform::StoreError;
+use platform::Item;
 use policy::Bounds;
 use proto::Reason;
-use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::Instant;
 
 /// How long one read waits for a new configuration. Reads are paid for, and peers tell of a new one
 /// as well.
 const READ_WAIT: Duration = Duration::from_secs(20);
 
-/// How long to wait after a call of the store that failed; doubled up to [`MAX_PAUSE`].
-const MIN_PAUSE: Duration = Duration::from_millis(200);
-
-/// The longest wait after a call that failed. Nodes are to know each other within two seconds of
-/// the store's return.
-const MAX_PAUSE: Duration = Duration::from_millis(1500);
-
 /// How long a node that knows no other waits before it looks again.
 const LOOK_AGAIN: Duration = Duration::from_secs(2);
 
@@ -80,9 +71,8 @@
     let control = bind(cfg.control_addr).await?;
     actix_rt::spawn(serve(shell.clone(), ready, on_ready));
     actix_rt::spawn(serve(shell.clone(), control, on_control));
-    let store = Rc::new(Store::new(cfg.store_addr));
-    actix_rt::spawn(follow_config(shell.clone(), store.clone()));
-    actix_rt::spawn(meet_others(shell.clone(), store));
+    actix_rt::spawn(follow_config(shell.clone()));
+    actix_rt::spawn(meet_others(shell.clone()));
     Ok(())
 }
 
@@ -91,81 +81,22 @@
     listener.map_err(|e| StartError::Bind(addr, e))
 }
 
-/// The wait after calls that failed. All nodes lose the store together; a random part of the wait
-/// keeps them from coming back together.
-struct Pause {
-    next: Duration,
-    /// Since when no call has succeeded.
-    down_since: Option<Instant>,
-}
-
-impl Pause {
-    fn new() -> Self {
-        Self {
-            next: MIN_PAUSE,
-            down_since: None,
-        }
-    }
-
-    async fn after(&mut self, what: &str, e: StoreError) {
-        if self.down_since.is_none() {
-            self.down_since = Some(Instant::now());
-            log::warn!("event=store_lost call={what} error=\"{e}\"");
-        }
-        let part = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(self.next.mul_f64(part)).await;
-        self.next = (self.next * 2).min(MAX_PAUSE);
-    }
-
-    fn done(&mut self, what: &str) {
-        self.next = MIN_PAUSE;
-        if let Some(since) = self.down_since.take() {
-            let ms = since.elapsed().as_millis();
-            log::info!("event=store_regained call={what} away_ms={ms}");
-        }
-    }
-}
-
 /// Takes each new configuration as soon as the store has it.
-async fn follow_config(shell: Rc<Shell>, store: Rc<Store>) {
-    let mut pause = Pause::new();
-    let mut from = None;
-    loop {
-        match next_config(&shell, &store, from).await {
-            Ok(next) => {
-                from = next;
-                pause.done("config");
-            }
-            Err(e) => {
-                shell.feed(Input::LogUnreachable);
-                pause.after("config", e).await;
-            }
-        }
-    }
-}
-
-/// Reads once, and gives where to read on; from the start if that is not known.
-async fn next_config(
-    shell: &Rc<Shell>,
-    store: &Store,
-    from: Option<u64>,
-) -> Result<Option<u64>, StoreError> {
-    let Some(from) = from else {
-        let newest = store.newest(platform::CONFIG_TOPIC).await?;
-        take_configs(shell, &newest.items);
-        return Ok(Some(newest.end));
-    };
-    match store.read(platform::CONFIG_TOPIC, from, READ_WAIT).await? {
-        Records::Some { items, next } => {
-            take_configs(shell, &items);
-            Ok(Some(next))
-        }
-        Records::Expired => Ok(None),
-    }
+async fn follow_config(shell: Rc<Shell>) {
+    follow(
+        shell,
+        platform::CONFIG_TOPIC,
+        READ_WAIT,
+        |shell, batch| match batch {
+            Batch::Newest(newest) => take_configs(shell, &newest.items),
+            Batch::Records { items, .. } => take_configs(shell, &items),
+        },
+    )
+    .await;
 }
 
-fn take_configs(shell: &Rc<Shell>, items: &[(Arc<str>, bytes::Bytes)]) {
-    for (key, value) in items {
+fn take_configs(shell: &Rc<Shell>, items: &[Item]) {
+    for Item { key, value, .. } in items {
         if &**key != platform::CONFIG_KEY || value.is_empty() {
             continue;
         }
@@ -188,23 +119,26 @@
 
 /// Announces this node, then asks who else did. Who comes later finds this one, so reading once is
 /// enough; only a node that is alone looks again.
-async fn meet_others(shell: Rc<Shell>, store: Rc<Store>) {
+async fn meet_others(shell: Rc<Shell>) {
     let mut pause = Pause::new();
     let addr = shell.me.addr.to_string();
+    let entry = [(addr.as_str().into(), addr.clone().into())];
     loop {
-        match store
-            .append(platform::NODES_TOPIC, &addr, addr.as_bytes())
+        match shell
+            .store
+            .append(platform::NODES_TOPIC, None, &entry)
             .await
         {
-            Ok(()) => break,
+            Ok(_) => break,
             Err(e) => pause.after("announce", e).await,
         }
     }
     loop {
-        match store.newest(platform::NODES_TOPIC).await {
+        match shell.store.newest(platform::NODES_TOPIC).await {
             Ok(newest) => {
                 pause.done("directory");
-                let addrs = newest.items.iter().filter_map(|(key, _)| key.parse().ok());
+                let addrs = newest.items.iter();
+                let addrs = addrs.filter_map(|item| item.key.parse().ok());
                 let addrs: Vec<SocketAddr> = addrs.collect();
                 log::info!("event=directory nodes={}", addrs.len());
                 shell.feed(Input::Directory(addrs));
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -97,7 +97,6 @@
         }
         Counter::RejectedPublication => log::info!("event=publication_rejected"),
         Counter::BrokenRecord => log::warn!("event=broken_record"),
-        Counter::NoSnapshot => log::warn!("event=no_snapshot next_offset={}", journal.next),
         Counter::Expelled => log::warn!("event=evicted"),
         Counter::LeaveUnsaid => log::warn!("event=leave_unsaid"),
         Counter::LateHeartbeat => log::info!("event=late_heartbeat"),
--- a/crates/node/src/fetch.rs
+++ b/crates/node/src/fetch.rs
@@ -1,5 +1,5 @@
-//! One question and its answer, over a connection of its own: the log's state, for a node that
-//! cannot reach the log, and the status page, for the operator's tool.
+//! One question and its answer, over a connection of its own: rules and views, for a node that the
+//! store does not answer, and the status page, for the operator's tool.
 
 use crate::peers;
 use crate::shell::Shell;
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use engine::Input;
 use proto::Frame;
+use proto::Progress;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,24 +19,24 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 
 /// Asks the node at `addr`. It may be any incarnation, because a contact address names none.
-pub(crate) fn ask(shell: &Rc<Shell>, addr: SocketAddr, next: u64) {
+pub(crate) fn ask(shell: &Rc<Shell>, addr: SocketAddr, known: Progress) {
     let shell = shell.clone();
     actix_rt::spawn(async move {
-        match timeout(PATIENCE, exchange(&shell, addr, next)).await {
+        match timeout(PATIENCE, exchange(&shell, addr, known)).await {
             Ok(Some(state)) => shell.feed(Input::PeerState(state)),
             _ => log::debug!("event=no_state_from_peer addr={addr}"),
         }
     });
 }
 
-async fn exchange(shell: &Shell, addr: SocketAddr, next: u64) -> Option<Bytes> {
+async fn exchange(shell: &Shell, addr: SocketAddr, known: Progress) -> Option<Bytes> {
     let stream = TcpStream::connect(addr).await.ok()?;
     let mut wire = wire::frame_wire(stream);
     wire::write(&mut wire, &peers::hello_frame(shell, None))
         .await
         .ok()?;
     wire::read(&mut wire).await.ok()?;
-    wire::write(&mut wire, &Frame::FetchState { next })
+    wire::write(&mut wire, &Frame::FetchState(known))
         .await
         .ok()?;
     match wire::read(&mut wire).await {
@@ -47,8 +48,8 @@
 /// Answers one question; a node that knows nothing newer just closes.
 pub(crate) async fn answer(shell: &Shell, wire: &mut Wire) {
     let answer = match timeout(PATIENCE, wire::read(wire)).await {
-        Ok(Ok(Frame::FetchState { next })) => {
-            shell.engine.borrow().state_after(next).map(Frame::State)
+        Ok(Ok(Frame::FetchState(known))) => {
+            shell.engine.borrow().state_beyond(known).map(Frame::State)
         }
         Ok(Ok(Frame::FetchStatus)) => Some(Frame::Status(shell.status().into())),
         _ => return shell.count_broken(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,12 +12,12 @@
 mod fetch;
 mod link;
 mod log_queue;
-mod log_reader;
 mod metrics;
 mod peers;
 mod settings;
 mod shell;
 mod status;
+mod store_reader;
 mod udp;
 mod wire;
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -38,10 +38,10 @@
     pub(crate) datagrams_out: Cell<u64>,
     /// Datagrams received.
     pub(crate) datagrams_in: Cell<u64>,
-    /// Records read from the log.
-    pub(crate) log_in: Cell<u64>,
-    /// Records appended to the log.
-    pub(crate) log_out: Cell<u64>,
+    /// Values read from the topic of views.
+    pub(crate) store_in: Cell<u64>,
+    /// Values appended to it.
+    pub(crate) store_out: Cell<u64>,
 }
 
 pub(crate) struct Metrics {
@@ -132,8 +132,8 @@
         [
             ("bytes.datagrams_out", self.datagrams_out.get()),
             ("bytes.datagrams_in", self.datagrams_in.get()),
-            ("bytes.log_in", self.log_in.get()),
-            ("bytes.log_out", self.log_out.get()),
+            ("bytes.store_in", self.store_in.get()),
+            ("bytes.store_out", self.store_out.get()),
         ]
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -45,14 +45,13 @@
     pub refusal_header: String,
     /// The header that names the caller.
     pub caller_header: String,
-    /// The users' platform, in place of the log service.
+    /// The store, where what must last is kept.
+    pub store_addr: SocketAddr,
+    /// The stream there that holds rules and views; unused where there is a platform, which has rules
+    /// of its own and no homes.
+    pub store_stream: String,
+    /// The users' platform, if this node speaks to its servers and clients.
     pub platform: Option<PlatformSettings>,
-    /// The log service; unused where there is a platform.
-    pub log_addr: SocketAddr,
-    /// The stream there.
-    pub log_stream: String,
-    /// How long the log service keeps records.
-    pub log_retention: Duration,
     /// The log level.
     pub log_level: log::LevelFilter,
     /// Where metrics go, by UDP.
@@ -70,8 +69,6 @@
 /// Where the users' platform is met.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlatformSettings {
-    /// Its store.
-    pub store_addr: SocketAddr,
     /// Where it asks whether this node takes clients.
     pub ready_addr: SocketAddr,
     /// Where the own backend server announces itself.
@@ -94,10 +91,8 @@
 const CALLER_HEADER: Key = Key::new("node", "caller_header");
 const BACKEND_ADDR: Key = Key::new("backend_server", "addr");
 const REFUSAL_HEADER: Key = Key::new("backend_server", "refusal_header");
-const LOG_ADDR: Key = Key::new("log_service", "addr");
-const LOG_STREAM: Key = Key::new("log_service", "stream");
-const LOG_RETENTION: Key = Key::new("log_service", "retention");
-const STORE_ADDR: Key = Key::new("platform", "store_addr");
+const STORE_ADDR: Key = Key::new("store", "addr");
+const STORE_STREAM: Key = Key::new("store", "stream");
 const READY_ADDR: Key = Key::new("platform", "ready_addr");
 const CONTROL_ADDR: Key = Key::new("platform", "control_addr");
 const LOG_LEVEL: Key = Key::new("logging", "level");
@@ -105,7 +100,7 @@
 const METRICS_ADDR: Key = Key::new("metrics", "addr");
 
 /// Every key there is.
-const KNOWN: [Key; 22] = [
+const KNOWN: [Key; 20] = [
     SERVICE,
     FAILURE_DOMAIN,
     REGION,
@@ -119,10 +114,8 @@
     CALLER_HEADER,
     BACKEND_ADDR,
     REFUSAL_HEADER,
-    LOG_ADDR,
-    LOG_STREAM,
-    LOG_RETENTION,
     STORE_ADDR,
+    STORE_STREAM,
     READY_ADDR,
     CONTROL_ADDR,
     LOG_LEVEL,
@@ -157,7 +150,6 @@
         let ini = Ini::load_from_str(text).map_err(|e| SettingsError::Syntax(e.to_string()))?;
         refuse_unknown(&ini)?;
         let told = ADVERTISED_ADDR.is_set(&ini);
-        let platform = platform_settings(&ini)?;
         let max_body = MAX_BODY_KEY.or(&ini, 1 << 20, bytes(1, MAX_BODY))?;
         Ok(Self {
             service: SERVICE.required(&ini, service)?,
@@ -170,13 +162,9 @@
             backend_server_addr: BACKEND_ADDR.required(&ini, reachable)?,
             refusal_header: REFUSAL_HEADER.or(&ini, "x-not-run".to_owned(), header)?,
             caller_header: CALLER_HEADER.or(&ini, "x-caller".to_owned(), header)?,
-            log_addr: match &platform {
-                Some(platform) => platform.store_addr,
-                None => LOG_ADDR.required(&ini, reachable)?,
-            },
-            platform,
-            log_stream: LOG_STREAM.or(&ini, "bilberrycove".to_owned(), word)?,
-            log_retention: LOG_RETENTION.or(&ini, DAY, duration(RETENTIONS))?,
+            store_addr: STORE_ADDR.required(&ini, reachable)?,
+            store_stream: STORE_STREAM.or(&ini, "bilberrycove".to_owned(), word)?,
+            platform: platform_settings(&ini)?,
             log_level: LOG_LEVEL.or(&ini, log::LevelFilter::Info, level)?,
             metrics_addr: METRICS_ADDR.optional(&ini, reachable)?,
             metrics_http_addr: METRICS_HTTP_ADDR.optional(&ini, bound)?,
@@ -192,22 +180,15 @@
 }
 
 fn platform_settings(ini: &Ini) -> Result<Option<PlatformSettings>, SettingsError> {
-    if !STORE_ADDR.is_set(ini) {
+    if !READY_ADDR.is_set(ini) && !CONTROL_ADDR.is_set(ini) {
         return Ok(None);
     }
     Ok(Some(PlatformSettings {
-        store_addr: STORE_ADDR.required(ini, reachable)?,
         ready_addr: READY_ADDR.required(ini, bound)?,
         control_addr: CONTROL_ADDR.required(ini, bound)?,
     }))
 }
 
-const DAY: Duration = Duration::from_secs(24 * 3600);
-
-/// What `log_service.retention` may be.
-const RETENTIONS: (Duration, Duration) =
-    (Duration::from_secs(600), Duration::from_secs(8760 * 3600));
-
 /// What `node.body_timeout` may be.
 const BODY_TIMES: (Duration, Duration) = (Duration::from_millis(1), Duration::from_secs(300));
 
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -10,14 +10,13 @@
 use crate::events;
 use crate::events::Cap;
 use crate::fetch;
-use crate::log_reader;
 use crate::metrics::add;
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::peers::Peers;
+use crate::store_reader;
 use crate::udp;
 use crate::Settings;
-use bytes::Bytes;
 use engine::Config;
 use engine::Counter;
 use engine::Engine;
@@ -25,7 +24,9 @@
 use engine::Output;
 use engine::Token;
 use indexmap::IndexMap;
-use logservice::LogClient;
+use journal::Entry;
+use platform::Store;
+use platform::StoreError;
 use proto::Incarnation;
 use proto::Instance;
 use std::cell::Cell;
@@ -115,8 +116,8 @@
     pub(crate) me: Instance,
     pub(crate) engine: RefCell<Engine>,
     pub(crate) dialect: Dialect,
-    pub(crate) log: LogClient,
-    pub(crate) read_log: Notify,
+    pub(crate) store: Store,
+    pub(crate) read_store: Notify,
     pub(crate) metrics: Metrics,
     pub(crate) lines: Cap,
     pub(crate) bodies: Budget,
@@ -154,7 +155,6 @@
     let mut cfg = Config {
         seed,
         contacts: settings.contacts.clone(),
-        log_retention: settings.log_retention,
         ..Config::default()
     };
     if settings.platform.is_some() {
@@ -165,8 +165,8 @@
     let shell = Rc::new(Shell {
         engine: RefCell::new(Engine::new(cfg, me.clone())),
         dialect: Dialect::new(&settings),
-        log: LogClient::new(&settings.log_addr.to_string(), &settings.log_stream),
-        read_log: Notify::new(),
+        store: Store::new(settings.store_addr),
+        read_store: Notify::new(),
         metrics: Metrics::new(settings.metrics_addr).map_err(StartError::Metrics)?,
         lines: Cap::new(),
         bodies: Budget::new(settings.max_bodies),
@@ -192,7 +192,7 @@
     match &shell.settings.platform {
         Some(cfg) => attached::start(&shell, cfg).await?,
         None => {
-            actix_rt::spawn(log_reader::run(shell.clone()));
+            actix_rt::spawn(store_reader::follow_views(shell.clone()));
         }
     }
     if let Some(addr) = shell.settings.metrics_http_addr {
@@ -335,23 +335,31 @@
                 self.backend.run(self, work);
             }
             Output::CancelRun(run) => self.backend.cancel(run),
-            Output::Append { number, record } => self.append(number, record),
-            Output::FetchState { from, next } => fetch::ask(self, from, next),
-            Output::ReadLog => self.read_log.notify_one(),
+            Output::Append {
+                number,
+                at,
+                entries,
+            } => self.append(number, at, entries),
+            Output::FetchState { from, known } => fetch::ask(self, from, known),
+            Output::ReadLog => self.read_store.notify_one(),
             Output::Count(counter) => self.count(counter),
             Output::Note(_) => {}
             Output::Stopped => self.stopped.notify_one(),
         }
     }
 
-    fn append(self: &Rc<Self>, number: u64, record: Bytes) {
+    fn append(self: &Rc<Self>, number: u64, at: u64, entries: Vec<Entry>) {
         let shell = self.clone();
-        add(&self.metrics.bytes.log_out, record.len());
+        for (_, value) in &entries {
+            add(&self.metrics.bytes.store_out, value.len());
+        }
         actix_rt::spawn(async move {
-            match shell.log.append(record).await {
+            let topic = platform::topic(&shell.settings.store_stream);
+            match shell.store.append(&topic, Some(at), &entries).await {
                 Ok(_) => shell.feed(Input::Appended(number)),
+                Err(StoreError::Conflict) => shell.feed(Input::AppendConflict(number)),
                 Err(e) => {
-                    log::warn!("event=append_lost number={number} error=\"{e}\"");
+                    log::warn!("event=append_lost number={number} at={at} error=\"{e}\"");
                     shell.feed(Input::AppendLost(number));
                 }
             }
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -5,6 +5,33 @@
 use stdx::data;
 use stdx::plain;
 
+plain! {
+    /// How much a node has of what nodes share through the store.
+    #[derive(Default)]
+    pub struct Progress {
+        /// The version of the rules in force; 0 before there are any.
+        pub version: u64,
+        /// The next offset of the topic of views that it lacks.
+        pub next: u64,
+    }
+}
+
+impl Progress {
+    /// Whether this has anything that `other` lacks.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_proto::Progress;
+    ///
+    /// let (old, new) = (Progress { version: 3, next: 9 }, Progress { version: 4, next: 9 });
+    /// assert!(new.has_more_than(old) && !old.has_more_than(new));
+    /// ```
+    pub fn has_more_than(self, other: Self) -> bool {
+        self.version > other.version || self.next > other.next
+    }
+}
+
 data! {
     /// One datagram. Any of them may be lost, late, repeated or out of order.
     pub enum Datagram {
@@ -12,8 +39,8 @@
         Member {
             /// [`crate::PROTOCOL_VERSION`] of the sender.
             version: u16,
-            /// The next offset of the log that the sender lacks; a receiver that is behind asks it.
-            log_next: u64,
+            /// What the sender knows; a receiver that knows less asks it.
+            progress: Progress,
             /// The message.
             message: MemberMessage,
         },
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -8,6 +8,7 @@
 use crate::Incarnation;
 use crate::KeyHash;
 use crate::KeyRecord;
+use crate::Progress;
 use crate::Request;
 use crate::SlotTransfer;
 use bytes::Bytes;
@@ -15,7 +16,7 @@
 use stdx::plain;
 
 /// The version of frames and datagrams; others are refused and counted.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 data! {
     /// One frame. The shell adds the length in front.
@@ -63,12 +64,9 @@
         Finished(Box<KeyRecord>),
         /// The receiver of [`Frame::Finished`] has put it in its records.
         FinishedDone(KeyHash),
-        /// Asks for the log's state, from a node that cannot reach the log.
-        FetchState {
-            /// The next offset that the sender lacks.
-            next: u64,
-        },
-        /// The log's state as a snapshot, encoded by the journal package.
+        /// Asks for what the receiver knows beyond this, from a node that the store does not answer.
+        FetchState(Progress),
+        /// The receiver's state, encoded by the journal package.
         State(Bytes),
         /// Asks for the status page; from the operator's tool.
         FetchStatus,
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -25,6 +25,7 @@
 pub use codec::DecodeError;
 pub use datagram::Datagram;
 pub use datagram::LeaseMessage;
+pub use datagram::Progress;
 pub use frame::Call;
 pub use frame::Frame;
 pub use frame::Leg;
--- a/crates/trial/src/fault.rs
+++ b/crates/trial/src/fault.rs
@@ -41,15 +41,15 @@
     Reset(usize, usize),
     /// Datagrams in a thousand that are lost, and that come twice.
     Datagrams(u32, u32),
-    /// The log service is down, or up again.
+    /// The store is away, or up again.
     LogDown(bool),
-    /// The node does not reach the log service, or reaches it again.
+    /// The node does not reach the store, or reaches it again.
     LogCut(usize, bool),
-    /// Each answer of the log service takes this much longer.
+    /// Each answer of the store takes this much longer.
     LogSlow(Duration),
     /// The answers of the next appends are lost after the appends took effect.
     LogLose(u32),
-    /// The log service forgets all but this many records.
+    /// The store forgets all but this many records and the newest of each key.
     LogExpire(usize),
     /// This many operators publish on top of the same version.
     Publish(u32),
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -1,5 +1,5 @@
 //! Many engines in one process, on a virtual clock, between small fakes of what surrounds them:
-//! the network, the log service, backend servers and callers. One queue of events, one seed.
+//! the network, the store, backend servers and callers. One queue of events, one seed.
 //!
 //! It sees engines only as a shell does: [`engine::Engine::handle`], timers and public getters.
 //! A [`Judge`] watches what must always hold.
