A new process asks the server that it hears first whether it stays

The node of sidecar-mi-a-2 was stopped and started at 24.02 s; its server said goodbye (a first DELETE) at 24.10 s and was acknowledged by the new process, which had not heard of it yet and so kept nothing. At 26.71 s a heartbeat from before came late (sequence 24), opened the server (own_server open=true), and requests reached it 2.6 s after the acknowledgement. own_server open=false followed at 27.32 s, by a 421 or the next word.

Ruled out: heartbeats out of order within one process (ordered by start and sequence), gossip (the door beside the server opened). Weighed: remembering ids that left before they were known (the acknowledgement may also have been that of the process before), a second heartbeat before opening (up to 3 s of an idle server at each restart, and two may be late).

Change: the first server that a process hears is asked at its health path, which the configuration names, whether it is healthy and stays; until it says so it gets no work, and it is asked again after its next heartbeat. Later incarnations are told apart by their start and are not asked. A server of a service without a health path is taken at its word, as before.

Tests, seen failing with the question left out: a_late_heartbeat_to_a_new_process_opens_nothing, a_server_is_asked_once_rules_are_in_force; over real processes: a_new_process_asks_the_server_whether_it_stays.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -219,6 +219,7 @@
                 self.apply_members(now, effects);
             }
             Input::Server(announcement) => self.on_announcement(now, announcement),
+            Input::ServerChecked { id, healthy } => self.on_server_checked(now, &id, healthy),
             Input::LogUnreachable => self.on_log_unreachable(now),
             Input::PeerState(state) => self.on_peer_state(now, &state),
             Input::Appended(number) => self.on_appended(now, number),
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -100,6 +100,13 @@
     Directory(Vec<SocketAddr>),
     /// The own backend server says something of itself.
     Server(Announcement),
+    /// Answers [`Output::CheckServer`].
+    ServerChecked {
+        /// Which incarnation was asked.
+        id: Arc<str>,
+        /// It says that it is healthy and stays.
+        healthy: bool,
+    },
     /// The store did not answer.
     LogUnreachable,
     /// The append with this number was done.
@@ -203,6 +210,14 @@
         /// The run may not start after this much time, because the right to start it ends then.
         start_within: Option<Duration>,
     },
+    /// Ask the own backend server whether it is healthy and stays; ends with an
+    /// [`Input::ServerChecked`].
+    CheckServer {
+        /// The incarnation that is meant.
+        id: Arc<str>,
+        /// Where it says so.
+        path: Arc<str>,
+    },
     /// Cancel a run; it still ends with [`Input::RunEnded`].
     CancelRun(RunId),
     /// Append to the topic of views, if it ends at this offset, all or nothing.
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -139,6 +139,7 @@
         let longest = longest.unwrap_or(limit.key_retention);
         self.home.set_times(limit.key_retention, longest);
         self.set_server_bounds();
+        self.check_server(now);
         self.update_roster(now);
     }
 
--- a/crates/engine/src/own_server.rs
+++ b/crates/engine/src/own_server.rs
@@ -18,11 +18,28 @@
     heartbeat: Heartbeat,
     /// It has said that it leaves. That is final for this incarnation: it may not be heard again.
     left: bool,
+    /// Whether it has to say, asked now, that it stays.
+    check: Check,
+}
+
+/// The question to the first server that a process of the node hears.
+///
+/// An earlier process beside it may have acknowledged that it leaves, and a heartbeat from before may
+/// arrive late. Believed, it would bring requests to a server that is about to end; one would see
+/// them fail seconds after a planned stop. Later incarnations are told apart by their start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Check {
+    /// To be asked.
+    Due,
+    /// Asked, without an answer yet.
+    Asked,
+    /// It stays, or need not be asked.
+    Passed,
 }
 
 impl OwnServer {
     fn is_open(&self) -> bool {
-        !self.left && !self.heartbeat.draining
+        !self.left && !self.heartbeat.draining && self.check == Check::Passed
     }
 
     /// Heartbeats arrive late at times, also those of an incarnation that has ended. Taken for
@@ -54,21 +71,67 @@
             }
             Some(known) if known.is_same(&heartbeat) => {
                 known.heartbeat = heartbeat;
+                self.check_server(now);
                 self.on_server_changed(now, false);
             }
-            _ => {
+            known => {
+                let check = match known {
+                    None => Check::Due,
+                    Some(_) => Check::Passed,
+                };
                 let known = self.own_server.insert(OwnServer {
                     heartbeat,
                     left: false,
+                    check,
                 });
                 let slots = known.heartbeat.slots;
                 self.server.restarted(now, slots);
                 self.count(Counter::ServerStarted);
+                self.check_server(now);
                 self.on_server_changed(now, true);
             }
         }
     }
 
+    /// Asks the server whether it stays, if that is still open. Without rules it is not known where,
+    /// and without a place to ask there is nothing to go by but its heartbeat.
+    pub(crate) fn check_server(&mut self, now: Time) {
+        if !self.has_rules() {
+            return;
+        }
+        let path = self.journal.rules.health_paths.get(&self.me.service);
+        let Some(known) = self.own_server.as_mut() else {
+            return;
+        };
+        if known.check != Check::Due {
+            return;
+        }
+        match path {
+            Some(path) => {
+                known.check = Check::Asked;
+                let (id, path) = (known.heartbeat.id.clone(), path.clone());
+                self.out.push(Output::CheckServer { id, path });
+            }
+            None => {
+                known.check = Check::Passed;
+                self.on_server_changed(now, false);
+            }
+        }
+    }
+
+    /// A server that does not stay, or does not answer, is asked again after its next heartbeat.
+    pub(crate) fn on_server_checked(&mut self, now: Time, id: &str, healthy: bool) {
+        let known = self.own_server.as_mut();
+        let Some(known) = known.filter(|known| *known.heartbeat.id == *id) else {
+            return;
+        };
+        if known.check != Check::Asked {
+            return;
+        }
+        known.check = if healthy { Check::Passed } else { Check::Due };
+        self.on_server_changed(now, !healthy);
+    }
+
     fn on_leaves(&mut self, now: Time, id: &str) {
         let known = self.own_server.as_mut();
         if let Some(known) = known.filter(|known| *known.heartbeat.id == *id) {
--- a/crates/engine/tests/announced.rs
+++ b/crates/engine/tests/announced.rs
@@ -56,8 +56,25 @@
     Some(Rules::with_routes(routes))
 }
 
+/// The same, with a place where its servers say whether they are healthy.
+fn parse_with_check(file: &str) -> Option<Rules> {
+    let mut rules = parse(file)?;
+    rules.health_paths.insert("press".into(), "/health".into());
+    Some(rules)
+}
+
 /// A node beside a server of `press`, with rules in force.
 fn node() -> Engine {
+    node_with(parse)
+}
+
+fn node_with(parse_rules: journal::ParseRules) -> Engine {
+    let mut engine = without_rules(parse_rules);
+    publish(&mut engine, 3, "/slots/");
+    engine
+}
+
+fn without_rules(parse_rules: journal::ParseRules) -> Engine {
     let me = Instance {
         incarnation: proto::Incarnation(1),
         service: "press".into(),
@@ -66,14 +83,26 @@
         addr: ([127, 0, 0, 1], 7001).into(),
     };
     let cfg = Config {
-        parse_rules: parse,
+        parse_rules,
         keyless: Keyless::Own,
         announced: true,
         ..Config::default()
     };
-    let mut engine = Engine::new(cfg, me);
-    publish(&mut engine, 3, "/slots/");
-    engine
+    Engine::new(cfg, me)
+}
+
+fn checked(id: &str, healthy: bool) -> Input {
+    let id = id.into();
+    Input::ServerChecked { id, healthy }
+}
+
+/// Which servers are to be asked, and where.
+fn checks(outputs: Vec<Output>) -> Vec<String> {
+    let checks = outputs.into_iter().filter_map(|output| match output {
+        Output::CheckServer { id, path } => Some(format!("{id} {path}")),
+        _ => None,
+    });
+    checks.collect()
 }
 
 fn publish(engine: &mut Engine, version: u64, file: &str) {
@@ -307,3 +336,54 @@
     engine.handle(at(4), Input::RunEnded { run, end });
     assert_eq!(server(&mut engine, at(5)), Ok("b".into()));
 }
+
+/// A node is stopped and started, and its server says goodbye to the new process, which has not heard
+/// of it yet. Then a heartbeat from before arrives late. Believed, it would bring bookings to a server
+/// that ends the next moment, and their outcome would be unknown.
+#[test]
+fn a_late_heartbeat_to_a_new_process_opens_nothing() {
+    let mut engine = node_with(parse_with_check);
+    engine.handle(at(10), leaves("a"));
+    let asked = checks(engine.handle(at(2000), heartbeat("a", 1, 24, false)));
+    assert_eq!(asked, ["a /health"]);
+    assert_eq!(server(&mut engine, at(2001)), Err(Reason::NoInstance));
+    assert_eq!(
+        checks(engine.handle(at(2002), checked("a", false))),
+        [""; 0]
+    );
+    assert_eq!(server(&mut engine, at(2003)), Err(Reason::NoInstance));
+    // It may have been unwell for a moment only.
+    let asked = checks(engine.handle(at(3500), heartbeat("a", 1, 25, false)));
+    assert_eq!(asked, ["a /health"]);
+    engine.handle(at(3510), checked("a", true));
+    assert_eq!(server(&mut engine, at(3511)), Ok("a".into()));
+}
+
+/// Only the first server that a process hears is asked. A later one is told from those before by its
+/// start; asking each would keep its slots empty for a moment at the worst time.
+#[test]
+fn a_server_that_starts_anew_is_not_asked() {
+    let mut engine = node_with(parse_with_check);
+    engine.handle(at(0), heartbeat("a", 1, 1, false));
+    engine.handle(at(1), checked("a", true));
+    assert_eq!(
+        checks(engine.handle(at(2), heartbeat("a", 9, 1, false))),
+        [""; 0]
+    );
+    assert_eq!(server(&mut engine, at(3)), Ok("a".into()));
+}
+
+/// A server announces itself before the rules are there, which say where to ask it.
+#[test]
+fn a_server_is_asked_once_rules_are_in_force() {
+    let mut engine = without_rules(parse_with_check);
+    assert_eq!(
+        checks(engine.handle(at(0), heartbeat("a", 1, 1, false))),
+        [""; 0]
+    );
+    let version = Input::Published {
+        version: 3,
+        file: "/slots/".into(),
+    };
+    assert_eq!(checks(engine.handle(at(1), version)), ["a /health"]);
+}
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -34,6 +34,9 @@
     running: RefCell<IndexMap<RunId, oneshot::Sender<()>>>,
 }
 
+/// How long the server may take to say that it is healthy. It is asked again after its next heartbeat.
+const CHECK_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Idle connections, all to one incarnation of the server.
 #[derive(Default)]
 struct Idle {
@@ -125,6 +128,26 @@
         }
     }
 
+    /// Asks the server whether it is healthy and stays, over a connection of its own.
+    pub(crate) fn check(&self, shell: &Rc<Shell>, id: Arc<str>, path: Arc<str>) {
+        let shell = shell.clone();
+        actix_rt::spawn(async move {
+            let backend = shell.backend();
+            let asked = tokio::time::timeout(CHECK_PATIENCE, backend.ask(&shell, &id, &path)).await;
+            let healthy = asked.is_ok_and(|asked| asked.unwrap_or(false));
+            shell.feed(Input::ServerChecked { id, healthy });
+        });
+    }
+
+    async fn ask(&self, shell: &Shell, id: &str, path: &str) -> Result<bool, Failure> {
+        let connection = Connection::open(&self.parser, self.addr, CHECK_PATIENCE).await?;
+        let request = (shell.dialect.encode_check)(path, &self.addr.to_string());
+        let (whole, _) = connection
+            .exchange(&request, self.max_body, |_| true)
+            .await?;
+        Ok((shell.dialect.is_healthy)(&whole, id))
+    }
+
     async fn connection(&self, work: &Work) -> Result<Connection, Failure> {
         let kept = {
             let mut idle = self.idle.borrow_mut();
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -75,6 +75,10 @@
     pub(crate) respond: Box<Respond>,
     /// Writes a request to the own backend server.
     pub(crate) encode: Box<dyn Fn(&Run<'_>) -> BytesMut>,
+    /// Asks the own backend server at a path whether it is healthy and stays.
+    pub(crate) encode_check: fn(&str, &str) -> BytesMut,
+    /// Whether it says that this incarnation is.
+    pub(crate) is_healthy: fn(&Whole, &str) -> bool,
     /// Whether a response of the server belongs to the request.
     pub(crate) is_ours: fn(&HeaderMap, &Request) -> bool,
     /// What a whole response says of its run.
--- a/crates/node/src/dialect/own.rs
+++ b/crates/node/src/dialect/own.rs
@@ -63,6 +63,10 @@
         refuse_head: Box::new(refuse_head),
         respond: Box::new(|_id, reply| respond(reply)),
         encode: Box::new(move |run: &Run<'_>| encode(run, addr)),
+        encode_check: |path, host| {
+            httpconn::encode_request("GET", path, &[], &[("host", host)], &[])
+        },
+        is_healthy: |whole, _| whole.status.is_success(),
         is_ours: |_, _| true,
         judge: Box::new(move |whole| judge(whole, &refusal_header)),
         too_large,
--- a/crates/node/src/dialect/platform.rs
+++ b/crates/node/src/dialect/platform.rs
@@ -33,6 +33,8 @@
         encode: Box::new(|run: &Run<'_>| {
             platform::request_to_server(run.request, run.remaining, run.expect)
         }),
+        encode_check: platform::health_check,
+        is_healthy: platform::is_healthy,
         is_ours: |headers, request| platform::belongs_to(headers, &request.id),
         judge: Box::new(judge),
         too_large,
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -334,6 +334,7 @@
                 };
                 self.backend.run(self, work);
             }
+            Output::CheckServer { id, path } => self.backend.check(self, id, path),
             Output::CancelRun(run) => self.backend.cancel(run),
             Output::Append {
                 number,
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -23,6 +23,7 @@
     SaysItDidNotRun,
     BreaksOff,
     IsAnother,
+    IsUnwell,
 }
 
 /// A server that keeps the heads of the requests that it got.
@@ -54,6 +55,19 @@
 async fn serve(mut stream: TcpStream, heads: Rc<RefCell<Vec<String>>>, mood: Rc<Cell<Mood>>) {
     while let Some(head) = read_head(&mut stream).await {
         let id = header(&head, "x-bilberrycove-request-id").unwrap_or_default();
+        if head.starts_with("GET /healthz ") {
+            let status = match mood.get() {
+                Mood::IsUnwell => "503 Unwell",
+                _ => "200 OK",
+            };
+            let answer = format!(
+                "HTTP/1.1 {status}\r\nx-bilberrycove-instance-id: a\r\ncontent-length: 0\r\n\r\n"
+            );
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         heads.borrow_mut().push(head);
         let answer = match mood.get() {
             Mood::Answers => format!(
@@ -65,7 +79,7 @@
             Mood::IsAnother => "HTTP/1.1 421 No\r\nx-bilberrycove-instance-id: b\r\n\
                                 content-length: 0\r\n\r\n"
                 .to_owned(),
-            Mood::BreaksOff => return,
+            Mood::BreaksOff | Mood::IsUnwell => return,
         };
         if stream.write_all(answer.as_bytes()).await.is_err() {
             return;
@@ -104,7 +118,10 @@
 
 impl Machine {
     async fn start(service: &str, store: &Store) -> Self {
-        let server = Server::start().await;
+        Self::start_beside(service, Server::start().await, store).await
+    }
+
+    async fn start_beside(service: &str, server: Server, store: &Store) -> Self {
         let (ready, control) = (free(), free());
         let text = format!(
             "[node]\nservice = {service}\nfailure_domain = milano-1\nregion = lombardia\n\
@@ -171,7 +188,8 @@
     format!(
         r#"{{"version":{version},"routes":[{{"name":"r","host":"shop.example",
             "path_prefix":"{prefix}","kind":"unsafe","timeout_s":2,"slo_s":1,"priority":0,
-            "service":"press","attempts":2}}],"services":[],"limits":{{}}}}"#
+            "service":"press","attempts":2}}],
+            "services":[{{"name":"press","health_path":"/healthz"}}],"limits":{{}}}}"#
     )
 }
 
@@ -285,3 +303,29 @@
     assert_eq!(book(&entry, "late").await.0, 200);
     assert!(entry.node.ended().await.success());
 }
+
+/// The node beside a leaving server is started anew, and a heartbeat from before arrives late. The new
+/// process asks the server itself, which says that it does not stay, and sends it nothing.
+#[actix_rt::test]
+async fn a_new_process_asks_the_server_whether_it_stays() {
+    let (store, entry, press) = start().await;
+    let server = Server {
+        addr: press.server.addr,
+        heads: press.server.heads.clone(),
+        mood: press.server.mood.clone(),
+    };
+    server.mood.set(Mood::IsUnwell);
+    drop(press.node);
+    let press = Machine::start_beside("press", server, &store).await;
+    press.until_ready().await;
+    assert_eq!(press.beat("press", "a", 1, "ready").await, 200);
+    for n in 0..5 {
+        assert_eq!(book(&entry, &format!("b{n}")).await.0, 503);
+    }
+    assert_eq!(press.server.heads.borrow().len(), 0);
+    press.server.mood.set(Mood::Answers);
+    assert_eq!(press.beat("press", "a", 2, "ready").await, 200);
+    while book(&entry, "after").await.0 != 200 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/rules/src/model.rs
+++ b/crates/rules/src/model.rs
@@ -84,6 +84,8 @@
         pub limits: IndexMap<Arc<str>, Limit>,
         /// Routes by host and path.
         pub routes: Routes,
+        /// Where a service's backend servers say whether they are healthy and stay, by service.
+        pub health_paths: IndexMap<Arc<str>, Arc<str>>,
     }
 }
 
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -450,7 +450,7 @@
             Output::FetchState { from, known } => self.fetch_state(node, from, known),
             Output::ReadLog => self.read_now(node),
             Output::Count(counter) => *self.counters.entry(counter.name()).or_insert(0) += 1,
-            Output::Note(_) => {}
+            Output::Note(_) | Output::CheckServer { .. } => {}
             Output::Stopped => self.after_in(node, EXIT, move |world| world.on_exit(node, from)),
         }
     }
