What a server fails counts as load

Cause: a server that refuses or loses part of its work is quick and looks idle by its load, and the choice of an instance knew nothing else; so calls gathered at the bad ones.

Ruled out: the concurrency limit (it is cut by refusals only where it is guessed from times, which it is not where servers tell their slots), retries (they avoid the same instance, but each costs the shared budget).

Switch: avoid_failing.

A server that is well again has over 0.8 of its share after 3 s.

--- a/crates/experiment/src/variant.rs
+++ b/crates/experiment/src/variant.rs
@@ -14,7 +14,7 @@
 /// A way to switch one mechanism off.
 type Off = fn(&mut Switches);
 
-const MECHANISMS: [(&str, Off); 10] = [
+const MECHANISMS: [(&str, Off); 11] = [
     ("- adaptive limit", |s| s.adaptive_limit = false),
     ("- slow start", |s| s.slow_start = false),
     ("- deadline queue", |s| s.deadline_queue = false),
@@ -25,6 +25,7 @@
     ("- re-send limit", |s| s.resend_limit = false),
     ("- spread", |s| s.spread = false),
     ("- choice by load", |s| s.by_load = false),
+    ("- avoid failing", |s| s.avoid_failing = false),
 ];
 
 /// All variants, the baselines first.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod account;
 mod budget;
 mod choose;
+mod failing;
 mod heard;
 mod level;
 mod limit;
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -1,6 +1,7 @@
 //! The limit, the queue and the admission level in front of one backend server.
 
 use crate::admission_value;
+use crate::failing::Failing;
 use crate::level::spread;
 use crate::level::Level;
 use crate::limit::Limit;
@@ -55,6 +56,8 @@
     took: Estimate,
     /// The same by class.
     took_by_class: [Estimate; CLASSES],
+    /// What it fails of its work.
+    failing: Failing,
     /// The server could not be reached; not tried again before this.
     down_until: Option<Time>,
     /// Lookups are held back until then, because a protected call was refused for load.
@@ -95,6 +98,7 @@
             ticked: Time::ZERO,
             took: Estimate::default(),
             took_by_class: [Estimate::default(); CLASSES],
+            failing: Failing::default(),
             down_until: None,
             held_until: None,
             refused_protected: Time::ZERO,
@@ -107,6 +111,7 @@
     /// before it says nothing of this one; a server that tells its slots starts with those.
     pub fn restarted(&mut self, now: Time, slots: u16) {
         self.down_until = None;
+        self.failing.reset();
         self.limit.restart(now);
         self.limit.set_bounds(1, slots.max(1));
         self.limit.set_to_max();
@@ -171,6 +176,7 @@
         let full = self.running >= self.limit.get() || self.level() > 0;
         self.tick(now);
         self.running = self.running.saturating_sub(1);
+        self.failing.hear(now, ended);
         match ended {
             Ended::Whole { took, own } => {
                 self.down_until = None;
@@ -257,6 +263,9 @@
     pub fn report(&self) -> LoadReport {
         let load = u32::from(self.running) + self.queue.len() as u32;
         let mut utilisation = load * 1000 / u32::from(self.limit.get().max(1));
+        if self.switches.avoid_failing {
+            utilisation += self.failing.load(self.ticked);
+        }
         if self.down_until.is_some() {
             utilisation = u32::from(u16::MAX);
         }
--- a/crates/policy/src/switches.rs
+++ b/crates/policy/src/switches.rs
@@ -27,6 +27,8 @@
         pub quarantine: bool,
         /// Calls go to the less loaded of the near instances; off, to all of them in turn.
         pub by_load: bool,
+        /// What a server fails counts as load, so that calls go elsewhere.
+        pub avoid_failing: bool,
         /// For comparison only: retries that each hop makes on its own, whatever the action's
         /// allowance is.
         pub hop_retries: u8,
@@ -47,6 +49,7 @@
         spread: true,
         quarantine: true,
         by_load: true,
+        avoid_failing: true,
         hop_retries: 0,
     };
 
@@ -63,6 +66,7 @@
         spread: false,
         quarantine: false,
         by_load: false,
+        avoid_failing: false,
         hop_retries: 0,
     };
 }
--- a/crates/policy/tests/choose.rs
+++ b/crates/policy/tests/choose.rs
@@ -5,6 +5,7 @@
 use bilberry_policy::Place;
 use bilberry_policy::Selector;
 use bilberry_policy::Standing;
+use bilberry_policy::Switches;
 use many::Many;
 use proto::Incarnation;
 use proto::LoadReport;
@@ -187,3 +188,46 @@
     let later = part(&many);
     assert!(first < 0.4 && later > 0.6, "{first} {later}");
 }
+
+/// What part of all calls is refused, from two seconds on, when every third of 12 servers refuses half
+/// of its work at once; and what part goes to other regions.
+fn with_grey_servers(switches: Switches) -> (f64, f64) {
+    let mut many = Many::with_switches(24, 12, switches);
+    many.run(1000, 0.5, 0.5);
+    for server in many.servers.iter_mut().step_by(3) {
+        server.refuses = 0.5;
+    }
+    many.run(1000, 0.5, 0.5);
+    many.reset();
+    many.run(3000, 0.5, 0.5);
+    (many.refused_share(), many.far_share())
+}
+
+/// Servers refuse part of their work while they call themselves healthy. They are quick and look idle,
+/// so calls gather there, and shops see far more failures than those servers' share.
+#[test]
+fn a_third_of_the_servers_refuse_half() {
+    let off = Switches {
+        avoid_failing: false,
+        ..Switches::ALL
+    };
+    let (refused_off, _) = with_grey_servers(off);
+    let (refused, far) = with_grey_servers(Switches::ALL);
+    assert!(refused_off > 0.16, "{refused_off}");
+    assert!(refused < 0.05 && far < 0.01, "{refused} {far}");
+}
+
+/// A server that is well again gets its share back; were it left out for good, the others would carry
+/// its load.
+#[test]
+fn a_server_that_no_longer_refuses_is_used_again() {
+    let mut many = Many::new(24, 12);
+    many.servers[0].refuses = 0.9;
+    many.run(3000, 0.5, 0.5);
+    many.servers[0].refuses = 0.0;
+    many.run(3000, 0.5, 0.5);
+    many.reset();
+    many.run(2000, 0.5, 0.5);
+    let share = many.servers[0].served as f64 * 12.0 / many.calls as f64;
+    assert!(share > 0.8, "{share}");
+}
--- a/crates/policy/tests/many/mod.rs
+++ b/crates/policy/tests/many/mod.rs
@@ -3,9 +3,12 @@
 
 #![allow(dead_code, reason = "each user takes a part")]
 
+use bilberry_policy::Ended;
 use bilberry_policy::Place;
 use bilberry_policy::Selector;
 use bilberry_policy::Standing;
+use bilberry_policy::Switches;
+use proto::Class;
 use proto::Incarnation;
 use proto::LoadReport;
 use rand::rngs::StdRng;
@@ -37,10 +40,13 @@
     },
 }
 
-#[derive(Default)]
 pub struct Server {
     pub served: u64,
     pub longest_queue: usize,
+    /// The share of its work that it refuses, at once.
+    pub refuses: f64,
+    /// What the node beside it learns of how its work ends.
+    door: bilberry_policy::Server,
     running: usize,
     queue: VecDeque<usize>,
     started: VecDeque<usize>,
@@ -53,6 +59,9 @@
     /// Calls that went to another region.
     pub far: u64,
     pub calls: u64,
+    /// Calls that a server refused.
+    pub refused: u64,
+    switches: Switches,
     nodes: Vec<Selector>,
     service: Arc<str>,
     events: BTreeMap<u64, Vec<Event>>,
@@ -75,11 +84,17 @@
 
 impl Many {
     pub fn new(nodes: usize, servers: usize) -> Self {
+        Self::with_switches(nodes, servers, Switches::ALL)
+    }
+
+    pub fn with_switches(nodes: usize, servers: usize, switches: Switches) -> Self {
         let mut many = Self {
             now: 0,
             servers: Vec::new(),
             far: 0,
             calls: 0,
+            refused: 0,
+            switches,
             nodes: (0..nodes).map(|_| Selector::new()).collect(),
             service: "press".into(),
             events: BTreeMap::new(),
@@ -93,7 +108,15 @@
 
     pub fn start_server(&mut self) {
         let server = self.servers.len();
-        self.servers.push(Server::default());
+        self.servers.push(Server {
+            served: 0,
+            longest_queue: 0,
+            refuses: 0.0,
+            door: bilberry_policy::Server::new(self.switches, 1, LIMIT as u16, Duration::ZERO),
+            running: 0,
+            queue: VecDeque::new(),
+            started: VecDeque::new(),
+        });
         let now = self.time();
         for (number, node) in self.nodes.iter_mut().enumerate() {
             let place = place(number, server);
@@ -104,7 +127,7 @@
 
     /// Forgets what was counted, for the part of a run that is looked at.
     pub fn reset(&mut self) {
-        (self.far, self.calls) = (0, 0);
+        (self.far, self.calls, self.refused) = (0, 0, 0);
         for server in &mut self.servers {
             (server.served, server.longest_queue) = (0, 0);
         }
@@ -152,6 +175,11 @@
     fn on_event(&mut self, event: Event) {
         match event {
             Event::Arrive { server, node } => {
+                let refuses = self.servers[server].refuses;
+                if refuses > 0.0 && self.rng.random_bool(refuses) {
+                    self.refused += 1;
+                    return self.answer(server, node, Ended::Refused);
+                }
                 let at = &mut self.servers[server];
                 at.queue.push_back(node);
                 at.longest_queue = at.longest_queue.max(at.queue.len());
@@ -162,13 +190,8 @@
                 at.running -= 1;
                 at.served += 1;
                 let node = at.started.pop_front().expect("it was started");
-                let load = (at.running + at.queue.len()) * 1000 / LIMIT;
-                let load = LoadReport {
-                    utilisation: load.min(usize::from(u16::MAX)) as u16,
-                    limit: LIMIT as u16,
-                    ..LoadReport::default()
-                };
-                self.after(latency(node, server), Event::Answer { server, node, load });
+                let took = Duration::from_millis(TAKES_MS);
+                self.answer(server, node, Ended::Whole { took, own: took });
                 self.start(server);
             }
             Event::Answer { server, node, load } => {
@@ -179,6 +202,20 @@
         }
     }
 
+    fn answer(&mut self, server: usize, node: usize, ended: Ended) {
+        let now = self.time();
+        let at = &mut self.servers[server];
+        at.door.finished(now, Class::Lookup, ended);
+        let load = (at.running + at.queue.len()) * 1000 / LIMIT;
+        let load = load + usize::from(at.door.report().utilisation);
+        let load = LoadReport {
+            utilisation: load.min(usize::from(u16::MAX)) as u16,
+            limit: LIMIT as u16,
+            ..LoadReport::default()
+        };
+        self.after(latency(node, server), Event::Answer { server, node, load });
+    }
+
     fn start(&mut self, server: usize) {
         while self.servers[server].running < LIMIT {
             let Some(node) = self.servers[server].queue.pop_front() else {
@@ -206,6 +243,10 @@
         most.unwrap_or(0) as f64 * self.servers.len() as f64 / all as f64
     }
 
+    pub fn refused_share(&self) -> f64 {
+        self.refused as f64 / self.calls as f64
+    }
+
     pub fn far_share(&self) -> f64 {
         self.far as f64 / self.calls as f64
     }
