Nodes of a platform test let the system choose their ports

The tests took a free port, let go of it and named it in the settings; another test got it in between.

Change: ready_addr and control_addr may have port 0, like the other two, and the first line of the output says what the system chose. Ruled out: a test's own fault of order; the port alone was taken.

--- a/crates/node/src/attached.rs
+++ b/crates/node/src/attached.rs
@@ -65,20 +65,34 @@
     cfg.policy.resend_limit = false;
 }
 
-/// Starts the tasks.
-pub(crate) async fn start(shell: &Rc<Shell>, cfg: &PlatformSettings) -> Result<(), StartError> {
-    let ready = bind(cfg.ready_addr).await?;
-    let control = bind(cfg.control_addr).await?;
+/// Where the platform reaches a node.
+#[derive(Debug, Clone, Copy)]
+pub struct Doors {
+    /// Where it asks whether the node takes clients.
+    pub ready_addr: SocketAddr,
+    /// Where the own backend server announces itself.
+    pub control_addr: SocketAddr,
+}
+
+/// Starts the tasks; says where they listen, because the system may have chosen the ports.
+pub(crate) async fn start(shell: &Rc<Shell>, cfg: &PlatformSettings) -> Result<Doors, StartError> {
+    let (ready, ready_addr) = bind(cfg.ready_addr).await?;
+    let (control, control_addr) = bind(cfg.control_addr).await?;
     actix_rt::spawn(serve(shell.clone(), ready, on_ready));
     actix_rt::spawn(serve(shell.clone(), control, on_control));
     actix_rt::spawn(follow_config(shell.clone()));
     actix_rt::spawn(meet_others(shell.clone()));
-    Ok(())
+    Ok(Doors {
+        ready_addr,
+        control_addr,
+    })
 }
 
-async fn bind(addr: SocketAddr) -> Result<TcpListener, StartError> {
-    let listener = TcpListener::bind(addr).await;
-    listener.map_err(|e| StartError::Bind(addr, e))
+async fn bind(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |e| StartError::Bind(addr, e);
+    let listener = TcpListener::bind(addr).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
 }
 
 /// Takes each new configuration as soon as the store has it.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod udp;
 mod wire;
 
+pub use attached::Doors;
 pub use log_queue::LogQueue;
 pub use settings::Settings;
 pub use settings::SettingsError;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,6 +2,7 @@
 
 use bilberry_node::start;
 use bilberry_node::LogQueue;
+use bilberry_node::Node;
 use bilberry_node::Settings;
 use gumdrop::Options;
 use log4rs::config::Appender;
@@ -62,7 +63,7 @@
             return ExitCode::FAILURE;
         }
     };
-    println!("listening http={} peer={}", node.http_addr, node.peer_addr);
+    println!("{}", listening(&node));
     let Ok(mut terminate) = signal(SignalKind::terminate()) else {
         eprintln!("no handler for SIGTERM");
         return ExitCode::FAILURE;
@@ -85,6 +86,18 @@
     ExitCode::SUCCESS
 }
 
+/// Where the node listens, because the system may have chosen the ports.
+fn listening(node: &Node) -> String {
+    let line = format!("listening http={} peer={}", node.http_addr, node.peer_addr);
+    match node.doors {
+        Some(doors) => format!(
+            "{line} ready={} control={}",
+            doors.ready_addr, doors.control_addr
+        ),
+        None => line,
+    }
+}
+
 /// Reads the settings again. Without a handler a hangup would end the process, with every request
 /// in it. The log level is taken over at once; addresses are bound once, so all else waits for the
 /// next start.
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -1,6 +1,7 @@
 //! The node as one `actix-rt` system: starts everything, and carries inputs and outputs.
 
 use crate::attached;
+use crate::attached::Doors;
 use crate::backend::Backend;
 use crate::backend::Work;
 use crate::body::Budget;
@@ -79,6 +80,8 @@
     pub http_addr: SocketAddr,
     /// Where other nodes reach it.
     pub peer_addr: SocketAddr,
+    /// Where the users' platform reaches it, if it is on one.
+    pub doors: Option<Doors>,
     shell: Rc<Shell>,
 }
 
@@ -189,12 +192,13 @@
     actix_rt::spawn(caller::accept(shell.clone(), http));
     actix_rt::spawn(peers::accept(shell.clone(), tcp));
     actix_rt::spawn(udp::receive(shell.clone(), socket));
-    match &shell.settings.platform {
-        Some(cfg) => attached::start(&shell, cfg).await?,
+    let doors = match &shell.settings.platform {
+        Some(cfg) => Some(attached::start(&shell, cfg).await?),
         None => {
             actix_rt::spawn(store_reader::follow_views(shell.clone()));
+            None
         }
-    }
+    };
     if let Some(addr) = shell.settings.metrics_http_addr {
         let listener = TcpListener::bind(addr).await;
         let listener = listener.map_err(|e| StartError::Bind(addr, e))?;
@@ -205,6 +209,7 @@
     Ok(Node {
         http_addr,
         peer_addr,
+        doors,
         shell,
     })
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -24,6 +24,8 @@
 pub struct NodeProcess {
     pub http: SocketAddr,
     pub peer: SocketAddr,
+    /// The first line of its output, which says where it listens.
+    listening: String,
     pub process: Process,
     settings: PathBuf,
 }
@@ -63,20 +65,20 @@
         BufReader::new(process.stdout.take().unwrap())
             .read_line(&mut line)
             .unwrap();
-        let addr = |name| {
-            let value = line
-                .split_whitespace()
-                .find_map(|word| word.strip_prefix(name));
-            value.unwrap().parse().unwrap()
-        };
         Self {
-            http: addr("http="),
-            peer: addr("peer="),
+            http: address(&line, "http="),
+            peer: address(&line, "peer="),
+            listening: line,
             process,
             settings,
         }
     }
 
+    /// Where it listens by this name.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        address(&self.listening, name)
+    }
+
     pub fn signal(&self, signal: &str) {
         let pid = self.process.id().to_string();
         assert!(Command::new("kill")
@@ -87,6 +89,13 @@
     }
 }
 
+fn address(line: &str, name: &str) -> SocketAddr {
+    let mut values = line
+        .split_whitespace()
+        .filter_map(|word| word.strip_prefix(name));
+    values.next().unwrap().parse().unwrap()
+}
+
 impl NodeProcess {
     /// Waits for the process to end, while the stand-ins of this thread go on.
     pub async fn ended(&mut self) -> std::process::ExitStatus {
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -110,33 +110,26 @@
     control: SocketAddr,
 }
 
-/// An address that was free a moment ago.
-fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(SocketAddr::from(LOOPBACK)).unwrap();
-    listener.local_addr().unwrap()
-}
-
 impl Machine {
     async fn start(service: &str, store: &Store) -> Self {
         Self::start_beside(service, Server::start().await, store).await
     }
 
     async fn start_beside(service: &str, server: Server, store: &Store) -> Self {
-        let (ready, control) = (free(), free());
         let text = format!(
             "[node]\nservice = {service}\nfailure_domain = milano-1\nregion = lombardia\n\
              http_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n\
              [backend_server]\naddr = {}\n\
-             [store]\naddr = {}\n[platform]\nready_addr = {ready}\ncontrol_addr = {control}\n\
+             [store]\naddr = {}\n[platform]\nready_addr = 127.0.0.1:0\ncontrol_addr = 127.0.0.1:0\n\
              [logging]\nlevel = warn\n",
             server.addr, store.addr
         );
         let node = NodeProcess::start_from(&text);
         Self {
             server,
+            ready: node.address("ready="),
+            control: node.address("control="),
             node,
-            ready,
-            control,
         }
     }
 
