--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -34,8 +34,6 @@
 use proto::Instance;
 use proto::KeyHash;
 use proto::PeerState;
-use proto::Reason;
-use proto::Refusal;
 use proto::RunId;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
@@ -44,9 +42,6 @@
 use std::time::Duration;
 use stdx::Time;
 
-/// When a caller may come back after a refusal that says nothing more exact.
-pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// How many entries the tables of what is in flight have.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Tables {
@@ -361,10 +356,6 @@
         self.next_number
     }
 
-    pub(crate) fn refusal(&self, reason: Reason) -> Refusal {
-        Refusal::new(reason, RETRY_AFTER)
-    }
-
     pub(crate) fn on_stop(&mut self, now: Time) {
         self.stopping = true;
         self.closed_at = now + CLOSE_AFTER;
--- a/crates/engine/src/homes.rs
+++ b/crates/engine/src/homes.rs
@@ -1,6 +1,5 @@
 //! Calls with a key, at the key's home.
 
-use crate::engine::RETRY_AFTER;
 use crate::job::JobOwner;
 use crate::serve::Inbound;
 use crate::serve::Work;
@@ -337,7 +336,7 @@
         let Some(run) = run.filter(|run| self.server.withdraw(run.number)) else {
             return;
         };
-        let refusal = proto::Refusal::new(Reason::Moving, RETRY_AFTER);
+        let refusal = self.refusal(Reason::Moving);
         self.end_job(now, run, Outcome::NotRun(refusal));
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,6 +23,7 @@
 mod own_server;
 mod quarantine;
 mod reattach;
+mod refusal;
 mod request;
 mod resends;
 mod routing;
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -250,7 +250,7 @@
             // that made child calls is never taken for one that did not run.
             RunEnd::Refused { .. } if made_calls => Outcome::Unknown(Reason::ServerRefused),
             RunEnd::Refused { retry_after } => {
-                let retry_after = retry_after.unwrap_or(crate::engine::RETRY_AFTER);
+                let retry_after = retry_after.unwrap_or(crate::refusal::RETRY_AFTER);
                 Outcome::NotRun(Refusal::new(Reason::ServerRefused, retry_after))
             }
             RunEnd::NeverSent => self.not_run(Reason::ServerLost),
@@ -377,10 +377,6 @@
             level: self.server.level(),
         }
     }
-
-    pub(crate) fn not_run(&self, reason: Reason) -> Outcome {
-        Outcome::NotRun(self.refusal(reason))
-    }
 }
 
 /// The scope of the keys of child calls: the same for every run of the same call of the action.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,6 +10,7 @@
 mod config;
 mod digest;
 mod evict;
+mod hear;
 mod members;
 mod pick;
 mod probe;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod choose;
 mod failing;
 mod heard;
+mod hold;
 mod level;
 mod limit;
 mod quarantine;
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::admission_value;
 use crate::failing::Failing;
+use crate::hold::Hold;
 use crate::level::spread;
 use crate::level::Level;
 use crate::limit::Limit;
@@ -39,9 +40,6 @@
 /// The classes, each with an estimate of its own.
 const CLASSES: usize = 5;
 
-/// How long lookups are held back after a protected call was refused for load.
-const HOLD: Duration = Duration::from_millis(100);
-
 /// The limit, the queue and the admission level in front of one backend server.
 #[derive(Debug)]
 pub struct Server {
@@ -60,10 +58,7 @@
     failing: Failing,
     /// The server could not be reached; not tried again before this.
     down_until: Option<Time>,
-    /// Lookups are held back until then, because a protected call was refused for load.
-    held_until: Option<Time>,
-    /// When a protected call was last refused for load.
-    refused_protected: Time,
+    hold: Hold,
 }
 
 impl Server {
@@ -100,8 +95,7 @@
             took_by_class: [Estimate::default(); CLASSES],
             failing: Failing::default(),
             down_until: None,
-            held_until: None,
-            refused_protected: Time::ZERO,
+            hold: Hold::default(),
         };
         server.skip_ramp();
         server
@@ -211,7 +205,7 @@
         if let Some(ticket) = self.pop_hopeless(now) {
             return Some((ticket, self.refuse_for_load(now, ticket)));
         }
-        if self.held_until.is_some() {
+        if self.hold.is_on() {
             if let Some(ticket) = self.queue.displace_lookup() {
                 return Some((ticket, self.refuse_for_load(now, ticket)));
             }
@@ -300,7 +294,7 @@
 
     fn begin(&mut self, now: Time, ticket: &Ticket) {
         debug_assert!(
-            ticket.class.is_protected() || ticket.arrived >= self.refused_protected,
+            ticket.class.is_protected() || ticket.arrived >= self.hold.refused(),
             "a lookup starts that waited while a protected call was refused for load"
         );
         self.running += 1;
@@ -319,13 +313,8 @@
     /// After a protected call was refused for load, a lookup that came later must not run before
     /// there is room for such calls again: it would have taken the place that the other lacked.
     fn is_held(&mut self, now: Time, ticket: &Ticket) -> bool {
-        let Some(until) = self.held_until else {
-            return false;
-        };
-        if now >= until && self.has_room(Class::Lookup) && self.queue.protected_len() == 0 {
-            self.held_until = None;
-        }
-        self.held_until.is_some() && !ticket.class.is_protected()
+        let room = self.has_room(Class::Lookup) && self.queue.protected_len() == 0;
+        self.hold.check(now, room) && !ticket.class.is_protected()
     }
 
     /// Whether not even a quick run would end before the deadline, after waiting for `wait`.
@@ -360,8 +349,7 @@
     /// in the next moments.
     fn hold_lookups(&mut self, now: Time, class: Class) {
         if class.is_protected() && self.switches.class_order {
-            self.held_until = Some(now + HOLD);
-            self.refused_protected = now;
+            self.hold.begin(now);
         }
     }
 
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -1,31 +1,22 @@
 //! The queue of events, the nodes, and how an engine's outputs become inputs.
 
-use crate::caller::Waiter;
 use crate::Action;
 use crate::Fault;
 use crate::Judge;
 use crate::Layout;
 use crate::Log;
 use crate::Net;
-use crate::Server;
-use engine::Config;
-use engine::Engine;
+use crate::Node;
 use engine::Input;
 use engine::Output;
-use engine::Token;
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 use proto::Frame;
 use proto::Incarnation;
-use proto::Instance;
 use proto::Outcome;
-use proto::RunId;
 use rand::rngs::StdRng;
-use rand::RngExt;
 use rand::SeedableRng;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::Duration;
 use stdx::Time;
 
@@ -35,12 +26,6 @@
 /// Latency between a node and its own backend server.
 const LOCAL: Duration = Duration::from_micros(100);
 
-/// How much faster or slower than the virtual clock a process's clock may run.
-const CLOCK_DRIFT: f64 = 0.001;
-
-/// How long a process takes to come up again.
-const START: Duration = Duration::from_millis(200);
-
 /// How long a process lives on after it has said that nothing is in flight.
 const EXIT: Duration = Duration::from_millis(1);
 
@@ -48,49 +33,10 @@
 type Effect = Box<dyn FnOnce(&mut World)>;
 
 /// Something that will happen.
-struct Event {
+pub(crate) struct Event {
     /// The node whose process has to run for it; while that is frozen, the event is held.
     process: Option<usize>,
-    effect: Effect,
-}
-
-/// One instance: a process of the system and its backend server.
-pub struct Node {
-    /// `SERVICE-N`.
-    pub name: String,
-    /// Who it is now.
-    pub me: Instance,
-    /// Its present incarnation.
-    pub incarnation: Incarnation,
-    /// `None` while no process runs.
-    pub engine: Option<Engine>,
-    /// Its clock's origin.
-    pub started: Time,
-    /// How fast its clock runs.
-    pub clock_rate: f64,
-    /// The process is frozen.
-    pub paused: bool,
-    /// When it was last frozen or set free.
-    pub moved: Time,
-    /// The newest version that was in force anywhere when the process started.
-    pub known_version: u64,
-    /// When its graceful shutdown began.
-    pub stopping: Option<Time>,
-    /// When the process heard of it, which may be frozen.
-    pub heard_stop: Option<Time>,
-    /// Its backend server.
-    pub server: Server,
-    /// Requests without an answer.
-    pub waiting: IndexMap<Token, Waiter>,
-    /// Those of them that the process has taken.
-    pub taken: IndexSet<Token>,
-    /// Runs handed to the backend server, by the name that the engine gave: the server's number.
-    pub runs: IndexMap<RunId, Option<u64>>,
-    pub(crate) pause_at_run: Option<Duration>,
-    pub(crate) read: u64,
-    pub(crate) read_to_end: bool,
-    held: Vec<Event>,
-    tick: Option<Time>,
+    pub(crate) effect: Effect,
 }
 
 /// Everything there is in one run.
@@ -238,10 +184,13 @@
         process: Option<usize>,
         effect: impl FnOnce(&mut World) + 'static,
     ) {
-        self.next_event += 1;
         let effect = Box::new(effect);
-        self.queue
-            .insert((at, self.next_event), Event { process, effect });
+        self.enter_event(at, Event { process, effect });
+    }
+
+    pub(crate) fn enter_event(&mut self, at: Time, event: Event) {
+        self.next_event += 1;
+        self.queue.insert((at, self.next_event), event);
     }
 
     fn on_event(&mut self, event: Event) {
@@ -251,111 +200,6 @@
         }
     }
 
-    /// Starts a process at the node's place, as a new incarnation.
-    pub(crate) fn start(&mut self, node: usize) {
-        if self.nodes[node].engine.is_some() {
-            return;
-        }
-        let incarnation = Incarnation(self.rng.random());
-        let clock_rate = self.rng.random_range(1.0 - CLOCK_DRIFT..1.0 + CLOCK_DRIFT);
-        let contacts = (0..2).map(|_| self.rng.random_range(0..self.nodes.len()));
-        let contacts = contacts.map(|at| self.nodes[at].me.addr).collect();
-        let mut cfg = Config {
-            seed: incarnation.0,
-            contacts,
-            policy: self.layout.policy,
-            ..Config::default()
-        };
-        cfg.membership.seed = incarnation.0;
-        cfg.once.max_log_silence = self.layout.max_log_silence;
-        let now = self.now;
-        let engines = self.nodes.iter().filter_map(|node| node.engine.as_ref());
-        let known_version = engines.map(Engine::rules_version).max().unwrap_or(0);
-        let place = &mut self.nodes[node];
-        place.known_version = known_version;
-        place.me.incarnation = incarnation;
-        place.incarnation = incarnation;
-        place.engine = Some(Engine::new(cfg, place.me.clone()));
-        place.started = now;
-        place.clock_rate = clock_rate;
-        place.moved = now;
-        place.paused = false;
-        place.stopping = None;
-        place.heard_stop = None;
-        place.read_to_end = false;
-        place.tick = None;
-        place.held.clear();
-        self.note(format!("start {} as {incarnation}", self.nodes[node].name));
-        self.set_tick(node);
-        self.read_now(node);
-    }
-
-    /// Ends a process as if by `kill -9`.
-    pub(crate) fn kill(&mut self, node: usize) {
-        let place = &mut self.nodes[node];
-        if place.engine.take().is_none() {
-            return;
-        }
-        place.paused = false;
-        place.held.clear();
-        place.runs.clear();
-        place.taken.clear();
-        let incarnation = place.incarnation;
-        for (token, waiter) in std::mem::take(&mut place.waiting) {
-            self.on_node_gone(token, waiter);
-        }
-        self.close_all(incarnation);
-    }
-
-    /// Kills a process and starts it again.
-    pub(crate) fn restart(&mut self, node: usize) {
-        self.kill(node);
-        self.after(START, move |world| world.start(node));
-    }
-
-    pub(crate) fn pause(&mut self, node: usize) {
-        if self.is_running(node) {
-            self.nodes[node].paused = true;
-            self.nodes[node].moved = self.now;
-            self.watch_all(self.nodes[node].incarnation);
-        }
-    }
-
-    pub(crate) fn resume(&mut self, node: usize) {
-        // A freeze that has not come yet is called off as well; else one would come long after
-        // everything was mended.
-        self.nodes[node].pause_at_run = None;
-        if !std::mem::take(&mut self.nodes[node].paused) {
-            return;
-        }
-        self.nodes[node].moved = self.now;
-        for event in std::mem::take(&mut self.nodes[node].held) {
-            self.next_event += 1;
-            self.queue.insert((self.now, self.next_event), event);
-        }
-    }
-
-    fn on_exit(&mut self, node: usize, from: Incarnation) {
-        if self.nodes[node].incarnation != from || self.nodes[node].engine.is_none() {
-            return;
-        }
-        let place = &self.nodes[node];
-        if !place.taken.is_empty() || !place.runs.is_empty() {
-            let cut = format!(
-                "{} ended with work in flight: {:?} {:?}",
-                place.name, place.taken, place.runs
-            );
-            self.violation(&cut);
-        }
-        self.note(format!("exit {}", self.nodes[node].name));
-        self.close_after_flush(from);
-        // Whoever runs the instances starts a process again that has ended without being asked.
-        if self.nodes[node].stopping.is_none() {
-            return self.restart(node);
-        }
-        self.kill(node);
-    }
-
     /// Tells an engine what happened, and does what it asks for.
     pub(crate) fn feed(&mut self, node: usize, from: Incarnation, input: Input) {
         let place = &mut self.nodes[node];
@@ -383,7 +227,7 @@
         }
     }
 
-    fn set_tick(&mut self, node: usize) {
+    pub(crate) fn set_tick(&mut self, node: usize) {
         let place = &mut self.nodes[node];
         let Some(due) = place.engine.as_ref().and_then(|engine| engine.next_timer()) else {
             return;
@@ -481,69 +325,3 @@
         self.judge.violations.push(report);
     }
 }
-
-impl Node {
-    fn new(layout: &Layout, at: usize) -> Self {
-        let place = &layout.places[at];
-        let nth = layout.places[..at]
-            .iter()
-            .filter(|other| other.service == place.service)
-            .count();
-        let incarnation = Incarnation(0);
-        Self {
-            name: format!("{}-{}", place.service, nth + 1),
-            me: Instance {
-                incarnation,
-                service: place.service.clone(),
-                failure_domain: place.failure_domain.clone(),
-                region: place.region.clone(),
-                addr: SocketAddr::from(([10, 0, 0, at as u8 + 1], 7000)),
-            },
-            incarnation,
-            engine: None,
-            started: Time::ZERO,
-            clock_rate: 1.0,
-            paused: false,
-            moved: Time::ZERO,
-            known_version: 0,
-            stopping: None,
-            heard_stop: None,
-            server: Server::new(layout),
-            waiting: IndexMap::new(),
-            taken: IndexSet::new(),
-            runs: IndexMap::new(),
-            pause_at_run: None,
-            read: 0,
-            read_to_end: false,
-            held: Vec::new(),
-            tick: None,
-        }
-    }
-}
-
-impl std::fmt::Display for Node {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{} {}", self.name, self.incarnation)?;
-        let Some(engine) = &self.engine else {
-            return write!(f, " not running");
-        };
-        let (journal, tables) = (engine.journal(), engine.tables());
-        let view = journal.view(&self.me.service);
-        let members = view.map(|view| {
-            view.members
-                .iter()
-                .map(|member| member.incarnation.to_string())
-        });
-        let members: Vec<_> = members.into_iter().flatten().collect();
-        write!(
-            f,
-            " stopping {:?} version {} next {}",
-            self.stopping, journal.version, journal.next
-        )?;
-        write!(
-            f,
-            " view {:?} of {members:?} {tables:?}",
-            view.map(|view| view.number)
-        )
-    }
-}
