Time goes on while the machine is suspended

Cause: a node's time was the runtime's steady clock, which stands still while the machine is suspended. Woken up, a home took its lease for valid, the shell's last check before a run went by the same clock, and deadlines of callers who had left had not passed.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -18,6 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use stdx::Time;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -51,7 +52,7 @@
     pub(crate) expect: Option<Arc<str>>,
     pub(crate) remaining: Duration,
     /// The run may not start later.
-    pub(crate) start_by: Option<Instant>,
+    pub(crate) start_by: Option<Time>,
 }
 
 impl Backend {
@@ -99,7 +100,7 @@
         // gone to another node meanwhile, and a run here would be the second one.
         if work
             .start_by
-            .is_some_and(|start_by| Instant::now() >= start_by)
+            .is_some_and(|start_by| shell.now() >= start_by)
         {
             return RunEnd::NeverSent;
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod backend;
 mod body;
 mod caller;
+mod clock;
 mod dialect;
 mod events;
 mod fetch;
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -6,6 +6,7 @@
 use crate::backend::Work;
 use crate::body::Budget;
 use crate::caller;
+use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::dialect::Reply;
 use crate::events;
@@ -124,7 +125,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) lines: Cap,
     pub(crate) bodies: Budget,
-    origin: Instant,
+    clock: Clock,
     waiting: RefCell<IndexMap<Token, oneshot::Sender<Reply>>>,
     next_token: Cell<u64>,
     peers: Peers,
@@ -173,7 +174,7 @@
         metrics: Metrics::new(settings.metrics_addr).map_err(StartError::Metrics)?,
         lines: Cap::new(),
         bodies: Budget::new(settings.max_bodies),
-        origin: Instant::now(),
+        clock: Clock::new(),
         waiting: RefCell::default(),
         next_token: Cell::new(0),
         peers: Peers::default(),
@@ -233,7 +234,7 @@
 async fn run_timers(shell: Rc<Shell>) {
     loop {
         let due = shell.engine.borrow().next_timer();
-        let due = due.map(|due| shell.origin + Duration::from_micros(due.as_micros()));
+        let due = due.map(|due| shell.clock.instant(due));
         let sleep = async {
             match due {
                 Some(due) => tokio::time::sleep_until(due).await,
@@ -257,7 +258,7 @@
 
 impl Shell {
     pub(crate) fn now(&self) -> Time {
-        Time::ZERO + self.origin.elapsed()
+        self.clock.now()
     }
 
     /// Whether the process was asked to stop.
@@ -289,23 +290,28 @@
 
     /// Tells the engine what happened and does what it asks for.
     pub(crate) fn feed(self: &Rc<Self>, input: Input) {
-        let decided = Instant::now();
+        if let Some(suspended) = self.clock.notice_suspension() {
+            let ms = suspended.as_millis();
+            log::warn!("event=woken suspended_ms={ms}");
+            // Whatever was read before may be old by now, and its connection gone.
+            self.read_store.notify_one();
+        }
+        let now = self.clock.now();
         let (outputs, timer) = {
             let mut engine = self.engine.borrow_mut();
             let before = engine.next_timer();
-            let now = Time::ZERO + decided.duration_since(self.origin);
             let outputs = engine.handle(now, input);
             (outputs, engine.next_timer() != before)
         };
         for output in outputs {
-            self.perform(decided, output);
+            self.perform(now, output);
         }
         if timer {
             self.timer.notify_one();
         }
     }
 
-    fn perform(self: &Rc<Self>, decided: Instant, output: Output) {
+    fn perform(self: &Rc<Self>, decided: Time, output: Output) {
         events::note(self, &output);
         match output {
             Output::Answer {
