--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -96,7 +96,7 @@
         RulesInForce,
         /// Another record came before an append; it is made anew.
         AppendConflict,
-        /// An append got no answer; it is tried again unless the stream shows it.
+        /// An append got no answer; it is tried again unless the log shows it.
         AppendLost,
         /// The queue of appends was full.
         AppendLeftOut,
--- a/crates/node/src/attached.rs
+++ b/crates/node/src/attached.rs
@@ -1,4 +1,4 @@
-//! What a node does on the users' platform in place of reading the log's stream: it takes the
+//! What a node does on the users' platform in place of reading the log: it takes the
 //! operators' configuration and other nodes' addresses from the store, and hears its own server.
 
 use crate::body;
--- a/crates/once/src/config.rs
+++ b/crates/once/src/config.rs
@@ -22,7 +22,7 @@
     /// The least of the lease that must be left to start work. It also covers clocks that run at
     /// unlike rates: a fence waits for `lease` + `margin`.
     pub margin: Duration,
-    /// A node that did not hear the log's stream for so long holds no lease.
+    /// A node that did not hear the log for so long holds no lease.
     pub max_log_silence: Duration,
     /// The longest time that one read of the log may take: what was read is at most this old.
     pub max_log_read: Duration,
--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -52,7 +52,7 @@
     /// Until then a lease that is lacking is waited for.
     pub(crate) lease_awaited: Time,
     pub(crate) fence: Fence,
-    /// A time at which the log's stream held no newer view; `None` before the first reading.
+    /// A time at which the log held no newer view; `None` before the first reading.
     pub(crate) log_heard: Option<Time>,
     pub(crate) slots: Vec<Slot>,
     /// The slots with moves that are not over.
@@ -148,7 +148,7 @@
         self.moved.is_empty() && self.moving.is_empty()
     }
 
-    /// Takes a view of this node's service, as it was when this node began to read the stream in
+    /// Takes a view of this node's service, as it was when this node began to read the log in
     /// its middle. Nothing is known of the time before.
     pub fn on_baseline(&mut self, now: Time, view: &View) -> Vec<Effect> {
         if self.joined {
