--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -184,15 +184,15 @@
         if !self.stopping && !dropped && !self.is_listed() && self.journal.admits(&self.me) {
             self.append(AppendKey::Join);
         }
-        if self.is_eldest() && self.journal.to_forget().is_some() {
+        if self.is_oldest_member() && self.journal.to_forget().is_some() {
             self.append(AppendKey::Forget);
         }
     }
 
     /// Whether this is the first instance that the views name: the one that drops what is old.
-    fn is_eldest(&self) -> bool {
-        let eldest = self.journal.instances().next();
-        eldest.is_some_and(|eldest| eldest.incarnation == self.me.incarnation)
+    fn is_oldest_member(&self) -> bool {
+        let oldest = self.journal.instances().next();
+        oldest.is_some_and(|oldest| oldest.incarnation == self.me.incarnation)
     }
 
     /// Has something said, unless it waits to be said already. It is tried until the fold shows its
--- a/crates/engine/tests/log/newest.rs
+++ b/crates/engine/tests/log/newest.rs
@@ -97,7 +97,7 @@
 /// Nodes come and go for months. One of them, and only one, drops what is said of the oldest; else
 /// the topic would grow with every start, or be filled by hundreds of nodes dropping the same.
 #[test]
-fn the_eldest_drops_the_oldest_departure() {
+fn the_oldest_member_drops_the_oldest_departure() {
     for (me, asks) in [(1, true), (2, false)] {
         let mut d = Driver::with_config(me, bilberry_engine::Config::default());
         d.show(&Record::Join(instance(1)));
--- a/crates/node/src/attached.rs
+++ b/crates/node/src/attached.rs
@@ -67,7 +67,7 @@
 
 /// Where the platform reaches a node.
 #[derive(Debug, Clone, Copy)]
-pub struct Doors {
+pub struct PlatformAddrs {
     /// Where it asks whether the node takes clients.
     pub ready_addr: SocketAddr,
     /// Where the own backend server announces itself.
@@ -75,14 +75,17 @@
 }
 
 /// Starts the tasks; says where they listen, because the system may have chosen the ports.
-pub(crate) async fn start(shell: &Rc<Shell>, cfg: &PlatformSettings) -> Result<Doors, StartError> {
+pub(crate) async fn start(
+    shell: &Rc<Shell>,
+    cfg: &PlatformSettings,
+) -> Result<PlatformAddrs, StartError> {
     let (ready, ready_addr) = bind(cfg.ready_addr).await?;
     let (control, control_addr) = bind(cfg.control_addr).await?;
     actix_rt::spawn(serve(shell.clone(), ready, on_ready));
     actix_rt::spawn(serve(shell.clone(), control, on_control));
     actix_rt::spawn(follow_config(shell.clone()));
     actix_rt::spawn(meet_others(shell.clone()));
-    Ok(Doors {
+    Ok(PlatformAddrs {
         ready_addr,
         control_addr,
     })
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,7 @@
 mod udp;
 mod wire;
 
-pub use attached::Doors;
+pub use attached::PlatformAddrs;
 pub use log_queue::LogQueue;
 pub use settings::Settings;
 pub use settings::SettingsError;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -89,11 +89,11 @@
 /// Where the node listens, because the system may have chosen the ports.
 fn listening(node: &Node) -> String {
     let line = format!("listening http={} peer={}", node.http_addr, node.peer_addr);
-    match node.doors {
-        Some(doors) => format!(
-            "{line} ready={} control={}",
-            doors.ready_addr, doors.control_addr
-        ),
+    match node.platform_addrs {
+        Some(addrs) => {
+            let (ready, control) = (addrs.ready_addr, addrs.control_addr);
+            format!("{line} ready={ready} control={control}")
+        }
         None => line,
     }
 }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -1,7 +1,7 @@
 //! The node as one `actix-rt` system: starts everything, and carries inputs and outputs.
 
 use crate::attached;
-use crate::attached::Doors;
+use crate::attached::PlatformAddrs;
 use crate::backend::Backend;
 use crate::backend::Work;
 use crate::body::Budget;
@@ -82,7 +82,7 @@
     /// Where other nodes reach it.
     pub peer_addr: SocketAddr,
     /// Where the users' platform reaches it, if it is on one.
-    pub doors: Option<Doors>,
+    pub platform_addrs: Option<PlatformAddrs>,
     shell: Rc<Shell>,
 }
 
@@ -193,7 +193,7 @@
     actix_rt::spawn(caller::accept(shell.clone(), http));
     actix_rt::spawn(peers::accept(shell.clone(), tcp));
     actix_rt::spawn(udp::receive(shell.clone(), socket));
-    let doors = match &shell.settings.platform {
+    let platform_addrs = match &shell.settings.platform {
         Some(cfg) => Some(attached::start(&shell, cfg).await?),
         None => {
             actix_rt::spawn(store_reader::follow_views(shell.clone()));
@@ -210,7 +210,7 @@
     Ok(Node {
         http_addr,
         peer_addr,
-        doors,
+        platform_addrs,
         shell,
     })
 }
--- a/crates/node/tests/outage.rs
+++ b/crates/node/tests/outage.rs
@@ -52,7 +52,7 @@
 #[actix_rt::test]
 async fn new_rules_reach_a_node_that_the_store_turns_away() {
     let store = Store::start(LOOPBACK.into()).await.unwrap();
-    let refused = store.another_door().await.unwrap();
+    let refused = store.another_listener().await.unwrap();
     refused.faults.refusing.set(true);
     let server = listed_server(&store).await;
     let contacts = format!("contacts = {}", server.node.peer);
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -36,7 +36,7 @@
 /// Partitions of each topic.
 const PARTITIONS: u32 = 12;
 
-/// What may go wrong at one door, switched at any time.
+/// What may go wrong at one listener, switched at any time.
 #[derive(Debug, Default)]
 pub struct StoreFaults {
     /// Nothing takes effect, and each call is answered with 503.
@@ -61,7 +61,7 @@
     appended: Notify,
 }
 
-/// One door of the store's stand-in.
+/// One listener of the store's stand-in.
 #[derive(Clone)]
 pub struct Store {
     /// Where it listens.
@@ -116,9 +116,9 @@
         Self::open(addr, Rc::default()).await
     }
 
-    /// Another door to the same data, with faults of its own: how the store is met by machines that
+    /// Another listener on the same data, with faults of its own: how the store is met by machines that
     /// it turns away while it serves the others.
-    pub async fn another_door(&self) -> std::io::Result<Self> {
+    pub async fn another_listener(&self) -> std::io::Result<Self> {
         let addr = SocketAddr::new(self.addr.ip(), 0);
         Self::open(addr, self.data.clone()).await
     }
