A suspension is told once, whoever asked for the time first, and the clocks are compared once an input

Cause: Clock::now noticed a suspension and dropped what it noticed, so after a reading by a gauge or by the check before a run, feed had nothing to tell: no line, and the store was not read anew. And feed compared the clocks twice for each input, four clock readings on the hot path where two do.

Change: what was told is kept beside what was noticed; feed takes the time of the comparison that it has just made.

Test, seen failing on the clock before: asking_for_the_time_hides_no_suspension.

--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -27,6 +27,8 @@
     lead: Box<Lead>,
     first_lead: Duration,
     suspended: Cell<Duration>,
+    /// The part of it that was told.
+    told: Cell<Duration>,
 }
 
 impl Clock {
@@ -40,13 +42,19 @@
             origin: Instant::now(),
             first_lead: lead(),
             suspended: Cell::new(Duration::ZERO),
+            told: Cell::new(Duration::ZERO),
             lead,
         }
     }
 
     /// The present time.
     pub(crate) fn now(&self) -> Time {
-        self.notice_suspension();
+        self.compare();
+        self.compared()
+    }
+
+    /// The present time by the last comparison of the clocks, for those who have just made one.
+    pub(crate) fn compared(&self) -> Time {
         Time::ZERO + self.origin.elapsed() + self.suspended.get()
     }
 
@@ -56,13 +64,20 @@
         self.origin + since
     }
 
-    /// For how long the machine was suspended since this was last asked, if it was.
+    /// For how long the machine was suspended since this was last asked, if it was. Whoever asks for
+    /// the time in between does not take the answer away.
     pub(crate) fn notice_suspension(&self) -> Option<Duration> {
+        self.compare();
+        let suspended = self.suspended.get();
+        let gain = suspended - self.told.replace(suspended);
+        Some(gain).filter(|gain| !gain.is_zero())
+    }
+
+    fn compare(&self) {
         let lead = (self.lead)().saturating_sub(self.first_lead);
-        let known = self.suspended.get();
-        let gain = lead.checked_sub(known).filter(|gain| *gain >= LEAST_GAIN)?;
-        self.suspended.set(lead);
-        Some(gain)
+        if lead >= self.suspended.get() + LEAST_GAIN {
+            self.suspended.set(lead);
+        }
     }
 }
 
--- a/crates/node/src/clock/tests.rs
+++ b/crates/node/src/clock/tests.rs
@@ -56,3 +56,14 @@
     assert_eq!(clock.now(), Time::ZERO + ms(5_000));
     assert_eq!(clock.instant(due) - tokio::time::Instant::now(), ms(1_000));
 }
+
+/// Something else asks for the time first after the machine has woken, a gauge for example. The
+/// suspension must be told all the same, or the store would not be read anew.
+#[tokio::test(start_paused = true)]
+async fn asking_for_the_time_hides_no_suspension() {
+    let (clock, lead) = clock();
+    lead.set(ms(75_000));
+    assert_eq!(clock.now(), Time::ZERO + ms(5_000));
+    assert_eq!(clock.notice_suspension(), Some(ms(5_000)));
+    assert_eq!(clock.notice_suspension(), None);
+}
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -296,7 +296,7 @@
             // Whatever was read before may be old by now, and its connection gone.
             self.read_store.notify_one();
         }
-        let now = self.clock.now();
+        let now = self.clock.compared();
         let (outputs, timer) = {
             let mut engine = self.engine.borrow_mut();
             let before = engine.next_timer();
