--- a/crates/ctl/src/stream.rs
+++ b/crates/ctl/src/stream.rs
@@ -1,7 +1,6 @@
 //! The stream of rules and views in the store, as every reader folds it.
 
 use crate::error::CommandError;
-use bytes::Bytes;
 use journal::Record;
 use journal::State;
 use platform::Item;
@@ -33,10 +32,9 @@
     async fn restart(&mut self) -> Result<(), StoreError> {
         let newest = self.store.newest(&self.topic).await?;
         let end = newest.end;
-        let values = newest.items.into_iter().filter(|item| item.offset < end);
-        let mut values: Vec<(u64, Bytes)> = values.map(|item| (item.offset, item.value)).collect();
-        values.sort_by_key(|(offset, _)| *offset);
-        self.state = State::from_newest(&values, end);
+        let values = newest.items.into_iter();
+        let values = values.map(|item| (item.offset, item.value)).collect();
+        self.state = State::from_newest(&journal::in_order(values, end), end);
         Ok(())
     }
 
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -92,10 +92,8 @@
 
     /// Takes the newest record of each key, at a start or after records that this node lacks have
     /// expired.
-    pub(crate) fn on_newest(&mut self, now: Time, mut values: Vec<(u64, Bytes)>, end: u64) {
-        // What came while the pages were read is read again from `end` on, in its order.
-        values.retain(|(offset, _)| *offset < end);
-        values.sort_by_key(|(offset, _)| *offset);
+    pub(crate) fn on_newest(&mut self, now: Time, values: Vec<(u64, Bytes)>, end: u64) {
+        let values = journal::in_order(values, end);
         let newest = State::from_newest(&values, end);
         if !newest.is_whole_since(self.journal.next) {
             return self.begin_anew(now, newest);
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -14,6 +14,7 @@
 pub use fold::MAX_RECORD;
 pub use record::Entry;
 pub use record::Record;
+pub use restore::in_order;
 pub use restore::ParseRules;
 pub use state::Change;
 pub use state::State;
--- a/crates/journal/src/restore.rs
+++ b/crates/journal/src/restore.rs
@@ -16,9 +16,24 @@
 /// the store is away.
 const MAX_PEER_DEPARTED: usize = 8 * crate::fold::MAX_DEPARTED;
 
+/// The newest values of all keys in the order of their offsets, without what came after `end`, while
+/// pages were read: that is read again from `end` on, in its order.
+///
+/// # Examples
+///
+/// ```
+/// let values = vec![(7, "b".into()), (9, "c".into()), (2, "a".into())];
+/// let ordered = bilberry_journal::in_order(values, 9);
+/// assert_eq!(ordered, [(2, "a".into()), (7, "b".into())]);
+/// ```
+pub fn in_order(mut values: Vec<(u64, Bytes)>, end: u64) -> Vec<(u64, Bytes)> {
+    values.retain(|(offset, _)| *offset < end);
+    values.sort_by_key(|(offset, _)| *offset);
+    values
+}
+
 impl State {
-    /// The state by the newest value of each key, with the offsets at which they stand. `end` is
-    /// where to read on.
+    /// The state by the newest value of each key, [`in_order`]. `end` is where to read on.
     ///
     /// # Examples
     ///
