--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -43,6 +43,10 @@
     pub tree_retries: TreeRetries,
     /// What the whole fleet may try again at each service.
     pub retries: policy::FleetRetries,
+    /// A key is refused by every node within this time after its revocation; unbounded without it.
+    pub revocation: Option<Duration>,
+    /// How strictly the quotas of organisations hold.
+    pub quotas: organisation::QuotaBounds,
 }
 
 /// What becomes of a non-idempotent call that comes without a key.
@@ -87,6 +91,8 @@
             linger: Duration::ZERO,
             tree_retries: TreeRetries::OfOperation,
             retries: policy::FleetRetries::default(),
+            revocation: None,
+            quotas: organisation::QuotaBounds::default(),
         }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -11,6 +11,8 @@
 use crate::own_server::OwnServer;
 use crate::peer_notes::PeerNotes;
 use crate::quarantine::Suspects;
+use crate::quota::QuotaLink;
+use crate::request::Arrival;
 use crate::request::OpenRequest;
 use crate::request::Parents;
 use crate::resends::Resends;
@@ -26,6 +28,7 @@
 use journal::State;
 use membership::Membership;
 use once::Home;
+use organisation::Freshness;
 use policy::Retries;
 use policy::Selector;
 use policy::Server;
@@ -106,6 +109,14 @@
     pub(crate) suspects: Suspects,
     /// This node's part of the fleet's retries at each service.
     pub(crate) retries: Retries,
+    /// Whether the rules here are the newest, as far as keys of organisations go.
+    pub(crate) freshness: Freshness,
+    /// This node asks the store on behalf of its failure domain.
+    pub(crate) leads: bool,
+    /// Whether keys were trusted when that was last looked at.
+    pub(crate) trusts_keys: bool,
+    /// What is lent and borrowed of the quotas of organisations.
+    pub(crate) quota: QuotaLink,
     /// Calls that wait for a slot on its way here.
     pub(crate) held: HeldCalls,
     /// When a stop no longer waits for its slots to be taken.
@@ -176,6 +187,10 @@
             resends: Resends::new(),
             suspects: Suspects::new(),
             retries: Retries::new(cfg.retries, incarnation.0),
+            freshness: Freshness::new(cfg.revocation),
+            leads: false,
+            trusts_keys: false,
+            quota: QuotaLink::new(cfg.quotas),
             held: HeldCalls::new(),
             handover_ends: None,
             timers: Timers::default(),
@@ -199,11 +214,21 @@
                 context,
                 parent,
                 key,
+                credential,
                 patience,
                 request,
             } => {
-                let parents = Parents { context, parent };
-                self.on_request(now, token, &caller, parents, key, patience, request);
+                let arrival = Arrival {
+                    token,
+                    at: now,
+                    caller,
+                    parents: Parents { context, parent },
+                    key,
+                    credential,
+                    patience,
+                    request,
+                };
+                self.on_request(now, arrival);
             }
             Input::CallerGone(token) => self.on_caller_gone(now, token),
             Input::Frame { from, frame } => self.on_frame(now, from, frame),
@@ -228,6 +253,8 @@
             }
             Input::Server(announcement) => self.on_announcement(now, announcement),
             Input::ServerChecked { id, healthy } => self.on_server_checked(now, &id, healthy),
+            Input::RulesChecked { asked, version } => self.on_rules_checked(now, asked, version),
+            Input::RulesUnchecked => self.on_rules_unchecked(now),
             Input::LogUnreachable => self.on_log_unreachable(now),
             Input::PeerState(state) => self.on_peer_state(now, &state),
             Input::Appended(number) => self.on_appended(now, number),
@@ -257,6 +284,8 @@
             self.log.next_timer(self.journal.next),
             self.fetch.due,
             self.peer_notes.next_timer(),
+            self.next_freshness_timer(),
+            self.next_quota_timer(),
         ]
         .into_iter()
         .flatten()
@@ -320,6 +349,8 @@
         }
         self.tick_members(now);
         self.tick_home(now);
+        self.tick_freshness(now);
+        self.tick_quotas(now);
         self.pump_server(now);
     }
 
@@ -378,6 +409,7 @@
         self.lingers_until = now + self.cfg.linger;
         self.timers.set(self.lingers_until, Timer::Linger);
         self.leave_home(now);
+        self.resign_lender(now);
         self.leave_members(now);
         self.leave_log(now);
     }
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::job::JobOwner;
 use crate::operation_key::operation_key;
+use crate::request::Arrival;
 use crate::request::Draft;
 use crate::request::OpenRequest;
 use crate::request::Parents;
@@ -12,6 +13,7 @@
 use crate::Output;
 use crate::Token;
 use crate::TreeRetries;
+use organisation::Credit;
 use policy::Account;
 use proto::ActionId;
 use proto::CallId;
@@ -30,51 +32,116 @@
 use stdx::Time;
 
 impl Engine {
-    #[expect(clippy::too_many_arguments, reason = "the fields of one input")]
-    pub(crate) fn on_request(
+    pub(crate) fn on_request(&mut self, now: Time, mut arrival: Arrival) {
+        let dice = self.rng.random();
+        let admitted = self
+            .filter_state(&mut arrival.request, dice)
+            .and_then(|operation| self.filter_identity(now, &mut arrival, operation));
+        match admitted {
+            Ok((operation, None)) => self.enter(now, arrival, operation, dice, None),
+            Ok((operation, Some((organisation, quota)))) => {
+                match self.quota.borrower.take(now, organisation, quota) {
+                    Some(credit) => self.enter(now, arrival, operation, dice, Some(credit)),
+                    None => self.wait_for_quota(now, arrival, organisation),
+                }
+            }
+            Err(reason) => self.refuse_arrival(&arrival, reason),
+        }
+    }
+
+    /// Admits a request that has waited for its organisation's quota. The rules may have changed meanwhile.
+    pub(crate) fn on_credit(&mut self, now: Time, mut arrival: Arrival, credit: Credit) {
+        let dice = self.rng.random();
+        let admitted = self
+            .filter_state(&mut arrival.request, dice)
+            .and_then(|operation| self.filter_identity(now, &mut arrival, operation));
+        match admitted {
+            Ok((operation, _)) => self.enter(now, arrival, operation, dice, Some(credit)),
+            Err(reason) => {
+                self.return_credit(now, Some(credit));
+                self.refuse_arrival(&arrival, reason);
+            }
+        }
+    }
+
+    fn enter(
         &mut self,
         now: Time,
-        token: Token,
-        caller: &str,
-        parents: Parents,
-        key: Option<Arc<str>>,
-        patience: Option<Duration>,
-        mut request: Request,
+        arrival: Arrival,
+        operation: Operation,
+        dice: u16,
+        credit: Option<Credit>,
     ) {
-        let keyed = key.is_some();
-        let dice = self.rng.random();
-        let id = request.id.clone();
+        let Arrival {
+            token,
+            at,
+            caller,
+            parents,
+            key,
+            patience,
+            request,
+            ..
+        } = arrival;
+        self.count(Counter::Request(operation.class));
+        let (keyed, id) = (key.is_some(), request.id.clone());
+        let patience = patience.map(|patience| patience.saturating_sub(now.since(at)));
         let draft = self
-            .filter_state(&mut request, dice)
-            .and_then(|operation| {
-                self.filter_context(now, token, parents, dice, operation, request)
-            })
+            .filter_context(now, token, parents, dice, operation, request)
             .map(|draft| shorten(draft, now, patience))
-            .and_then(|draft| self.filter_key(draft, caller, key));
-        let draft = match draft {
-            Ok(draft) => self.filter_resend(now, caller, draft),
+            .and_then(|draft| self.filter_key(draft, &caller, key));
+        match draft {
+            Ok(draft) => {
+                let draft = Draft { credit, ..draft };
+                match self.filter_resend(now, &caller, draft) {
+                    Some(draft) => self.open_request(now, draft),
+                    // It has its answer, or waits for that to another request.
+                    None => self.return_credit(now, credit),
+                }
+            }
             Err(reason) => {
-                let refusal = self.refusal(reason);
-                // Nobody has looked whether an earlier attempt with this key ran.
-                let unjudged = keyed && !reason.is_callers_mistake();
-                let refusal = if unjudged {
-                    refusal.of_this_attempt()
-                } else {
-                    refusal
-                };
-                self.out.push(Output::Note(Note::Refused {
-                    request: id,
-                    reason,
-                    rules: self.journal.version,
-                }));
-                return self.refuse(token, refusal);
+                self.return_credit(now, credit);
+                self.refuse_unopened(token, id, keyed, self.refusal(reason));
             }
-        };
-        if let Some(draft) = draft {
-            self.open_request(now, draft);
         }
     }
 
+    /// A request did not run, so its token may admit another one.
+    fn return_credit(&mut self, now: Time, credit: Option<Credit>) {
+        if let Some(credit) = credit {
+            self.quota.borrower.put_back(now, credit);
+        }
+    }
+
+    fn refuse_arrival(&mut self, arrival: &Arrival, reason: Reason) {
+        let keyed = arrival.key.is_some();
+        let id = arrival.request.id.clone();
+        self.refuse_unopened(arrival.token, id, keyed, self.refusal(reason));
+    }
+
+    /// Refuses a request that no record was looked at for.
+    pub(crate) fn refuse_unopened(
+        &mut self,
+        token: Token,
+        id: Arc<str>,
+        keyed: bool,
+        refusal: Refusal,
+    ) {
+        let reason = refusal.reason;
+        // Nobody has looked whether an earlier attempt with this key ran.
+        let unjudged = keyed && !reason.is_callers_mistake();
+        let refusal = if unjudged {
+            refusal.of_this_attempt()
+        } else {
+            refusal
+        };
+        self.out.push(Output::Note(Note::Refused {
+            request: id,
+            reason,
+            rules: self.journal.version,
+        }));
+        self.refuse(token, refusal);
+    }
+
     /// Refuses what this node cannot judge or no rule allows.
     fn filter_state(&mut self, request: &mut Request, dice: u16) -> Result<Operation, Reason> {
         if !self.has_rules() {
@@ -92,7 +159,6 @@
         if !self.cfg.policy.ranks {
             operation.priority = 0;
         }
-        self.count(Counter::Request(operation.class));
         Ok(operation)
     }
 
@@ -141,6 +207,7 @@
             fresh: false,
             made_key: None,
             again: job.again,
+            credit: None,
             sent: None,
             operation,
             request,
@@ -175,6 +242,7 @@
             fresh: false,
             made_key: None,
             again: false,
+            credit: None,
             sent: None,
             operation,
             request,
@@ -295,6 +363,7 @@
             lent: draft.lent,
             made_key: draft.made_key.clone(),
             operation: draft.operation.clone(),
+            credit: draft.credit,
             sent: draft.sent,
             followers: Vec::new(),
         };
@@ -320,6 +389,9 @@
             job.account.give_back(open.lent, unspent);
             job.child_ended(now, token);
         }
+        if matches!(outcome, Outcome::NotRun(_)) {
+            self.return_credit(now, open.credit);
+        }
         if let Some(sent) = open.sent {
             self.resends.ended(now, sent, &outcome);
         }
@@ -355,7 +427,7 @@
     }
 
     pub(crate) fn on_caller_gone(&mut self, now: Time, token: Token) {
-        if self.unfollow(token) {
+        if self.unfollow(token) || self.stop_waiting_for_quota(token) {
             return;
         }
         if let Some(open) = self.open.get(&token) {
--- /dev/null
+++ b/crates/engine/src/freshness.rs
@@ -0,0 +1,144 @@
+//! The controller of the evidence that the rules here are the newest.
+
+use crate::Engine;
+use crate::Note;
+use crate::Output;
+use organisation::Step;
+use proto::Datagram;
+use proto::FreshnessMessage;
+use proto::PeerState;
+use proto::Progress;
+use proto::PROTOCOL_VERSION;
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use stdx::Time;
+
+/// So many of the first tries go to neighbours, the others to any node.
+const NEIGHBOURS_ASKED: u32 = 2;
+
+impl Engine {
+    /// Evidence is needed only where a key can be revoked.
+    fn needs_freshness(&self) -> bool {
+        self.cfg.revocation.is_some() && self.journal.rules.organisations.is_some()
+    }
+
+    pub(crate) fn next_freshness_timer(&self) -> Option<Time> {
+        if !self.needs_freshness() {
+            return None;
+        }
+        self.freshness.next_timer(self.leads)
+    }
+
+    pub(crate) fn tick_freshness(&mut self, now: Time) {
+        if !self.needs_freshness() {
+            return;
+        }
+        self.note_trust(now);
+        let due = self.freshness.next_timer(self.leads);
+        if due.is_none_or(|due| now < due) {
+            return;
+        }
+        self.leads = self.members.leads_domain(now);
+        for step in self.freshness.tick(now, self.leads, &mut self.rng) {
+            match step {
+                Step::AskStore => self.out.push(Output::CheckRules),
+                Step::AskPeer { number, attempt } => {
+                    if let Some(to) = self.freshness_source(attempt) {
+                        self.send_freshness(to, FreshnessMessage::Query { number });
+                    }
+                }
+            }
+        }
+    }
+
+    /// The nodes that lead the own failure domain, then any: the whole domain may be cut off from the store.
+    fn freshness_source(&mut self, attempt: u32) -> Option<SocketAddr> {
+        if attempt < NEIGHBOURS_ASKED {
+            let leader = self.members.domain_leader(attempt as usize);
+            if let Some(leader) = leader {
+                return Some(leader.addr);
+            }
+        }
+        let live = self.members.peers();
+        let live = live.filter(|peer| peer.state == PeerState::Alive);
+        let addrs: Vec<SocketAddr> = live.map(|peer| peer.instance.addr).collect();
+        if addrs.is_empty() {
+            return None;
+        }
+        Some(addrs[self.rng.random_range(0..addrs.len())])
+    }
+
+    pub(crate) fn on_freshness_message(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        message: FreshnessMessage,
+    ) {
+        match message {
+            FreshnessMessage::Query { number } => {
+                let Some(age) = self.freshness.age(now) else {
+                    return;
+                };
+                let age_ms = age.as_millis().saturating_add(1);
+                let report = FreshnessMessage::Report {
+                    number,
+                    rules: self.journal.version,
+                    age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+                };
+                self.send_freshness(from, report);
+            }
+            FreshnessMessage::Report {
+                number,
+                rules,
+                age_ms,
+            } => {
+                if rules > self.journal.version {
+                    // What was confirmed there are not the rules that are held here.
+                    let theirs = Progress {
+                        version: rules,
+                        next: self.journal.next,
+                    };
+                    return self.on_peer_progress(now, from, theirs);
+                }
+                let age = Duration::from_millis(age_ms.into());
+                self.freshness.on_report(now, number, age);
+                self.note_trust(now);
+            }
+        }
+    }
+
+    pub(crate) fn on_rules_checked(&mut self, now: Time, asked: Time, version: u64) {
+        if version > self.journal.version {
+            // They were entered before, and could not be read.
+            return self.on_rules_unchecked(now);
+        }
+        self.freshness.on_store_confirmed(asked);
+        self.note_trust(now);
+    }
+
+    pub(crate) fn on_rules_unchecked(&mut self, now: Time) {
+        self.freshness.on_store_failed(now);
+    }
+
+    /// Writes down when keys begin or cease to be trusted.
+    fn note_trust(&mut self, now: Time) {
+        let trusts = self.freshness.may_trust(now);
+        if trusts == std::mem::replace(&mut self.trusts_keys, trusts) {
+            return;
+        }
+        self.out.push(Output::Note(Note::Keys {
+            trusted: trusts,
+            rules: self.journal.version,
+            age: self.freshness.age(now),
+        }));
+    }
+
+    fn send_freshness(&mut self, to: SocketAddr, message: FreshnessMessage) {
+        let datagram = Datagram::Freshness {
+            version: PROTOCOL_VERSION,
+            message,
+        };
+        self.out.push(Output::Datagram { to, datagram });
+    }
+}
--- /dev/null
+++ b/crates/engine/src/identity.rs
@@ -0,0 +1,59 @@
+//! Who a request is from: the organisation whose key its caller holds.
+
+use crate::request::Arrival;
+use crate::request::Parents;
+use crate::Engine;
+use organisation::Freshness;
+use proto::OrganisationId;
+use proto::Reason;
+use rules::Operation;
+use rules::Quota;
+use stdx::Time;
+
+impl Engine {
+    /// Finds out whose request it is and gives it the organisation's priority; says which quota it counts
+    /// against.
+    pub(crate) fn filter_identity(
+        &self,
+        now: Time,
+        arrival: &mut Arrival,
+        mut operation: Operation,
+    ) -> Result<(Operation, Option<(OrganisationId, Quota)>), Reason> {
+        // Whatever came with the request, the organisation is what this node finds.
+        arrival.request.organisation = "".into();
+        let Some(organisations) = &self.journal.rules.organisations else {
+            return Ok((operation, None));
+        };
+        if self.is_child(&arrival.parents) {
+            return Ok((operation, None));
+        }
+        let found = arrival.credential.and_then(|key| organisations.find(&key));
+        if !operation.public {
+            check_key(now, &self.freshness, found.is_some())?;
+        }
+        let Some((id, organisation)) = found else {
+            return Ok((operation, None));
+        };
+        arrival.request.organisation = organisation.name.clone();
+        if self.cfg.policy.ranks {
+            operation.priority = organisation.priority.unwrap_or(operation.priority);
+        }
+        Ok((operation, organisation.quota.map(|quota| (id, quota))))
+    }
+
+    /// Whether a run of the own backend server makes this call. It is part of a request that was admitted.
+    fn is_child(&self, parents: &Parents) -> bool {
+        let known = |id| self.jobs_by_id.contains_key(id);
+        parents.context.is_some() || parents.parent.as_ref().is_some_and(known)
+    }
+}
+
+/// Whether a request may be decided by what the rules here say of its key.
+fn check_key(now: Time, freshness: &Freshness, is_known: bool) -> Result<(), Reason> {
+    match is_known {
+        true if freshness.may_trust(now) => Ok(()),
+        false if freshness.is_complete(now) => Err(Reason::UnknownOrganisation),
+        // It may have been revoked, or added.
+        _ => Err(Reason::RulesUnconfirmed),
+    }
+}
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -12,10 +12,12 @@
 use proto::Progress;
 use proto::Request;
 use proto::RunId;
+use rules::KeyDigest;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use stdx::plain;
+use stdx::Time;
 
 plain! {
     /// The shell's name for a request that waits for its answer.
@@ -39,6 +41,8 @@
         parent: Option<Arc<str>>,
         /// The `Idempotency-Key` header, if the request has one.
         key: Option<Arc<str>>,
+        /// The key of an organisation that the caller presents.
+        credential: Option<KeyDigest>,
         /// How long the caller will wait, if it says so.
         patience: Option<Duration>,
         /// What is asked.
@@ -112,6 +116,15 @@
         /// It says that it is healthy and stays.
         healthy: bool,
     },
+    /// Answers [`Output::CheckRules`].
+    RulesChecked {
+        /// When the question was sent.
+        asked: Time,
+        /// The newest version that the store holds; it was entered before, if it could be read.
+        version: u64,
+    },
+    /// The store did not answer [`Output::CheckRules`].
+    RulesUnchecked,
     /// The store did not answer.
     LogUnreachable,
     /// The append with this number was done.
@@ -242,6 +255,9 @@
         /// What this node knows.
         known: Progress,
     },
+    /// Find out at once whether the store has newer rules; ends with an [`Input::RulesChecked`] or
+    /// [`Input::RulesUnchecked`].
+    CheckRules,
     /// Read the topic at once, because something is missing.
     ReadLog,
     /// Count something.
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -133,11 +133,13 @@
         let limit = self.journal.rules.limit(&self.me.service);
         let operations = || self.journal.rules.all_operations();
         let longest = operations().map(|operation| operation.deadline).max();
-        let ranked = operations().filter(|_| self.cfg.policy.ranks);
-        let ranks = ranked.map(|operation| (operation.class, operation.priority));
-        let ranks = Ranks::new(ranks);
+        let ranks = match self.cfg.policy.ranks {
+            true => Ranks::new(self.journal.rules.standings()),
+            false => Ranks::default(),
+        };
         self.server.set_ranks(ranks.clone());
         self.admission.set_ranks(ranks);
+        self.set_quotas();
         let longest = longest.unwrap_or(limit.key_retention);
         self.home.set_times(limit.key_retention, longest);
         self.set_server_bounds();
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -31,8 +31,19 @@
                 version: PROTOCOL_VERSION,
                 message,
             } => self.on_lease_message(now, from, message),
+            Datagram::Freshness {
+                version: PROTOCOL_VERSION,
+                message,
+            } => self.on_freshness_message(now, from, message),
+            Datagram::Quota {
+                version: PROTOCOL_VERSION,
+                message,
+            } => self.on_quota_message(now, from, message),
             // A node of another version, in the middle of an upgrade for example.
-            Datagram::Member { .. } | Datagram::Lease { .. } => {
+            Datagram::Member { .. }
+            | Datagram::Lease { .. }
+            | Datagram::Freshness { .. }
+            | Datagram::Quota { .. } => {
                 self.count(Counter::Link(LinkEvent::WrongVersion));
             }
         }
@@ -120,6 +131,7 @@
                     self.count(Counter::PeerChanged);
                     self.note_peer(now, incarnation, state);
                     self.set_standing(now, incarnation, state);
+                    self.quota.forget_election();
                     // An eviction may have waited for the log through an outage; by now it would
                     // take out a live instance, and its share of the keys with it.
                     if state != PeerState::Dead {
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -8,6 +8,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use stdx::plain;
 
 plain! {
@@ -102,6 +103,15 @@
         /// The version of the rules that decided.
         rules: u64,
     },
+    /// Keys of organisations are trusted from now on, or not any more.
+    Keys {
+        /// Which of the two.
+        trusted: bool,
+        /// The version of the rules that holds the keys.
+        rules: u64,
+        /// The time since it was known to be the newest, if it ever was.
+        age: Option<Duration>,
+    },
     /// Another node is taken for something else than before.
     Peer {
         /// Which.
@@ -198,6 +208,17 @@
                 "event=refused request={request} reason={} rules={rules}",
                 reason.name()
             ),
+            Note::Keys {
+                trusted,
+                rules,
+                age,
+            } => {
+                write!(f, "event=keys trusted={trusted} rules={rules}")?;
+                match age {
+                    Some(age) => write!(f, " age_ms={}", age.as_millis()),
+                    None => Ok(()),
+                }
+            }
             Note::Peer {
                 incarnation,
                 addr,
--- /dev/null
+++ b/crates/engine/src/quota.rs
@@ -0,0 +1,339 @@
+//! The controller of quotas: who lends, and requests that wait for a token.
+
+use crate::request::Arrival;
+use crate::Engine;
+use crate::Output;
+use crate::Token;
+use indexmap::IndexMap;
+use organisation::group_of;
+use organisation::Borrower;
+use organisation::Lender;
+use organisation::Loans;
+use organisation::QuotaBounds;
+use organisation::GROUPS;
+use proto::hash64;
+use proto::Datagram;
+use proto::Incarnation;
+use proto::Loan;
+use proto::OrganisationId;
+use proto::PeerState;
+use proto::QuotaMessage;
+use proto::Reason;
+use proto::Refusal;
+use proto::PROTOCOL_VERSION;
+use rand::RngExt;
+use rules::Organisations;
+use std::net::SocketAddr;
+use std::time::Duration;
+use stdx::Time;
+
+/// How long a request waits for a token. A short excess over the rate passes in that time, and a caller that
+/// is refused and comes back is one more request.
+const MAX_WAIT: Duration = Duration::from_millis(300);
+
+/// The most requests that wait for tokens.
+const MAX_WAITING: usize = 1024;
+
+/// When a caller may come back to whom no lender could be asked.
+const RETRY_UNKNOWN: Duration = Duration::from_millis(500);
+
+/// The shortest time after which a caller is told to come back whose organisation has used up its quota;
+/// up to twice as long, so that such callers do not come back together.
+const RETRY_EXCEEDED: Duration = Duration::from_millis(500);
+
+/// How long an election holds while no peer changes.
+const ELECTION_TIME: Duration = Duration::from_millis(500);
+
+/// What is lent and borrowed here.
+#[derive(Debug)]
+pub(crate) struct QuotaLink {
+    pub(crate) borrower: Borrower,
+    lender: Lender,
+    /// Requests that wait for a token, the oldest first.
+    waiting: IndexMap<Token, (OrganisationId, Arrival)>,
+    /// The lender of each group, and the number of nodes that vote.
+    elected: [Option<Incarnation>; GROUPS as usize],
+    voters: usize,
+    elected_at: Option<Time>,
+}
+
+impl QuotaLink {
+    pub(crate) fn new(bounds: QuotaBounds) -> Self {
+        Self {
+            borrower: Borrower::new(bounds),
+            lender: Lender::new(bounds),
+            waiting: IndexMap::new(),
+            elected: [None; GROUPS as usize],
+            voters: 1,
+            elected_at: None,
+        }
+    }
+
+    /// The peers have changed.
+    pub(crate) fn forget_election(&mut self) {
+        self.elected_at = None;
+    }
+}
+
+impl Engine {
+    fn has_quotas(&self) -> bool {
+        self.journal.rules.organisations.is_some()
+    }
+
+    /// New rules are in force.
+    pub(crate) fn set_quotas(&mut self) {
+        let organisations = self.journal.rules.organisations.as_ref();
+        let quota_of = |id| organisations.and_then(|all| all.get(id)?.quota);
+        let mut all = organisations.into_iter().flat_map(Organisations::iter);
+        let active = all.any(|(_, organisation)| organisation.quota.is_some());
+        self.quota.borrower.set_quotas(active, quota_of);
+        self.quota.lender.retain(|id| quota_of(id).is_some());
+    }
+
+    pub(crate) fn next_quota_timer(&self) -> Option<Time> {
+        if !self.has_quotas() {
+            return None;
+        }
+        let oldest = self.quota.waiting.first();
+        let give_up = oldest.map(|(_, (_, arrival))| arrival.at + MAX_WAIT);
+        let timers = [self.quota.borrower.next_timer(), give_up];
+        timers.into_iter().flatten().min()
+    }
+
+    pub(crate) fn tick_quotas(&mut self, now: Time) {
+        if !self.has_quotas() {
+            return;
+        }
+        self.give_up_waiting(now);
+        if !self.quota.borrower.is_due(now) {
+            return;
+        }
+        self.elect(now);
+        for group in 0..GROUPS {
+            let mut lender = self.quota.elected[usize::from(group)];
+            if lender.is_some() && lender == self.quota.borrower.avoided(now, group) {
+                lender = self.elected(group, lender);
+            }
+            if let Some(loans) = self.quota.borrower.poll(now, group, lender) {
+                self.ask_lender(now, group, loans);
+            }
+        }
+    }
+
+    fn elect(&mut self, now: Time) {
+        let held = self.quota.elected_at;
+        if held.is_some_and(|at| now.since(at) < ELECTION_TIME) {
+            return;
+        }
+        self.quota.elected_at = Some(now);
+        self.quota.voters = self.members.voters(now);
+        for group in 0..GROUPS {
+            self.quota.elected[usize::from(group)] = self.elected(group, None);
+        }
+    }
+
+    /// The node that lends in a group: the first by rendezvous hash.
+    fn elected(&self, group: u8, avoid: Option<Incarnation>) -> Option<Incarnation> {
+        let live = self.members.peers();
+        let live = live.filter(|peer| peer.state == PeerState::Alive);
+        let peers = live.map(|peer| peer.instance.incarnation);
+        let me = (!self.stopping).then_some(self.me.incarnation);
+        let nodes = peers.chain(me).filter(|node| Some(*node) != avoid);
+        nodes.max_by_key(|node| (hash64(&(group, node)), *node))
+    }
+
+    fn ask_lender(&mut self, now: Time, group: u8, loans: Loans) {
+        let Loans {
+            lender,
+            number,
+            vote,
+            wanted,
+        } = loans;
+        let me = self.me.incarnation;
+        if lender == me {
+            let (stamp, lent) = self.lend(now, group, me, vote, &wanted);
+            return self.on_lent(now, me, group, number, stamp, &lent);
+        }
+        let Some(peer) = self.members.get(lender) else {
+            return;
+        };
+        let to = peer.instance.addr;
+        let message = QuotaMessage::Borrow {
+            from: me,
+            to: lender,
+            group,
+            number,
+            vote,
+            wanted,
+        };
+        self.send_quota(to, message);
+    }
+
+    pub(crate) fn on_quota_message(&mut self, now: Time, addr: SocketAddr, message: QuotaMessage) {
+        let me = self.me.incarnation;
+        match message {
+            QuotaMessage::Borrow {
+                from,
+                to,
+                group,
+                number,
+                vote,
+                wanted,
+            } if to == me && group < GROUPS => {
+                self.elect(now);
+                let (stamp, lent) = self.lend(now, group, from, vote, &wanted);
+                let message = QuotaMessage::Lend {
+                    from: me,
+                    to: from,
+                    group,
+                    number,
+                    stamp,
+                    lent,
+                };
+                self.send_quota(addr, message);
+            }
+            QuotaMessage::Lend {
+                from,
+                to,
+                group,
+                number,
+                stamp,
+                lent,
+            } if to == me && group < GROUPS => {
+                self.on_lent(now, from, group, number, stamp, &lent);
+            }
+            // For an earlier incarnation at this address.
+            QuotaMessage::Borrow { .. } | QuotaMessage::Lend { .. } => {}
+        }
+    }
+
+    fn lend(
+        &mut self,
+        now: Time,
+        group: u8,
+        from: Incarnation,
+        vote: u64,
+        wanted: &[(OrganisationId, u16)],
+    ) -> (u64, Vec<Loan>) {
+        if self.stopping {
+            return (0, Vec::new());
+        }
+        let voters = self.quota.voters;
+        let lender = &mut self.quota.lender;
+        lender.on_vote(now, group, from, vote, voters);
+        let Some(organisations) = &self.journal.rules.organisations else {
+            return (Lender::stamp(now), Vec::new());
+        };
+        let mut lent = Vec::new();
+        for (id, tokens) in wanted {
+            let quota = organisations.get(*id).and_then(|found| found.quota);
+            if let Some(quota) = quota.filter(|_| group_of(*id) == group) {
+                lent.push(lender.lend(now, *id, quota, *tokens, voters));
+            }
+        }
+        (Lender::stamp(now), lent)
+    }
+
+    fn on_lent(
+        &mut self,
+        now: Time,
+        from: Incarnation,
+        group: u8,
+        number: u64,
+        stamp: u64,
+        lent: &[Loan],
+    ) {
+        let borrower = &mut self.quota.borrower;
+        let loans = borrower.on_lend(now, from, group, number, stamp, lent);
+        for loan in loans {
+            self.serve_waiting(now, loan);
+        }
+    }
+
+    /// Admits requests that wait, as far as there are tokens.
+    fn serve_waiting(&mut self, now: Time, loan: Loan) {
+        let waiting = self.quota.waiting.iter();
+        let waiting = waiting.filter(|(_, (organisation, _))| *organisation == loan.organisation);
+        let tokens: Vec<Token> = waiting.map(|(token, _)| *token).collect();
+        for token in tokens {
+            match self.quota.borrower.take_waiting(now, loan.organisation) {
+                Some(credit) => {
+                    if let Some((_, arrival)) = self.quota.waiting.shift_remove(&token) {
+                        self.on_credit(now, arrival, credit);
+                    }
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// A request finds no token here.
+    pub(crate) fn wait_for_quota(
+        &mut self,
+        now: Time,
+        arrival: Arrival,
+        organisation: OrganisationId,
+    ) {
+        if self.quota.waiting.len() >= MAX_WAITING {
+            return self.refuse_for_quota(arrival, Reason::QuotaUnknown);
+        }
+        self.quota.borrower.wait(now, organisation);
+        let token = arrival.token;
+        self.quota.waiting.insert(token, (organisation, arrival));
+    }
+
+    /// Whether a request waited whose caller has gone.
+    pub(crate) fn stop_waiting_for_quota(&mut self, token: Token) -> bool {
+        let Some((organisation, _)) = self.quota.waiting.shift_remove(&token) else {
+            return false;
+        };
+        self.quota.borrower.stop_waiting(organisation);
+        true
+    }
+
+    fn give_up_waiting(&mut self, now: Time) {
+        while let Some((token, (_, arrival))) = self.quota.waiting.first() {
+            if now < arrival.at + MAX_WAIT {
+                return;
+            }
+            let token = *token;
+            self.refuse_waiting(token);
+        }
+    }
+
+    fn refuse_waiting(&mut self, token: Token) {
+        if let Some((organisation, arrival)) = self.quota.waiting.shift_remove(&token) {
+            let reason = match self.quota.borrower.was_short(organisation) {
+                true => Reason::QuotaExceeded,
+                false => Reason::QuotaUnknown,
+            };
+            self.quota.borrower.stop_waiting(organisation);
+            self.refuse_for_quota(arrival, reason);
+        }
+    }
+
+    fn refuse_for_quota(&mut self, arrival: Arrival, reason: Reason) {
+        let retry_after = match reason {
+            Reason::QuotaExceeded => RETRY_EXCEEDED.mul_f64(self.rng.random_range(1.0..2.0)),
+            _ => RETRY_UNKNOWN,
+        };
+        let keyed = arrival.key.is_some();
+        let refusal = Refusal::new(reason, retry_after);
+        self.refuse_unopened(arrival.token, arrival.request.id, keyed, refusal);
+    }
+
+    /// A node that stops lends no more, and says so to whoever asks.
+    pub(crate) fn resign_lender(&mut self, now: Time) {
+        let voters = self.quota.voters;
+        self.quota.lender.resign(now, voters);
+        self.quota.forget_election();
+    }
+
+    fn send_quota(&mut self, to: SocketAddr, message: QuotaMessage) {
+        let datagram = Datagram::Quota {
+            version: PROTOCOL_VERSION,
+            message,
+        };
+        self.out.push(Output::Datagram { to, datagram });
+    }
+}
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -1,6 +1,7 @@
 //! A request from a caller or from the own backend server, as its entry holds it.
 
 use crate::Token;
+use organisation::Credit;
 use policy::Account;
 use proto::ActionId;
 use proto::CallId;
@@ -9,8 +10,10 @@
 use proto::KeyHash;
 use proto::Request;
 use proto::RunId;
+use rules::KeyDigest;
 use rules::Operation;
 use std::sync::Arc;
+use std::time::Duration;
 use stdx::Time;
 
 /// Stands for a caller and its request, whole.
@@ -28,13 +31,29 @@
     /// The key that this node made.
     pub(crate) made_key: Option<Arc<str>>,
     pub(crate) operation: Operation,
+    /// The token of its organisation's quota that it was admitted with.
+    pub(crate) credit: Option<Credit>,
     /// What was sent, for a request whose re-sends may wait for it.
     pub(crate) sent: Option<Sent>,
     /// Requests that wait for this one's answer.
     pub(crate) followers: Vec<Token>,
 }
 
+/// A request as it came.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    pub(crate) token: Token,
+    pub(crate) at: Time,
+    pub(crate) caller: Arc<str>,
+    pub(crate) parents: Parents,
+    pub(crate) key: Option<Arc<str>>,
+    pub(crate) credential: Option<KeyDigest>,
+    pub(crate) patience: Option<Duration>,
+    pub(crate) request: Request,
+}
+
 /// What a request says of the run that it is part of.
+#[derive(Debug, Clone)]
 pub(crate) struct Parents {
     pub(crate) context: Option<Arc<str>>,
     pub(crate) parent: Option<Arc<str>>,
@@ -63,5 +82,6 @@
     pub(crate) made_key: Option<Arc<str>>,
     /// Each attempt below counts as a retry.
     pub(crate) again: bool,
+    pub(crate) credit: Option<Credit>,
     pub(crate) sent: Option<Sent>,
 }
--- a/crates/engine/tests/allowance.rs
+++ b/crates/engine/tests/allowance.rs
@@ -197,6 +197,7 @@
         self.inputs.push_back((
             at,
             Input::Request {
+                credential: None,
                 token,
                 caller: "shop".into(),
                 context: parent.map(|run| run.to_string().into()),
--- a/crates/engine/tests/announced.rs
+++ b/crates/engine/tests/announced.rs
@@ -44,6 +44,7 @@
             deadline: Duration::from_secs(2),
             priority: 0,
             retries: 1,
+            public: false,
             asked: Asked {
                 line: 1,
                 by: "Anna".into(),
@@ -128,6 +129,7 @@
 
 fn request(token: u64, path: &str) -> Input {
     Input::Request {
+        credential: None,
         token: Token(token),
         caller: "shop".into(),
         context: None,
@@ -307,6 +309,7 @@
     engine.handle(at(1), heartbeat("a", 100, 1, false));
     book(&mut engine, at(2), 1).unwrap();
     let call = Input::Request {
+        credential: None,
         token: Token(2),
         caller: "press".into(),
         context: None,
--- a/crates/engine/tests/levels.rs
+++ b/crates/engine/tests/levels.rs
@@ -122,6 +122,7 @@
     /// The server reads from the stock service while it runs; gives the call that goes out.
     fn read(&mut self, run: RunId) -> Call {
         let outputs = self.input(Input::Request {
+            credential: None,
             token: Token(self.calls),
             caller: "status".into(),
             context: Some(run.to_string().into()),
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -103,6 +103,7 @@
         self.tokens += 1;
         let token = Token(self.tokens);
         self.input(Input::Request {
+            credential: None,
             token,
             caller: caller.into(),
             context: None,
--- a/crates/engine/tests/log/outage.rs
+++ b/crates/engine/tests/log/outage.rs
@@ -53,6 +53,7 @@
 fn refusal(d: &mut Driver) -> Option<Reason> {
     d.answers.clear();
     d.feed(Input::Request {
+        credential: None,
         token: Token(9),
         caller: "shop".into(),
         context: None,
--- a/crates/engine/tests/refusals.rs
+++ b/crates/engine/tests/refusals.rs
@@ -51,6 +51,7 @@
 
 fn booking(key: Option<&str>) -> Input {
     Input::Request {
+        credential: None,
         token: Token(1),
         caller: "shop".into(),
         context: None,
--- a/crates/membership/src/hear.rs
+++ b/crates/membership/src/hear.rs
@@ -120,6 +120,11 @@
             return;
         };
         let changed = entry.peer.state != state;
+        match state {
+            PeerState::Alive | PeerState::Suspect => entry.left = false,
+            PeerState::Leaving => entry.left = true,
+            PeerState::Dead => {}
+        }
         entry.peer.state = state;
         entry.beat = beat;
         if let Some(at) = entry.dead_at.take() {
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -40,6 +40,9 @@
 /// that are alive are enough to hear of everybody.
 const MAX_MET: usize = 32;
 
+/// For how long after a start the addresses count at which nobody has been heard of. Some are out of date.
+const UNSEEN_COUNT: Duration = Duration::from_secs(60);
+
 /// What the driver has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
@@ -276,6 +279,22 @@
         self.occupants.len() + 1
     }
 
+    /// How many nodes may be at work, this one included. Unlike [`Membership::fleet_size`] it leaves out
+    /// nodes that have said that they leave, and counts addresses that nobody has been heard of at yet: a
+    /// node that starts in a small part of a fleet that is cut apart must not take it for the whole.
+    pub fn voters(&self, now: Time) -> usize {
+        let peers = self.occupants.iter().filter(|(addr, occupant)| {
+            let entry = self.peers.get(*occupant);
+            **addr != self.me.addr && entry.is_none_or(|entry| !entry.has_left())
+        });
+        let started = self.started.unwrap_or(now);
+        let counts_unseen = now.since(started) < UNSEEN_COUNT;
+        let unseen = self.contacts.iter().filter(|addr| {
+            counts_unseen && **addr != self.me.addr && !self.occupants.contains_key(*addr)
+        });
+        1 + peers.count() + unseen.count()
+    }
+
     /// Every peer that is remembered, the dead included.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values().map(|entry| &entry.peer)
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -25,6 +25,8 @@
     pub(crate) beat: u32,
     /// The log's views name it.
     pub(crate) listed: bool,
+    /// It said that it was leaving before it was taken for dead.
+    pub(crate) left: bool,
     /// It never comes back: the log dropped it, or another incarnation answered at its address.
     pub(crate) gone: bool,
     /// Since when it is in its state.
@@ -39,6 +41,7 @@
 
 impl Entry {
     pub(crate) fn new(now: Time, rumour: Rumour) -> Self {
+        let rumour_state = rumour.state;
         Self {
             peer: Peer {
                 instance: rumour.instance,
@@ -47,6 +50,7 @@
                 open: rumour.open,
             },
             beat: rumour.beat,
+            left: rumour_state == PeerState::Leaving,
             listed: false,
             gone: false,
             since: now,
@@ -56,6 +60,11 @@
         }
     }
 
+    /// Whether its process has ended, because it said so.
+    pub(crate) fn has_left(&self) -> bool {
+        self.left && self.is_dead()
+    }
+
     pub(crate) fn is_dead(&self) -> bool {
         self.peer.state == PeerState::Dead
     }
--- a/crates/membership/src/watch.rs
+++ b/crates/membership/src/watch.rs
@@ -5,6 +5,8 @@
 //! of those few. A domain that is cut off from the others but not from the store still has its own.
 
 use crate::Membership;
+use crate::Peer;
+use proto::Instance;
 use proto::PeerState;
 use std::time::Duration;
 use stdx::Time;
@@ -33,12 +35,34 @@
         alone || (!self.leaving && self.lower_of_domain() < WATCHERS)
     }
 
+    /// Whether this node asks the store on behalf of its failure domain. One does, so that the number of
+    /// questions grows with the failure domains and not with the nodes.
+    pub fn leads_domain(&self, now: Time) -> bool {
+        let settled = self
+            .started
+            .is_some_and(|started| now.since(started) >= SETTLED_AFTER);
+        settled && !self.leaving && self.lower_of_domain() == 0
+    }
+
+    /// The live peer of the own failure domain that comes `nth` in the order of incarnations.
+    pub fn domain_leader(&self, nth: usize) -> Option<&Instance> {
+        let mut peers: Vec<&Instance> = self
+            .peers()
+            .filter(|peer| self.is_live_neighbour(peer))
+            .map(|peer| &peer.instance)
+            .collect();
+        peers.sort_unstable_by_key(|peer| peer.incarnation);
+        peers.get(nth).copied()
+    }
+
+    fn is_live_neighbour(&self, peer: &Peer) -> bool {
+        peer.state == PeerState::Alive && peer.instance.failure_domain == self.me.failure_domain
+    }
+
     /// Live peers of the own failure domain whose incarnations are below the own one.
     fn lower_of_domain(&self) -> usize {
         let peers = self.peers().filter(|peer| {
-            peer.state == PeerState::Alive
-                && peer.instance.failure_domain == self.me.failure_domain
-                && peer.instance.incarnation < self.me.incarnation
+            self.is_live_neighbour(peer) && peer.instance.incarnation < self.me.incarnation
         });
         peers.count()
     }
--- a/crates/node/src/attached.rs
+++ b/crates/node/src/attached.rs
@@ -19,11 +19,15 @@
 use engine::Input;
 use engine::Keyless;
 use engine::TreeRetries;
+use platform::ConfigError;
 use platform::Item;
+use platform::Records;
+use platform::StoreError;
 use proto::Reason;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
@@ -141,27 +145,76 @@
         READ_WAIT,
         |shell| shell.engine.borrow().reads_store(shell.now()),
         |shell, batch| match batch {
-            Batch::Newest(newest) => take_configs(shell, &newest.items),
-            Batch::Records { items, .. } => take_configs(shell, &items),
+            Batch::Newest(newest) => {
+                take_configs(shell, &newest.items);
+                note_offset(shell, newest.end);
+            }
+            Batch::Records { items, .. } => {
+                take_configs(shell, &items);
+                if let Some(last) = items.last() {
+                    note_offset(shell, last.offset + 1);
+                }
+            }
         },
     )
     .await;
 }
 
+/// Finds out whether the store has a newer configuration. The question may be lost on a connection that has
+/// gone silent while another answer is under way, so it has a task of its own.
+pub(crate) fn check_rules(shell: &Rc<Shell>) {
+    let shell = shell.clone();
+    actix_rt::spawn(async move {
+        let asked = shell.now();
+        let input = match read_new_configs(&shell).await {
+            Ok(version) => Input::RulesChecked { asked, version },
+            Err(e) => {
+                log::debug!("event=rules_unchecked error=\"{e}\"");
+                Input::RulesUnchecked
+            }
+        };
+        shell.feed(input);
+    });
+}
+
+/// Takes the configurations that the store has had since it was read last; gives the newest version that it
+/// has.
+async fn read_new_configs(shell: &Rc<Shell>) -> Result<u64, StoreError> {
+    if let Some(from) = shell.rules_offset.get() {
+        let read = shell
+            .store
+            .read(platform::CONFIG_TOPIC, from, Duration::ZERO);
+        if let Records::Some { items, next, end } = read.await? {
+            take_configs(shell, &items);
+            if next >= end {
+                note_offset(shell, next);
+                return Ok(shell.newest_rules.get().1);
+            }
+        }
+    }
+    let newest = shell.store.newest(platform::CONFIG_TOPIC).await?;
+    take_configs(shell, &newest.items);
+    note_offset(shell, newest.end);
+    Ok(shell.newest_rules.get().1)
+}
+
+fn note_offset(shell: &Shell, next: u64) {
+    let read = shell.rules_offset.get();
+    shell.rules_offset.set(read.max(Some(next)));
+}
+
 fn take_configs(shell: &Rc<Shell>, items: &[Item]) {
-    for Item { key, value, .. } in items {
+    for Item { key, value, offset } in items {
         if &**key != platform::CONFIG_KEY || value.is_empty() {
             continue;
         }
-        let Ok(text) = std::str::from_utf8(value) else {
-            log::warn!("event=config_refused error=\"not text\"");
-            continue;
-        };
-        match platform::version_of(text) {
-            Ok(version) => shell.feed(Input::Published {
-                version,
-                file: text.into(),
-            }),
+        let config = read_config(value);
+        // One that cannot be read may revoke any key.
+        let version = config.as_ref().map_or(u64::MAX, |(version, _)| *version);
+        let newest = shell.newest_rules.get().max((*offset, version));
+        shell.newest_rules.set(newest);
+        match config {
+            Ok((version, file)) => shell.feed(Input::Published { version, file }),
             Err(e) => {
                 log::warn!("event=config_refused error=\"{e}\"");
                 shell.count(Counter::RejectedPublication);
@@ -170,6 +223,13 @@
     }
 }
 
+/// The version of a configuration, and its text without keys.
+fn read_config(value: &[u8]) -> Result<(u64, Arc<str>), ConfigError> {
+    let text = std::str::from_utf8(value).map_err(|_| ConfigError::Malformed)?;
+    let version = platform::version_of(text)?;
+    Ok((version, platform::without_keys(text)?.into()))
+}
+
 /// Reads where other nodes announced themselves.
 async fn read_directory(shell: &Shell) -> Vec<SocketAddr> {
     let mut pause = Pause::new();
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -117,6 +117,7 @@
         context: head.context,
         parent: head.parent,
         key: head.key,
+        credential: head.credential,
         patience: head
             .patience
             .map(|patience| patience.saturating_sub(began.elapsed())),
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -20,6 +20,7 @@
 use proto::Request;
 use proto::Response;
 use proto::RunId;
+use rules::KeyDigest;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
     pub(crate) context: Option<Arc<str>>,
     pub(crate) parent: Option<Arc<str>>,
     pub(crate) key: Option<Arc<str>>,
+    pub(crate) credential: Option<KeyDigest>,
     pub(crate) patience: Option<Duration>,
     /// The request without its body.
     pub(crate) request: Request,
@@ -104,6 +106,7 @@
         id: "".into(),
         host: "".into(),
         service: "".into(),
+        organisation: "".into(),
         method: req.method().as_str().into(),
         path,
         headers,
--- a/crates/node/src/dialect/own.rs
+++ b/crates/node/src/dialect/own.rs
@@ -8,6 +8,7 @@
 use crate::Settings;
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderName;
+use actix_http::header::AUTHORIZATION;
 use actix_http::header::RETRY_AFTER;
 use actix_http::HttpMessage;
 use actix_http::Request as HttpRequest;
@@ -25,6 +26,7 @@
 use proto::Refusal;
 use proto::Request;
 use proto::Response;
+use rules::KeyDigest;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,7 +54,21 @@
 const DEADLINE_HEADER: &str = "bilberry-deadline-ms";
 
 /// Headers that this node sets itself.
-const SET_HERE: [&str; 2] = [CONTEXT_HEADER, DEADLINE_HEADER];
+const SET_HERE: [&str; 3] = [CONTEXT_HEADER, DEADLINE_HEADER, ORGANISATION_HEADER];
+
+/// Headers of requests that are not passed on: those, and the organisation's key.
+const NOT_PASSED_ON: [&str; 4] = [
+    CONTEXT_HEADER,
+    DEADLINE_HEADER,
+    ORGANISATION_HEADER,
+    "authorization",
+];
+
+/// The organisation that a request is from, for the backend server.
+const ORGANISATION_HEADER: &str = "bilberry-organisation";
+
+/// What comes before an organisation's key (RFC 6750, 2.1).
+const KEY_SCHEME: &str = "Bearer ";
 
 pub(super) fn dialect(settings: &Settings) -> Dialect {
     let caller_header = settings.caller_header.clone();
@@ -77,9 +93,10 @@
     let address = req.peer_addr().map(|addr| addr.ip().to_string().into());
     let caller = header(req, caller_header, Reason::BadRequest)?;
     let (service, path) = target(req)?;
-    let headers = end_to_end(req.headers(), &SET_HERE);
+    let headers = end_to_end(req.headers(), &NOT_PASSED_ON);
     Ok(Head {
         caller: caller.or(address).unwrap_or_else(|| "".into()),
+        credential: credential(req),
         context: header(req, CONTEXT_HEADER, Reason::BadRequest)?,
         parent: None,
         key: header(req, KEY_HEADER, Reason::BadKey)?,
@@ -91,6 +108,12 @@
     })
 }
 
+fn credential(req: &HttpRequest) -> Option<KeyDigest> {
+    let value = single_header(req.headers(), AUTHORIZATION.as_str()).ok()??;
+    let key = value.strip_prefix(KEY_SCHEME)?;
+    Some(KeyDigest::of(key)).filter(|_| !key.is_empty())
+}
+
 fn refuse_head(req: &HttpRequest, reason: Reason) -> HttpResponse<BoxBody> {
     let keyed = req.headers().contains_key(KEY_HEADER);
     respond(Reply::new(not_run(reason, keyed)))
@@ -100,11 +123,14 @@
     let req = run.request;
     let (host, id) = (addr.to_string(), run.id.to_string());
     let millis = run.remaining.as_millis().to_string();
-    let more = [
+    let mut more = vec![
         ("host", &*host),
         (CONTEXT_HEADER, &*id),
         (DEADLINE_HEADER, &*millis),
     ];
+    if !req.organisation.is_empty() {
+        more.push((ORGANISATION_HEADER, &*req.organisation));
+    }
     encode_request(&req.method, &req.path, &req.headers, &more, &req.body)
 }
 
--- a/crates/node/src/dialect/platform.rs
+++ b/crates/node/src/dialect/platform.rs
@@ -54,6 +54,7 @@
         context: None,
         parent: head.parent,
         key: None,
+        credential: head.key,
         patience: head.patience,
         request,
     })
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -67,7 +67,7 @@
         }
         Note::Refused { .. } => false,
         // Changes of belief are rare.
-        Note::Peer { .. } | Note::Peers { .. } | Note::OwnServer { .. } => {
+        Note::Peer { .. } | Note::Peers { .. } | Note::OwnServer { .. } | Note::Keys { .. } => {
             return log::info!("{note}")
         }
     };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -7,6 +7,7 @@
 
 use engine::Switches;
 use ini::Ini;
+use organisation::QuotaBounds;
 use policy::FleetRetries;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -69,6 +70,10 @@
     pub body_timeout: Duration,
     /// What the whole fleet may try again at each service.
     pub retries: FleetRetries,
+    /// A revoked key is refused by every node within this time; unbounded without it.
+    pub revocation: Option<Duration>,
+    /// How strictly the quotas of organisations hold.
+    pub quotas: QuotaBounds,
     /// The mechanisms in force. No key sets this: all are on, but for experiments that ask otherwise
     /// on the command line.
     pub switches: Switches,
@@ -107,11 +112,15 @@
 const RETRY_RATIO: Key = Key::new("retries", "ratio");
 const RETRY_SPARE: Key = Key::new("retries", "spare");
 const RETRY_WINDOW: Key = Key::new("retries", "window_s");
+const REVOCATION: Key = Key::new("organisations", "revocation_s");
+const QUOTA_WINDOW: Key = Key::new("organisations", "quota_window_s");
+const QUOTA_OVER: Key = Key::new("organisations", "quota_over");
+const QUOTA_SLACK: Key = Key::new("organisations", "quota_slack");
 const METRICS_HTTP_ADDR: Key = Key::new("metrics", "http_addr");
 const METRICS_ADDR: Key = Key::new("metrics", "addr");
 
 /// Every key there is.
-const KNOWN: [Key; 23] = [
+const KNOWN: [Key; 27] = [
     SERVICE,
     FAILURE_DOMAIN,
     REGION,
@@ -133,6 +142,10 @@
     RETRY_RATIO,
     RETRY_SPARE,
     RETRY_WINDOW,
+    REVOCATION,
+    QUOTA_WINDOW,
+    QUOTA_OVER,
+    QUOTA_SLACK,
     METRICS_HTTP_ADDR,
     METRICS_ADDR,
 ];
@@ -190,6 +203,10 @@
             )?,
             body_timeout: BODY_TIMEOUT.or(&ini, Duration::from_secs(10), duration(BODY_TIMES))?,
             retries: fleet_retries(&ini)?,
+            revocation: REVOCATION
+                .optional(&ini, number(1.0, 3600.0))?
+                .map(Duration::from_secs_f64),
+            quotas: quota_bounds(&ini)?,
             switches: Switches::ALL,
         })
     }
@@ -216,6 +233,20 @@
     })
 }
 
+fn quota_bounds(ini: &Ini) -> Result<QuotaBounds, SettingsError> {
+    let default = QuotaBounds::default();
+    let window = default.window.as_secs_f64();
+    let window = QUOTA_WINDOW.or(ini, window, number(1.0, 300.0))?;
+    let over = f64::from(default.over_permille) / 1000.0;
+    let over = QUOTA_OVER.or(ini, over, number(0.0, 1.0))?;
+    let slack = QUOTA_SLACK.or(ini, default.slack.into(), number(0.0, 1e6))?;
+    Ok(QuotaBounds {
+        window: Duration::from_secs_f64(window),
+        over_permille: (over * 1000.0) as u32,
+        slack: slack as u32,
+    })
+}
+
 /// What `node.body_timeout` may be.
 const BODY_TIMES: (Duration, Duration) = (Duration::from_millis(1), Duration::from_secs(300));
 
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -130,6 +130,10 @@
     pub(crate) dialect: Dialect,
     pub(crate) store: Store,
     pub(crate) read_store: Notify,
+    /// From where the store is read for newer rules; nothing before it was read once.
+    pub(crate) rules_offset: Cell<Option<u64>>,
+    /// The offset and version of the newest rules that were read from there.
+    pub(crate) newest_rules: Cell<(u64, u64)>,
     pub(crate) metrics: Metrics,
     pub(crate) lines: Cap,
     pub(crate) bodies: Budget,
@@ -169,6 +173,8 @@
         contacts: settings.contacts.clone(),
         policy: settings.switches,
         retries: within(settings.retries),
+        revocation: settings.revocation,
+        quotas: settings.quotas,
         ..Config::default()
     };
     if settings.platform.is_some() {
@@ -181,6 +187,8 @@
         dialect: Dialect::new(&settings),
         store: Store::new(settings.store_addr),
         read_store: Notify::new(),
+        rules_offset: Cell::new(None),
+        newest_rules: Cell::new((0, 0)),
         metrics: Metrics::new(settings.metrics_addr).map_err(StartError::Metrics)?,
         lines: Cap::new(),
         bodies: Budget::new(settings.max_bodies),
@@ -373,6 +381,10 @@
                 entries,
             } => self.append(number, at, entries),
             Output::FetchState { from, known } => fetch::ask(self, from, known),
+            Output::CheckRules => match self.settings.platform {
+                Some(_) => attached::check_rules(self),
+                None => store_reader::check_rules(self),
+            },
             Output::ReadLog => self.read_store.notify_one(),
             Output::Count(counter) => self.count(counter),
             Output::Note(_) => {}
--- a/crates/node/src/store_reader.rs
+++ b/crates/node/src/store_reader.rs
@@ -141,6 +141,29 @@
     follow(shell, &topic, READ_WAIT, |_| true, take_views).await;
 }
 
+/// Finds out whether the store has newer rules in the topic of views and rules.
+pub(crate) fn check_rules(shell: &Rc<Shell>) {
+    let shell = shell.clone();
+    actix_rt::spawn(async move {
+        let asked = shell.now();
+        let topic = platform::topic(&shell.settings.store_stream);
+        let from = shell.engine.borrow().next_offset();
+        let input = match read(&shell, &topic, Some(from), Duration::ZERO).await {
+            Ok(Some((_, batch))) => {
+                let is_whole = !matches!(batch, Batch::Records { at_end: false, .. });
+                take_views(&shell, batch);
+                let version = shell.engine.borrow().rules_version();
+                match is_whole {
+                    true => Input::RulesChecked { asked, version },
+                    false => Input::RulesUnchecked,
+                }
+            }
+            Ok(None) | Err(_) => Input::RulesUnchecked,
+        };
+        shell.feed(input);
+    });
+}
+
 fn take_views(shell: &Rc<Shell>, batch: Batch) {
     match batch {
         Batch::Newest(newest) => {
--- /dev/null
+++ b/crates/organisation/src/borrower.rs
@@ -0,0 +1,526 @@
+//! The side that borrows tokens of quotas, one for each request that it admits.
+//!
+//! Tokens are asked for ahead of the demand, so that a request usually finds one; only for an organisation
+//! that is seldom seen here does a request wait for the lender's answer.
+
+use crate::lender::VOTE_LEASE;
+use crate::QuotaBounds;
+use crate::GROUPS;
+use indexmap::IndexMap;
+use proto::Incarnation;
+use proto::Loan;
+use proto::OrganisationId;
+use rules::Quota;
+use std::collections::VecDeque;
+use std::time::Duration;
+use stdx::Time;
+
+/// How often a vote is lent anew. Two messages in a row may be lost before it lapses.
+const VOTE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How soon the first vote follows the stamp that it needs.
+const FIRST_VOTE: Duration = Duration::from_millis(20);
+
+/// After this time without an answer a lender is asked again.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// So many timeouts in a row make a lender count as lost.
+const MAX_TIMEOUTS: u32 = 3;
+
+/// For how long a lost lender is not asked.
+const AVOID: Duration = Duration::from_secs(3);
+
+/// The least time between two questions for an organisation whose quota is used up.
+const SHORT_INTERVAL: Duration = Duration::from_millis(60);
+
+/// The time over which demand is averaged.
+const DEMAND_TIME: Duration = Duration::from_secs(1);
+
+/// The demand that is kept in reserve while the lender has plenty, and otherwise.
+const RESERVE: Duration = Duration::from_millis(400);
+const SMALL_RESERVE: Duration = Duration::from_millis(200);
+
+/// Below this part of the reserve, more is asked for at once.
+const LOW: f64 = 0.3;
+
+/// Questions of a group that wait for their answers.
+const MAX_IN_FLIGHT: usize = 32;
+
+/// A token that was spent on a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Credit {
+    /// Whose.
+    pub organisation: OrganisationId,
+    /// Until when it could be spent.
+    pub expires: Time,
+}
+
+/// A question to a lender.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Loans {
+    /// Who is asked.
+    pub lender: Incarnation,
+    /// The question's number.
+    pub number: u64,
+    /// The stamp that lends this node's vote; 0 if it is not lent.
+    pub vote: u64,
+    /// How many tokens are asked for.
+    pub wanted: Vec<(OrganisationId, u16)>,
+}
+
+/// How many requests a second come, averaged.
+#[derive(Debug, Default)]
+struct Demand {
+    count: f64,
+    at: Time,
+}
+
+impl Demand {
+    fn add(&mut self, now: Time) {
+        self.count = self.rate(now) * DEMAND_TIME.as_secs_f64() + 1.0;
+        self.at = now;
+    }
+
+    fn rate(&self, now: Time) -> f64 {
+        let decay = -now.since(self.at).as_secs_f64() / DEMAND_TIME.as_secs_f64();
+        self.count * decay.exp() / DEMAND_TIME.as_secs_f64()
+    }
+}
+
+/// What this node has of one organisation's quota.
+#[derive(Debug)]
+struct Pool {
+    quota: Quota,
+    /// Unused tokens by the time at which they expire, the first to expire first.
+    lots: VecDeque<(Time, u32)>,
+    demand: Demand,
+    /// Requests that wait for a token.
+    waiting: u32,
+    /// Tokens that were asked for and are not answered yet.
+    asked: u32,
+    plenty: bool,
+    /// Until then no more is asked for, because there was not enough.
+    short_until: Option<Time>,
+}
+
+impl Pool {
+    fn new(quota: Quota) -> Self {
+        Self {
+            quota,
+            lots: VecDeque::new(),
+            demand: Demand::default(),
+            waiting: 0,
+            asked: 0,
+            plenty: false,
+            short_until: None,
+        }
+    }
+
+    fn drop_expired(&mut self, now: Time) {
+        while self
+            .lots
+            .front()
+            .is_some_and(|(expires, _)| *expires <= now)
+        {
+            self.lots.pop_front();
+        }
+    }
+
+    fn held(&self) -> u32 {
+        self.lots.iter().map(|(_, tokens)| tokens).sum()
+    }
+
+    fn take(&mut self, now: Time) -> Option<Time> {
+        self.drop_expired(now);
+        let (expires, tokens) = self.lots.front_mut()?;
+        let expires = *expires;
+        *tokens -= 1;
+        if *tokens == 0 {
+            self.lots.pop_front();
+        }
+        Some(expires)
+    }
+
+    fn put(&mut self, expires: Time, tokens: u32) {
+        if tokens == 0 {
+            return;
+        }
+        let at = self.lots.partition_point(|(other, _)| *other <= expires);
+        self.lots.insert(at, (expires, tokens));
+    }
+
+    fn is_short(&self, now: Time) -> bool {
+        self.short_until.is_some_and(|until| now < until)
+    }
+
+    fn reserve(&self, now: Time) -> u32 {
+        let rate = self.demand.rate(now);
+        let time = match self.plenty {
+            true => RESERVE,
+            false => SMALL_RESERVE,
+        };
+        (rate * time.as_secs_f64()) as u32
+    }
+
+    /// How many tokens to ask for.
+    fn wanted(&mut self, now: Time) -> u32 {
+        if self.is_short(now) {
+            return 0;
+        }
+        self.drop_expired(now);
+        let needed = self.waiting + self.reserve(now);
+        needed.saturating_sub(self.held() + self.asked)
+    }
+
+    /// Whether the question cannot wait for the next vote.
+    fn is_urgent(&self, now: Time) -> bool {
+        if self.is_short(now) {
+            return false;
+        }
+        let held = self.held() + self.asked;
+        let reserve = self.reserve(now);
+        held < self.waiting || (reserve > 1 && f64::from(held) < f64::from(reserve) * LOW)
+    }
+}
+
+#[derive(Debug)]
+struct Question {
+    sent: Time,
+    wanted: Vec<(OrganisationId, u16)>,
+}
+
+/// Who lends in one group, as far as this node knows.
+#[derive(Debug, Default)]
+struct Ballot {
+    lender: Option<Incarnation>,
+    /// The lender's last stamp; 0 before there is one.
+    stamp: u64,
+    /// Who has this node's vote, and until when it may not be lent to another.
+    bound: Option<(Incarnation, Time)>,
+    vote_due: Time,
+    in_flight: IndexMap<u64, Question>,
+    timeouts: u32,
+    /// A lender that was lost, and until when it is not asked.
+    avoid: Option<(Incarnation, Time)>,
+    /// A pool of the group may want tokens at once.
+    urgent: bool,
+    /// When a pool of the group whose lender had too few tokens may want some again.
+    again_at: Option<Time>,
+}
+
+impl Ballot {
+    fn avoided(&self, now: Time) -> Option<Incarnation> {
+        let (lender, until) = self.avoid?;
+        (now < until).then_some(lender)
+    }
+
+    fn follow(&mut self, lender: Option<Incarnation>) {
+        if self.lender != lender {
+            self.lender = lender;
+            self.stamp = 0;
+            self.timeouts = 0;
+            self.vote_due = Time::ZERO;
+        }
+    }
+}
+
+/// What this node borrows.
+#[derive(Debug)]
+pub struct Borrower {
+    bounds: QuotaBounds,
+    /// When this node began. An earlier incarnation at its place may have lent its vote until
+    /// [`VOTE_LEASE`] later.
+    began: Option<Time>,
+    /// There are quotas, so this node has to vote.
+    active: bool,
+    pools: IndexMap<OrganisationId, Pool>,
+    ballots: Vec<Ballot>,
+    number: u64,
+}
+
+impl Borrower {
+    /// A borrower without tokens.
+    pub fn new(bounds: QuotaBounds) -> Self {
+        Self {
+            bounds,
+            began: None,
+            active: false,
+            pools: IndexMap::new(),
+            ballots: (0..GROUPS).map(|_| Ballot::default()).collect(),
+            number: 0,
+        }
+    }
+
+    /// Spends a token on a request that has come.
+    pub fn take(
+        &mut self,
+        now: Time,
+        organisation: OrganisationId,
+        quota: Quota,
+    ) -> Option<Credit> {
+        let pool = self.pool(organisation, quota);
+        pool.demand.add(now);
+        let expires = pool.take(now);
+        self.note_need(now, organisation);
+        expires.map(|expires| Credit {
+            organisation,
+            expires,
+        })
+    }
+
+    /// Spends a token on a request that waits.
+    pub fn take_waiting(&mut self, now: Time, organisation: OrganisationId) -> Option<Credit> {
+        let pool = self.pools.get_mut(&organisation)?;
+        let expires = pool.take(now)?;
+        pool.waiting = pool.waiting.saturating_sub(1);
+        Some(Credit {
+            organisation,
+            expires,
+        })
+    }
+
+    /// A request waits for a token.
+    pub fn wait(&mut self, now: Time, organisation: OrganisationId) {
+        if let Some(pool) = self.pools.get_mut(&organisation) {
+            pool.waiting += 1;
+            self.note_need(now, organisation);
+        }
+    }
+
+    /// A request does not wait any more.
+    pub fn stop_waiting(&mut self, organisation: OrganisationId) {
+        if let Some(pool) = self.pools.get_mut(&organisation) {
+            pool.waiting = pool.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Gives back a token whose request did not run.
+    pub fn put_back(&mut self, now: Time, credit: Credit) {
+        if let Some(pool) = self.pools.get_mut(&credit.organisation) {
+            if credit.expires > now {
+                pool.put(credit.expires, 1);
+            }
+        }
+    }
+
+    /// Whether the lender had too few tokens when it was asked last.
+    pub fn was_short(&self, organisation: OrganisationId) -> bool {
+        let pool = self.pools.get(&organisation);
+        pool.is_some_and(|pool| pool.short_until.is_some())
+    }
+
+    /// The lender that is not to be chosen for a group now.
+    pub fn avoided(&self, now: Time, group: u8) -> Option<Incarnation> {
+        self.ballots[usize::from(group)].avoided(now)
+    }
+
+    /// Whether [`Borrower::poll`] has something to do in any group.
+    pub fn is_due(&self, now: Time) -> bool {
+        self.next_timer().is_some_and(|due| due <= now)
+    }
+
+    /// The next question of a group, to `lender`, if one is due.
+    pub fn poll(&mut self, now: Time, group: u8, lender: Option<Incarnation>) -> Option<Loans> {
+        let began = *self.began.get_or_insert(now);
+        self.time_out(now, group);
+        let ballot = &mut self.ballots[usize::from(group)];
+        ballot.follow(lender);
+        let lender = ballot.lender?;
+        let votes = now >= ballot.vote_due;
+        ballot.urgent |= ballot.again_at.take_if(|at| *at <= now).is_some();
+        if !votes && !std::mem::take(&mut ballot.urgent) {
+            return None;
+        }
+        let wanted = self.wanted(now, group);
+        let ballot = &mut self.ballots[usize::from(group)];
+        if (!votes && wanted.is_empty()) || ballot.in_flight.len() >= MAX_IN_FLIGHT {
+            return None;
+        }
+        let is_free = ballot
+            .bound
+            .is_none_or(|(to, until)| to == lender || now >= until);
+        let vote = match is_free && now >= began + VOTE_LEASE {
+            true => ballot.stamp,
+            false => 0,
+        };
+        if vote != 0 {
+            ballot.bound = Some((lender, now + VOTE_LEASE));
+        }
+        ballot.vote_due = now + VOTE_INTERVAL;
+        self.number += 1;
+        let number = self.number;
+        let question = Question {
+            sent: now,
+            wanted: wanted.clone(),
+        };
+        ballot.in_flight.insert(number, question);
+        Some(Loans {
+            lender,
+            number,
+            vote,
+            wanted,
+        })
+    }
+
+    /// When [`Borrower::poll`] has something to do.
+    pub fn next_timer(&self) -> Option<Time> {
+        if !self.active {
+            return None;
+        }
+        let ballots = self.ballots.iter().map(|ballot| {
+            let answers = ballot.in_flight.values();
+            let timeout = answers.map(|question| question.sent + ANSWER_TIMEOUT).min();
+            let due = match ballot.urgent {
+                true => Time::ZERO,
+                false => ballot.vote_due,
+            };
+            [timeout, ballot.again_at]
+                .into_iter()
+                .flatten()
+                .fold(due, Time::min)
+        });
+        ballots.min()
+    }
+
+    /// A lender's answer to question `number`. Says which organisations have more tokens, or none.
+    pub fn on_lend(
+        &mut self,
+        now: Time,
+        from: Incarnation,
+        group: u8,
+        number: u64,
+        stamp: u64,
+        loans: &[Loan],
+    ) -> Vec<Loan> {
+        let Some(ballot) = self.ballots.get_mut(usize::from(group)) else {
+            return Vec::new();
+        };
+        let Some(question) = ballot.in_flight.swap_remove(&number) else {
+            return Vec::new();
+        };
+        ballot.timeouts = 0;
+        if stamp == 0 {
+            ballot.bound.take_if(|(to, _)| *to == from);
+            ballot.avoid = Some((from, now + AVOID));
+        } else if ballot.lender == Some(from) {
+            if ballot.stamp == 0 {
+                ballot.vote_due = now + FIRST_VOTE;
+            }
+            ballot.stamp = ballot.stamp.max(stamp);
+        }
+        self.forget_question(&question);
+        let mut taken = Vec::new();
+        for (organisation, wanted) in &question.wanted {
+            let Some(loan) = loans.iter().find(|loan| loan.organisation == *organisation) else {
+                continue;
+            };
+            // No lender may give more than it was asked for.
+            let tokens = loan.tokens.min(*wanted);
+            self.take_loan(now, question.sent, Loan { tokens, ..*loan });
+            taken.push(*loan);
+        }
+        taken
+    }
+
+    /// New rules are in force. `active` says whether any organisation has a quota, `quota_of` which.
+    pub fn set_quotas(&mut self, active: bool, quota_of: impl Fn(OrganisationId) -> Option<Quota>) {
+        self.active = active;
+        self.pools.retain(|organisation, pool| {
+            let quota = quota_of(*organisation);
+            if let Some(quota) = quota {
+                // Tokens of a higher quota must not outlive it.
+                if quota.rate() < pool.quota.rate() {
+                    pool.lots.clear();
+                }
+                if quota != pool.quota {
+                    pool.short_until = None;
+                }
+                pool.quota = quota;
+            }
+            quota.is_some()
+        });
+    }
+
+    fn take_loan(&mut self, now: Time, sent: Time, loan: Loan) {
+        let bounds = self.bounds;
+        let Some(pool) = self.pools.get_mut(&loan.organisation) else {
+            return;
+        };
+        let expires = sent + bounds.terms(pool.quota).validity;
+        if expires > now {
+            pool.put(expires, loan.tokens.into());
+        }
+        pool.plenty = loan.plenty;
+        let wait = Duration::from_millis(loan.wait_ms.into()).max(SHORT_INTERVAL);
+        pool.short_until = (loan.wait_ms > 0).then(|| now + wait);
+        if pool.waiting > u32::from(loan.tokens) {
+            let ballot = &mut self.ballots[usize::from(crate::group_of(loan.organisation))];
+            let again = pool.short_until.unwrap_or(now);
+            ballot.again_at = Some(ballot.again_at.map_or(again, |at| at.min(again)));
+        }
+    }
+
+    fn pool(&mut self, organisation: OrganisationId, quota: Quota) -> &mut Pool {
+        let pool = self.pools.entry(organisation);
+        pool.or_insert_with(|| Pool::new(quota))
+    }
+
+    fn note_need(&mut self, now: Time, organisation: OrganisationId) {
+        if self
+            .pools
+            .get(&organisation)
+            .is_some_and(|pool| pool.is_urgent(now))
+        {
+            self.ballots[usize::from(crate::group_of(organisation))].urgent = true;
+        }
+    }
+
+    fn wanted(&mut self, now: Time, group: u8) -> Vec<(OrganisationId, u16)> {
+        let mut wanted = Vec::new();
+        for (organisation, pool) in &mut self.pools {
+            if crate::group_of(*organisation) != group {
+                continue;
+            }
+            let tokens = pool.wanted(now).min(u16::MAX.into()) as u16;
+            if tokens > 0 {
+                pool.asked += u32::from(tokens);
+                wanted.push((*organisation, tokens));
+            }
+        }
+        wanted
+    }
+
+    fn time_out(&mut self, now: Time, group: u8) {
+        let ballot = &mut self.ballots[usize::from(group)];
+        let late = |question: &Question| now.since(question.sent) >= ANSWER_TIMEOUT;
+        let mut lost = Vec::new();
+        ballot.in_flight.retain(|_, question| {
+            let late = late(question);
+            if late {
+                lost.push(std::mem::take(&mut question.wanted));
+            }
+            !late
+        });
+        if lost.is_empty() {
+            return;
+        }
+        ballot.timeouts += 1;
+        ballot.urgent = true;
+        ballot.vote_due = ballot.vote_due.min(now);
+        if ballot.timeouts >= MAX_TIMEOUTS {
+            ballot.timeouts = 0;
+            ballot.avoid = ballot.lender.map(|lender| (lender, now + AVOID));
+        }
+        for wanted in lost {
+            self.forget_question(&Question { sent: now, wanted });
+        }
+    }
+
+    fn forget_question(&mut self, question: &Question) {
+        for (organisation, tokens) in &question.wanted {
+            if let Some(pool) = self.pools.get_mut(organisation) {
+                pool.asked = pool.asked.saturating_sub((*tokens).into());
+            }
+        }
+    }
+}
--- a/crates/proto/src/answer.rs
+++ b/crates/proto/src/answer.rs
@@ -131,12 +131,20 @@
         ParentGone,
         /// The call would be a retry, and the retries of the action are spent.
         AllowanceSpent,
+        /// The request names no organisation by a key that the rules hold.
+        UnknownOrganisation,
+        /// The organisation has used up its quota.
+        QuotaExceeded,
+        /// Whether the organisation has quota left could not be found out in time.
+        QuotaUnknown,
+        /// The rules here were not confirmed as the newest lately, so keys may have been revoked.
+        RulesUnconfirmed,
     }
 }
 
 impl Reason {
     /// Every reason, for counters and tests.
-    pub const ALL: [Reason; 23] = [
+    pub const ALL: [Reason; 27] = [
         Reason::Shed,
         Reason::QueueFull,
         Reason::Deadline,
@@ -160,6 +168,10 @@
         Reason::CallerGone,
         Reason::ParentGone,
         Reason::AllowanceSpent,
+        Reason::UnknownOrganisation,
+        Reason::QuotaExceeded,
+        Reason::QuotaUnknown,
+        Reason::RulesUnconfirmed,
     ];
 
     /// The name in counters, headers and logs.
@@ -194,6 +206,10 @@
             Reason::CallerGone => "caller-gone",
             Reason::ParentGone => "parent-gone",
             Reason::AllowanceSpent => "allowance-spent",
+            Reason::UnknownOrganisation => "unknown-organisation",
+            Reason::QuotaExceeded => "quota-exceeded",
+            Reason::QuotaUnknown => "quota-unknown",
+            Reason::RulesUnconfirmed => "rules-unconfirmed",
         }
     }
 
@@ -206,6 +222,7 @@
                 | Reason::BadRequest
                 | Reason::TooLarge
                 | Reason::NoSuchOperation
+                | Reason::UnknownOrganisation
         )
     }
 }
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -2,6 +2,7 @@
 
 use crate::Incarnation;
 use crate::MemberMessage;
+use crate::OrganisationId;
 use stdx::data;
 use stdx::plain;
 
@@ -51,6 +52,20 @@
             /// The message.
             message: LeaseMessage,
         },
+        /// How fresh the rules of a node are.
+        Freshness {
+            /// [`crate::PROTOCOL_VERSION`] of the sender.
+            version: u16,
+            /// The message.
+            message: FreshnessMessage,
+        },
+        /// Quotas of organisations.
+        Quota {
+            /// [`crate::PROTOCOL_VERSION`] of the sender.
+            version: u16,
+            /// The message.
+            message: QuotaMessage,
+        },
     }
 }
 
@@ -87,3 +102,78 @@
         },
     }
 }
+
+plain! {
+    /// How a node finds out that its rules are the newest without reading the store itself.
+    pub enum FreshnessMessage {
+        /// Asks for a [`FreshnessMessage::Report`].
+        Query {
+            /// Repeated in the report. The asker counts the report's age from the time at which it
+            /// sent this number, so that a report that was held up on its way does not look newer
+            /// than it is.
+            number: u64,
+        },
+        /// Answers a query.
+        Report {
+            /// The query's.
+            number: u64,
+            /// The version of the rules that the sender holds.
+            rules: u64,
+            /// Milliseconds from the time at which `rules` is known to have been the newest version to
+            /// the time at which the query was handled.
+            age_ms: u32,
+        },
+    }
+}
+
+data! {
+    /// How the quotas of organisations are kept over the whole fleet.
+    pub enum QuotaMessage {
+        /// Asks a lender for tokens, and may lend it the sender's vote.
+        Borrow {
+            /// Who asks.
+            from: Incarnation,
+            /// Who is asked. Another incarnation at the address knows nothing of earlier votes.
+            to: Incarnation,
+            /// Which group of organisations this is about.
+            group: u8,
+            /// Repeated in the answer.
+            number: u64,
+            /// The stamp of the lender's last answer, if the sender lends it its vote; else 0. The lender
+            /// counts the vote from the time at which it gave out the stamp.
+            vote: u64,
+            /// How many tokens the sender asks for, by organisation.
+            wanted: Vec<(OrganisationId, u16)>,
+        },
+        /// Answers a borrower.
+        Lend {
+            /// Who lends.
+            from: Incarnation,
+            /// Who asked.
+            to: Incarnation,
+            /// Which group of organisations this is about.
+            group: u8,
+            /// The request's.
+            number: u64,
+            /// To be returned with a vote; 0 if the lender takes none.
+            stamp: u64,
+            /// What is lent, by organisation.
+            lent: Vec<Loan>,
+        },
+    }
+}
+
+plain! {
+    /// Tokens of an organisation's quota, each of which admits one request.
+    pub struct Loan {
+        /// Which organisation.
+        pub organisation: OrganisationId,
+        /// How many.
+        pub tokens: u16,
+        /// If these are fewer than were asked for: milliseconds until the lender expects to have the next
+        /// one; else 0.
+        pub wait_ms: u16,
+        /// The lender has most of the organisation's burst in hand, so that tokens may be kept in reserve.
+        pub plenty: bool,
+    }
+}
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -16,7 +16,7 @@
 use stdx::plain;
 
 /// The version of frames and datagrams; others are refused and counted.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 data! {
     /// One frame. The shell adds the length in front.
--- a/crates/proto/src/ids.rs
+++ b/crates/proto/src/ids.rs
@@ -14,6 +14,27 @@
     pub struct Incarnation(pub u64);
 }
 
+plain! {
+    /// Stands for an organisation's name in messages and tables.
+    #[derive(Hash, PartialOrd, Ord)]
+    pub struct OrganisationId(pub u64);
+}
+
+impl OrganisationId {
+    /// The id that belongs to a name.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_proto::OrganisationId;
+    ///
+    /// assert_ne!(OrganisationId::of("anna"), OrganisationId::of("marco"));
+    /// ```
+    pub fn of(name: &str) -> Self {
+        Self(hash64(&name))
+    }
+}
+
 plain! {
     /// A customer's action, shared by all calls of its call tree.
     #[derive(Hash, PartialOrd, Ord)]
--- a/crates/proto/src/request.rs
+++ b/crates/proto/src/request.rs
@@ -60,6 +60,9 @@
         pub host: Arc<str>,
         /// The service that is asked.
         pub service: Arc<str>,
+        /// The organisation that the caller belongs to; empty for a call of a backend server, and where
+        /// no key was needed.
+        pub organisation: Arc<str>,
         /// The method, as in HTTP.
         pub method: Arc<str>,
         /// The path below the service, with the query.
@@ -78,6 +81,7 @@
             id: "".into(),
             host: "".into(),
             service: service.into(),
+            organisation: "".into(),
             method: method.into(),
             path: path.into(),
             headers: Vec::new(),
--- a/crates/rules/src/error.rs
+++ b/crates/rules/src/error.rs
@@ -38,6 +38,11 @@
         /// The earlier line.
         earlier: u32,
     },
+    /// A key of the organisation was given to another one on an earlier line.
+    SharedKey {
+        /// The earlier line.
+        earlier: u32,
+    },
     /// The rule can never decide a call, because an earlier one always matches first.
     Unreachable {
         /// The earlier line.
@@ -66,13 +71,19 @@
             ),
             RuleProblem::UnknownKind(word) => write!(
                 f,
-                "`{word}` is no kind of rule: use operation, limit, keys or resends"
+                "`{word}` is no kind of rule: use operation, limit, keys, resends or organisation"
             ),
             RuleProblem::Missing(what) => write!(f, "{what} is missing"),
             RuleProblem::UnknownOption(word) => write!(f, "`{word}` is no option of this rule"),
             RuleProblem::RepeatedOption(word) => write!(f, "`{word}` stands twice"),
             RuleProblem::BadValue { option, allowed } => write!(f, "`{option}` takes {allowed}"),
             RuleProblem::Duplicate { earlier } => write!(f, "already set on line {earlier}"),
+            RuleProblem::SharedKey { earlier } => {
+                write!(
+                    f,
+                    "the organisation on line {earlier} has one of these keys"
+                )
+            }
             RuleProblem::Unreachable { earlier } => {
                 write!(f, "never used: line {earlier} matches first")
             }
--- a/crates/rules/src/explain.rs
+++ b/crates/rules/src/explain.rs
@@ -118,6 +118,9 @@
         if self.idempotent {
             write!(f, " idempotent")?;
         }
+        if self.public {
+            write!(f, " public")?;
+        }
         Ok(())
     }
 }
--- a/crates/rules/src/model.rs
+++ b/crates/rules/src/model.rs
@@ -1,8 +1,10 @@
 //! The rules, parsed.
 
 use crate::Bound;
+use crate::Organisations;
 use crate::Routes;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use proto::Class;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,6 +40,8 @@
         pub priority: u8,
         /// Retries that a root call of this operation may spend over its whole tree.
         pub retries: u16,
+        /// Whether callers need no key, where there are organisations.
+        pub public: bool,
         /// Where this rule stands.
         pub asked: Asked,
     }
@@ -89,6 +93,8 @@
         pub routes: Routes,
         /// Where a service's backend servers say whether they are healthy and stay, by service.
         pub health_paths: IndexMap<Arc<str>, Arc<str>>,
+        /// The organisations whose callers may send requests; anybody may if there are none.
+        pub organisations: Option<Organisations>,
     }
 }
 
@@ -133,6 +139,19 @@
         self.operations.iter().chain(routes)
     }
 
+    /// Each class and priority that a request can have.
+    pub fn standings(&self) -> impl Iterator<Item = (Class, u8)> + '_ {
+        let organisations = self.organisations.iter().flat_map(Organisations::iter);
+        let priorities = organisations.filter_map(|(_, organisation)| organisation.priority);
+        let priorities: IndexSet<u8> = priorities.collect();
+        self.all_operations().flat_map(move |operation| {
+            let mut all = priorities.clone();
+            all.insert(operation.priority);
+            let class = operation.class;
+            all.into_iter().map(move |priority| (class, priority))
+        })
+    }
+
     /// The bounds of a service.
     pub fn limit(&self, service: &str) -> Limit {
         self.limits.get(service).cloned().unwrap_or_default()
--- a/crates/rules/src/parse.rs
+++ b/crates/rules/src/parse.rs
@@ -2,6 +2,7 @@
 
 mod limits;
 mod operation;
+mod organisation;
 mod words;
 
 use crate::Asked;
@@ -101,6 +102,7 @@
         "operation" => operation::parse(&words, end, asked, rules)?,
         "limit" => limits::parse_limit(&words, end, asked, rules)?,
         "keys" => limits::parse_keys(&words, end, asked, rules)?,
+        "organisation" => organisation::parse(&words, end, asked, rules)?,
         "resends" => limits::parse_resends(&words, end, asked, rules)?,
         other => return Err((column, RuleProblem::UnknownKind(other.to_owned()))),
     }
--- a/crates/rules/src/parse/operation.rs
+++ b/crates/rules/src/parse/operation.rs
@@ -1,4 +1,4 @@
-//! `operation SERVICE METHOD PATH class=CLASS deadline=TIME [priority=N] [retries=N] [idempotent]`
+//! `operation SERVICE METHOD PATH class=CLASS deadline=TIME [priority=N] [retries=N] [idempotent] [public]`
 
 use super::words::duration;
 use super::words::number;
@@ -28,6 +28,7 @@
     let mut priority = 0;
     let mut retries = 0;
     let mut idempotent = false;
+    let mut public = false;
     for (column, option, value) in options(words, 3)? {
         match option {
             "class" => class = Some(parse_class(value).ok_or((column, CLASS))?),
@@ -36,6 +37,8 @@
             "retries" => retries = number(value, 0, 10).ok_or((column, RETRIES))?,
             "idempotent" if value.is_empty() => idempotent = true,
             "idempotent" => return Err((column, IDEMPOTENT)),
+            "public" if value.is_empty() => public = true,
+            "public" => return Err((column, PUBLIC)),
             _ => return Err((column, RuleProblem::UnknownOption(option.to_owned()))),
         }
     }
@@ -48,6 +51,7 @@
         deadline: deadline.ok_or((end, RuleProblem::Missing("deadline")))?,
         priority,
         retries,
+        public,
         asked,
     };
     refuse_hidden(rules, &operation)?;
@@ -95,7 +99,7 @@
     classes.into_iter().find(|class| class.name() == value)
 }
 
-fn parse_priority(value: &str) -> Option<u8> {
+pub(super) fn parse_priority(value: &str) -> Option<u8> {
     let priority = number(value, 0, u16::from(MAX_PRIORITY))?;
     u8::try_from(priority).ok()
 }
@@ -119,7 +123,7 @@
     option: "deadline",
     allowed: "a duration from 1ms to 24h",
 };
-const PRIORITY: RuleProblem = RuleProblem::BadValue {
+pub(super) const PRIORITY: RuleProblem = RuleProblem::BadValue {
     option: "priority",
     allowed: "a whole number from 0, the most urgent, to 9",
 };
@@ -131,3 +135,7 @@
     option: "idempotent",
     allowed: "no value",
 };
+const PUBLIC: RuleProblem = RuleProblem::BadValue {
+    option: "public",
+    allowed: "no value",
+};
--- a/crates/rules/tests/routes.rs
+++ b/crates/rules/tests/routes.rs
@@ -23,6 +23,7 @@
             deadline: Duration::from_secs(1),
             priority: 0,
             retries: 1,
+            public: false,
             asked: Asked {
                 line: 1,
                 by: "Anna".into(),
--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -215,6 +215,7 @@
             Waiter::Child { .. } => None,
         };
         let input = Input::Request {
+            credential: None,
             token,
             caller,
             context,
--- a/crates/trial/src/log.rs
+++ b/crates/trial/src/log.rs
@@ -138,6 +138,21 @@
         });
     }
 
+    /// A node asks whether there are newer rules.
+    pub(crate) fn check_rules(&mut self, node: usize) {
+        let asked = self.nodes[node].time(self.now);
+        let from = self.nodes[node].incarnation;
+        self.after(self.log.latency(), move |world| {
+            let lost = world.log.is_down_for(node) || world.log.slow >= PATIENCE;
+            let version = world.log.said.version;
+            let (wait, input) = match lost {
+                true => (PATIENCE, Input::RulesUnchecked),
+                false => (world.log.latency(), Input::RulesChecked { asked, version }),
+            };
+            world.after_in(node, wait, move |world| world.feed(node, from, input));
+        });
+    }
+
     /// The node drops its present read and reads at once, for ever.
     pub(crate) fn read_now(&mut self, node: usize) {
         let number = self.nodes[node].read + 1;
--- a/crates/trial/src/node.rs
+++ b/crates/trial/src/node.rs
@@ -91,6 +91,11 @@
             tick: None,
         }
     }
+
+    /// What its process takes for the time.
+    pub(crate) fn time(&self, now: Time) -> Time {
+        Time::ZERO + now.since(self.started).mul_f64(self.clock_rate)
+    }
 }
 
 impl std::fmt::Display for Node {
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -203,10 +203,10 @@
     /// Tells an engine what happened, and does what it asks for.
     pub(crate) fn feed(&mut self, node: usize, from: Incarnation, input: Input) {
         let place = &mut self.nodes[node];
+        let now = place.time(self.now);
         let Some(engine) = place.engine.as_mut().filter(|_| place.incarnation == from) else {
             return;
         };
-        let now = Time::ZERO + self.now.since(place.started).mul_f64(place.clock_rate);
         let before = engine.rules_version();
         let outputs = engine.handle(now, input);
         let (version, file) = (engine.rules_version(), engine.journal().file.clone());
@@ -292,6 +292,7 @@
                 entries,
             } => self.append_from(node, number, at, entries),
             Output::FetchState { from, known } => self.fetch_state(node, from, known),
+            Output::CheckRules => self.check_rules(node),
             Output::ReadLog => self.read_now(node),
             Output::Count(counter) => *self.counters.entry(counter.name()).or_insert(0) += 1,
             Output::Note(_) | Output::CheckServer { .. } => {}
