Lenders that are lost are left at once; a shortage is asked about again soon

Nodes went on asking incarnations that had been replaced, one after another, and a lender without votes told them to wait for up to 10 s.

Change: a node answers for an earlier incarnation at its address that it lends nothing; several lost lenders are remembered; the wait between two questions is 250 ms at most; a stop waits for requests that wait for a token.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -415,7 +415,10 @@
     }
 
     fn check_stopped(&mut self, now: Time) {
-        let idle = self.open.is_empty() && self.inbound.is_empty() && self.jobs.is_empty();
+        let idle = self.open.is_empty()
+            && self.inbound.is_empty()
+            && self.jobs.is_empty()
+            && !self.quota.has_waiting();
         if self.stopping
             && now >= self.lingers_until
             && idle
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether any request waits for a token.
+    pub(crate) fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// The peers have changed.
     pub(crate) fn forget_election(&mut self) {
         self.elected_at = None;
@@ -111,8 +116,8 @@
         self.elect(now);
         for group in 0..GROUPS {
             let mut lender = self.quota.elected[usize::from(group)];
-            if lender.is_some() && lender == self.quota.borrower.avoided(now, group) {
-                lender = self.elected(group, lender);
+            if lender.is_some_and(|lender| self.quota.borrower.avoids(now, group, lender)) {
+                lender = self.elected(now, group);
             }
             if let Some(loans) = self.quota.borrower.poll(now, group, lender) {
                 self.ask_lender(now, group, loans);
@@ -128,17 +133,20 @@
         self.quota.elected_at = Some(now);
         self.quota.voters = self.members.voters(now);
         for group in 0..GROUPS {
-            self.quota.elected[usize::from(group)] = self.elected(group, None);
+            self.quota.elected[usize::from(group)] = self.elected(now, group);
         }
     }
 
     /// The node that lends in a group: the first by rendezvous hash.
-    fn elected(&self, group: u8, avoid: Option<Incarnation>) -> Option<Incarnation> {
+    fn elected(&self, now: Time, group: u8) -> Option<Incarnation> {
         let live = self.members.peers();
         let live = live.filter(|peer| peer.state == PeerState::Alive);
         let peers = live.map(|peer| peer.instance.incarnation);
         let me = (!self.stopping).then_some(self.me.incarnation);
-        let nodes = peers.chain(me).filter(|node| Some(*node) != avoid);
+        let borrower = &self.quota.borrower;
+        let nodes = peers
+            .chain(me)
+            .filter(|node| !borrower.avoids(now, group, *node));
         nodes.max_by_key(|node| (hash64(&(group, node)), *node))
     }
 
@@ -202,8 +210,25 @@
             } if to == me && group < GROUPS => {
                 self.on_lent(now, from, group, number, stamp, &lent);
             }
-            // For an earlier incarnation at this address.
-            QuotaMessage::Borrow { .. } | QuotaMessage::Lend { .. } => {}
+            // For an earlier incarnation at this address, which lends nothing any more and holds no vote.
+            QuotaMessage::Borrow {
+                from,
+                to,
+                group,
+                number,
+                ..
+            } => {
+                let message = QuotaMessage::Lend {
+                    from: to,
+                    to: from,
+                    group,
+                    number,
+                    stamp: 0,
+                    lent: Vec::new(),
+                };
+                self.send_quota(addr, message);
+            }
+            QuotaMessage::Lend { .. } => {}
         }
     }
 
--- a/crates/organisation/src/borrower.rs
+++ b/crates/organisation/src/borrower.rs
@@ -13,6 +13,7 @@
 use rules::Quota;
 use std::collections::VecDeque;
 use std::time::Duration;
+use stdx::Bounded;
 use stdx::Time;
 
 /// How often a vote is lent anew. Two messages in a row may be lost before it lapses.
@@ -25,13 +26,16 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// So many timeouts in a row make a lender count as lost.
-const MAX_TIMEOUTS: u32 = 3;
+const MAX_TIMEOUTS: u32 = 2;
 
-/// For how long a lost lender is not asked.
+/// For how long a lost lender is not asked, and how many are remembered.
 const AVOID: Duration = Duration::from_secs(3);
+const MAX_AVOIDED: usize = 64;
 
-/// The least time between two questions for an organisation whose quota is used up.
-const SHORT_INTERVAL: Duration = Duration::from_millis(60);
+/// The time between two questions for an organisation whose quota is used up. A lender that has few votes
+/// may have many a moment later.
+const MIN_SHORT: Duration = Duration::from_millis(60);
+const MAX_SHORT: Duration = Duration::from_millis(250);
 
 /// The time over which demand is averaged.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
@@ -186,11 +190,13 @@
 #[derive(Debug)]
 struct Question {
     sent: Time,
+    /// Its answer tells whether the present lender is there.
+    is_for_lender: bool,
     wanted: Vec<(OrganisationId, u16)>,
 }
 
 /// Who lends in one group, as far as this node knows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Ballot {
     lender: Option<Incarnation>,
     /// The lender's last stamp; 0 before there is one.
@@ -200,8 +206,8 @@
     vote_due: Time,
     in_flight: IndexMap<u64, Question>,
     timeouts: u32,
-    /// A lender that was lost, and until when it is not asked.
-    avoid: Option<(Incarnation, Time)>,
+    /// Lenders that were lost, and until when they are not asked.
+    avoided: Bounded<Incarnation, Time>,
     /// A pool of the group may want tokens at once.
     urgent: bool,
     /// When a pool of the group whose lender had too few tokens may want some again.
@@ -209,13 +215,31 @@
 }
 
 impl Ballot {
-    fn avoided(&self, now: Time) -> Option<Incarnation> {
-        let (lender, until) = self.avoid?;
-        (now < until).then_some(lender)
+    fn new() -> Self {
+        Self {
+            lender: None,
+            stamp: 0,
+            bound: None,
+            vote_due: Time::ZERO,
+            in_flight: IndexMap::new(),
+            timeouts: 0,
+            avoided: Bounded::new(MAX_AVOIDED),
+            urgent: false,
+            again_at: None,
+        }
+    }
+
+    fn avoid(&mut self, now: Time, lender: Incarnation) {
+        self.avoided.insert(lender, now + AVOID);
+        self.vote_due = now;
     }
 
     fn follow(&mut self, lender: Option<Incarnation>) {
         if self.lender != lender {
+            // What was asked of the last one is not to count against this one.
+            for question in self.in_flight.values_mut() {
+                question.is_for_lender = false;
+            }
             self.lender = lender;
             self.stamp = 0;
             self.timeouts = 0;
@@ -246,7 +270,7 @@
             began: None,
             active: false,
             pools: IndexMap::new(),
-            ballots: (0..GROUPS).map(|_| Ballot::default()).collect(),
+            ballots: (0..GROUPS).map(|_| Ballot::new()).collect(),
             number: 0,
         }
     }
@@ -309,9 +333,10 @@
         pool.is_some_and(|pool| pool.short_until.is_some())
     }
 
-    /// The lender that is not to be chosen for a group now.
-    pub fn avoided(&self, now: Time, group: u8) -> Option<Incarnation> {
-        self.ballots[usize::from(group)].avoided(now)
+    /// Whether a node is not to be chosen as the lender of a group now, because it was lost.
+    pub fn avoids(&self, now: Time, group: u8, lender: Incarnation) -> bool {
+        let avoided = &self.ballots[usize::from(group)].avoided;
+        avoided.get(&lender).is_some_and(|until| now < *until)
     }
 
     /// Whether [`Borrower::poll`] has something to do in any group.
@@ -351,6 +376,7 @@
         let number = self.number;
         let question = Question {
             sent: now,
+            is_for_lender: true,
             wanted: wanted.clone(),
         };
         ballot.in_flight.insert(number, question);
@@ -398,17 +424,19 @@
         let Some(question) = ballot.in_flight.swap_remove(&number) else {
             return Vec::new();
         };
-        ballot.timeouts = 0;
+        if question.is_for_lender {
+            ballot.timeouts = 0;
+        }
         if stamp == 0 {
             ballot.bound.take_if(|(to, _)| *to == from);
-            ballot.avoid = Some((from, now + AVOID));
+            ballot.avoid(now, from);
         } else if ballot.lender == Some(from) {
             if ballot.stamp == 0 {
                 ballot.vote_due = now + FIRST_VOTE;
             }
             ballot.stamp = ballot.stamp.max(stamp);
         }
-        self.forget_question(&question);
+        self.forget_wanted(&question.wanted);
         let mut taken = Vec::new();
         for (organisation, wanted) in &question.wanted {
             let Some(loan) = loans.iter().find(|loan| loan.organisation == *organisation) else {
@@ -451,7 +479,7 @@
             pool.put(expires, loan.tokens.into());
         }
         pool.plenty = loan.plenty;
-        let wait = Duration::from_millis(loan.wait_ms.into()).max(SHORT_INTERVAL);
+        let wait = Duration::from_millis(loan.wait_ms.into()).clamp(MIN_SHORT, MAX_SHORT);
         pool.short_until = (loan.wait_ms > 0).then(|| now + wait);
         if pool.waiting > u32::from(loan.tokens) {
             let ballot = &mut self.ballots[usize::from(crate::group_of(loan.organisation))];
@@ -494,9 +522,11 @@
         let ballot = &mut self.ballots[usize::from(group)];
         let late = |question: &Question| now.since(question.sent) >= ANSWER_TIMEOUT;
         let mut lost = Vec::new();
+        let mut silent = false;
         ballot.in_flight.retain(|_, question| {
             let late = late(question);
             if late {
+                silent |= question.is_for_lender;
                 lost.push(std::mem::take(&mut question.wanted));
             }
             !late
@@ -504,20 +534,22 @@
         if lost.is_empty() {
             return;
         }
-        ballot.timeouts += 1;
+        ballot.timeouts += u32::from(silent);
         ballot.urgent = true;
         ballot.vote_due = ballot.vote_due.min(now);
         if ballot.timeouts >= MAX_TIMEOUTS {
             ballot.timeouts = 0;
-            ballot.avoid = ballot.lender.map(|lender| (lender, now + AVOID));
+            if let Some(lender) = ballot.lender {
+                ballot.avoid(now, lender);
+            }
         }
         for wanted in lost {
-            self.forget_question(&Question { sent: now, wanted });
+            self.forget_wanted(&wanted);
         }
     }
 
-    fn forget_question(&mut self, question: &Question) {
-        for (organisation, tokens) in &question.wanted {
+    fn forget_wanted(&mut self, wanted: &[(OrganisationId, u16)]) {
+        for (organisation, tokens) in wanted {
             if let Some(pool) = self.pools.get_mut(organisation) {
                 pool.asked = pool.asked.saturating_sub((*tokens).into());
             }
