--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -28,6 +28,8 @@
     Explain(Explain),
     #[options(help = "list the publications that the store still has")]
     Log(Log),
+    #[options(help = "make a key for an organisation; prints it and its digest for the rules")]
+    Key(Key),
 }
 
 /// Arguments of `check`.
@@ -111,3 +113,10 @@
     #[options(no_short, default = "bilberrycove", meta = "NAME", help = "the stream")]
     pub(crate) stream: String,
 }
+
+/// Arguments of `key`.
+#[derive(Debug, Options)]
+pub(crate) struct Key {
+    #[options(help = "print this help")]
+    help: bool,
+}
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -11,7 +11,9 @@
 use crate::status::status;
 use crate::stream::Stream;
 use journal::Record;
+use rules::KeyDigest;
 use std::path::Path;
+use uuid::Uuid;
 
 pub(crate) async fn run(args: Args) -> Result<(), CommandError> {
     if args.version {
@@ -24,9 +26,20 @@
         Command::Status(args) => status(args).await,
         Command::Explain(args) => explain(args).await,
         Command::Log(args) => log(args).await,
+        Command::Key(_) => {
+            make_key();
+            Ok(())
+        }
     }
 }
 
+/// The key goes to the organisation and is kept nowhere else.
+fn make_key() {
+    let random = || Uuid::new_v4().simple().to_string();
+    let key = random() + &random();
+    println!("{key}\n{}", KeyDigest::of(&key));
+}
+
 fn check(args: &Check) -> Result<(), CommandError> {
     let (_, rules) = read_rules(&args.file)?;
     println!(
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -304,3 +304,15 @@
     check(&["explain", file.path(), "GET", "/press/slots"], 0, none).await;
     assert_eq!(ctl(&["explain", "GET", "/press/slots"]).await.0, 2);
 }
+
+#[actix_rt::test]
+async fn a_key_comes_with_the_digest_that_the_rules_take() {
+    let (code, out, _) = ctl(&["key"]).await;
+    let (key, digest) = out.trim().split_once('\n').unwrap();
+    assert_eq!((code, digest), (0, &*rules::KeyDigest::of(key).to_string()));
+    let file = File::new(&format!(
+        "{RULES}organisation anna keys={digest} # asked by Anna\n"
+    ));
+    assert_eq!(ctl(&["check", file.path()]).await.0, 0);
+    assert_ne!(ctl(&["key"]).await.1, out);
+}
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -105,13 +105,6 @@
         }
     }
 
-    /// A request did not run, so its token may admit another one.
-    fn return_credit(&mut self, now: Time, credit: Option<Credit>) {
-        if let Some(credit) = credit {
-            self.quota.borrower.put_back(now, credit);
-        }
-    }
-
     fn refuse_arrival(&mut self, arrival: &Arrival, reason: Reason) {
         let keyed = arrival.key.is_some();
         let id = arrival.request.id.clone();
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use organisation::group_of;
 use organisation::Borrower;
+use organisation::Credit;
 use organisation::Lender;
 use organisation::Loans;
 use organisation::QuotaBounds;
@@ -51,6 +52,8 @@
     lender: Lender,
     /// Requests that wait for a token, the oldest first.
     waiting: IndexMap<Token, (OrganisationId, Arrival)>,
+    /// Organisations that were given tokens back, which may admit requests that wait.
+    returned: Vec<OrganisationId>,
     /// The lender of each group, and the number of nodes that vote.
     elected: [Option<Incarnation>; GROUPS as usize],
     voters: usize,
@@ -63,6 +66,7 @@
             borrower: Borrower::new(bounds),
             lender: Lender::new(bounds),
             waiting: IndexMap::new(),
+            returned: Vec::new(),
             elected: [None; GROUPS as usize],
             voters: 1,
             elected_at: None,
@@ -99,6 +103,9 @@
         if !self.has_quotas() {
             return None;
         }
+        if !self.quota.returned.is_empty() {
+            return Some(Time::ZERO);
+        }
         let oldest = self.quota.waiting.first();
         let give_up = oldest.map(|(_, (_, arrival))| arrival.at + MAX_WAIT);
         let timers = [self.quota.borrower.next_timer(), give_up];
@@ -109,6 +116,9 @@
         if !self.has_quotas() {
             return;
         }
+        for organisation in std::mem::take(&mut self.quota.returned) {
+            self.serve_waiting(now, organisation);
+        }
         self.give_up_waiting(now);
         if !self.quota.borrower.is_due(now) {
             return;
@@ -271,17 +281,17 @@
         let borrower = &mut self.quota.borrower;
         let loans = borrower.on_lend(now, from, group, number, stamp, lent);
         for loan in loans {
-            self.serve_waiting(now, loan);
+            self.serve_waiting(now, loan.organisation);
         }
     }
 
     /// Admits requests that wait, as far as there are tokens.
-    fn serve_waiting(&mut self, now: Time, loan: Loan) {
+    fn serve_waiting(&mut self, now: Time, id: OrganisationId) {
         let waiting = self.quota.waiting.iter();
-        let waiting = waiting.filter(|(_, (organisation, _))| *organisation == loan.organisation);
+        let waiting = waiting.filter(|(_, (organisation, _))| *organisation == id);
         let tokens: Vec<Token> = waiting.map(|(token, _)| *token).collect();
         for token in tokens {
-            match self.quota.borrower.take_waiting(now, loan.organisation) {
+            match self.quota.borrower.take_waiting(now, id) {
                 Some(credit) => {
                     if let Some((_, arrival)) = self.quota.waiting.shift_remove(&token) {
                         self.on_credit(now, arrival, credit);
@@ -292,6 +302,17 @@
         }
     }
 
+    /// A request did not run, so its token may admit another one.
+    pub(crate) fn return_credit(&mut self, now: Time, credit: Option<Credit>) {
+        let Some(credit) = credit else {
+            return;
+        };
+        self.quota.borrower.put_back(now, credit);
+        if self.quota.has_waiting() {
+            self.quota.returned.push(credit.organisation);
+        }
+    }
+
     /// A request finds no token here.
     pub(crate) fn wait_for_quota(
         &mut self,
--- a/crates/rules/tests/parse.rs
+++ b/crates/rules/tests/parse.rs
@@ -1,5 +1,6 @@
 //! Rules files with faults, and what is said of them.
 
+use bilberry_rules::KeyDigest;
 use bilberry_rules::Rules;
 use bilberry_rules::MAX_FILE;
 use bilberry_rules::MAX_RULES;
@@ -37,7 +38,7 @@
     check(
         GOOD,
         "  deny press # asked by Ugo",
-        &["2:3: `deny` is no kind of rule: use operation, limit, keys or resends"],
+        &["2:3: `deny` is no kind of rule: use operation, limit, keys, resends or organisation"],
     );
     check(
         GOOD,
@@ -231,3 +232,60 @@
     assert!(first.contains(" priority=2 "), "{first}");
     assert!(first.ends_with("asked by Ugo"), "{first}");
 }
+
+const DIGEST: &str = "sha256:a6a99e93ec19ace525f95f61b460500529945fd8c1183fa268e36ff143aceb90";
+const OTHER: &str = "sha256:e3cbb1536588e2953f0d2f9443505b2e0a190e02f8d40b1d35cd3e29f5f753be";
+
+#[test]
+fn each_fault_of_an_organisation_has_its_place() {
+    let first = format!("{GOOD}organisation anna keys={DIGEST} rate=20 burst=5 # asked by Ugo\n");
+    check(&first, "", &[]);
+    let check = |last: &str, expected: &str| check(&first, last, &[expected]);
+    check(
+        "organisation marco keys=secret # asked by Ugo",
+        "3:20: `keys` takes digests of keys as `bilberryctl key` prints them, with commas between them",
+    );
+    check(
+        &format!("organisation marco keys={OTHER},{DIGEST} # asked by Ugo"),
+        "3:20: the organisation on line 2 has one of these keys",
+    );
+    check(
+        &format!("organisation anna keys={OTHER} # asked by Ugo"),
+        "3:1: already set on line 2",
+    );
+    check(
+        "organisation marco rate=5 # asked by Ugo",
+        "3:27: keys is missing",
+    );
+    check(
+        &format!("organisation marco keys={OTHER} burst=5 # asked by Ugo"),
+        "3:97: rate is missing",
+    );
+    check(
+        &format!("organisation marco keys={OTHER} rate=0 # asked by Ugo"),
+        "3:97: `rate` takes a whole number of requests a second from 1 to 65535",
+    );
+}
+
+#[test]
+fn an_organisation_is_found_by_its_keys() {
+    let line = format!(
+        "organisation anna keys={DIGEST},{OTHER} rate=20 burst=5 priority=1 # asked by Ugo"
+    );
+    let rules = Rules::parse(&format!("{GOOD}{line}")).unwrap();
+    let organisations = rules.organisations.unwrap();
+    for digest in [DIGEST, OTHER] {
+        let (_, anna) = organisations
+            .find(&KeyDigest::parse(digest).unwrap())
+            .unwrap();
+        assert_eq!((&*anna.name, anna.priority), ("anna", Some(1)));
+        assert_eq!(anna.quota.unwrap().rate(), 20.0);
+    }
+    assert!(organisations.find(&KeyDigest::of("anna")).is_none());
+}
+
+#[test]
+fn a_digest_is_not_shown_where_rules_are() {
+    let shown = format!("{:?}", KeyDigest::parse(DIGEST).unwrap());
+    assert!(!shown.contains("a6a99e"), "{shown}");
+}
