--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -77,9 +77,8 @@
     ) {
         match message {
             FreshnessMessage::Query { number } => {
-                let Some(age) = self.freshness.age(now) else {
-                    return;
-                };
+                // A node without evidence says so, so that another is asked at once.
+                let age = self.freshness.age(now).unwrap_or(Duration::MAX);
                 let age_ms = age.as_millis().saturating_add(1);
                 let report = FreshnessMessage::Report {
                     number,
--- a/crates/node/src/attached.rs
+++ b/crates/node/src/attached.rs
@@ -144,10 +144,12 @@
         platform::CONFIG_TOPIC,
         READ_WAIT,
         |shell| shell.engine.borrow().reads_store(shell.now()),
-        |shell, batch| match batch {
+        |shell, asked, batch| match batch {
             Batch::Newest(newest) => {
                 take_configs(shell, &newest.items);
                 note_offset(shell, newest.end);
+                let version = shell.newest_rules.get().1;
+                shell.feed(Input::RulesChecked { asked, version });
             }
             Batch::Records { items, .. } => {
                 take_configs(shell, &items);
--- a/crates/node/src/store_reader.rs
+++ b/crates/node/src/store_reader.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
+use stdx::Time;
 use tokio::time::Instant;
 
 /// How long one read waits for new records. A home goes on by its lease only for as long as the topic
@@ -74,14 +75,14 @@
     },
 }
 
-/// Reads a topic for ever, while it is this node that reads, and gives what it reads to `take`. One read
-/// waits for `wait`.
+/// Reads a topic for ever, while it is this node that reads, and gives what it reads to `take`, with the time
+/// at which it was asked for. One read waits for `wait`.
 pub(crate) async fn follow(
     shell: Rc<Shell>,
     topic: &str,
     wait: Duration,
     reads: impl Fn(&Shell) -> bool,
-    take: impl Fn(&Rc<Shell>, Batch),
+    take: impl Fn(&Rc<Shell>, Time, Batch),
 ) {
     let mut pause = Pause::new();
     let mut from = None;
@@ -93,6 +94,7 @@
                 () = shell.read_store.notified() => {}
             }
         }
+        let asked = shell.now();
         let read = tokio::select! {
             read = read(&shell, topic, from, wait) => read,
             // Something is missing here. A read that waits over a connection that has gone silent
@@ -103,7 +105,7 @@
             Ok(Some((next, batch))) => {
                 from = Some(next);
                 pause.done(topic);
-                take(&shell, batch);
+                take(&shell, asked, batch);
             }
             Ok(None) => from = None,
             Err(e) => {
@@ -138,7 +140,8 @@
 /// Follows the topic of views and rules.
 pub(crate) async fn follow_views(shell: Rc<Shell>) {
     let topic = platform::topic(&shell.settings.store_stream);
-    follow(shell, &topic, READ_WAIT, |_| true, take_views).await;
+    let take = |shell: &Rc<Shell>, _, batch| take_views(shell, batch);
+    follow(shell, &topic, READ_WAIT, |_| true, take).await;
 }
 
 /// Finds out whether the store has newer rules in the topic of views and rules.
--- a/crates/organisation/src/borrower.rs
+++ b/crates/organisation/src/borrower.rs
@@ -16,8 +16,8 @@
 use stdx::Bounded;
 use stdx::Time;
 
-/// How often a vote is lent anew. Two messages in a row may be lost before it lapses.
-const VOTE_INTERVAL: Duration = Duration::from_millis(500);
+/// How often a vote is lent anew. A message may be lost before it lapses.
+const VOTE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// How soon the first vote follows the stamp that it needs.
 const FIRST_VOTE: Duration = Duration::from_millis(20);
--- a/crates/organisation/src/lender.rs
+++ b/crates/organisation/src/lender.rs
@@ -15,7 +15,7 @@
 use stdx::Time;
 
 /// For how long a vote is lent, from the time at which the lender gave out the stamp that came with it.
-pub(crate) const VOTE_LEASE: Duration = Duration::from_millis(1600);
+pub(crate) const VOTE_LEASE: Duration = Duration::from_millis(1000);
 
 /// The longest time until the next token that a borrower is told.
 const MAX_WAIT: Duration = Duration::from_secs(10);
@@ -87,11 +87,12 @@
     fn fill(&mut self, organisation: OrganisationId, terms: Terms) -> &mut Bucket {
         let (share_seconds, share_lost) = (self.share_seconds, self.share_lost);
         let bucket = self.buckets.entry(organisation).or_default();
+        // All that was lost is taken off at the last loss, which never leaves more than there was.
         let lost = (share_lost - bucket.share_lost) * terms.depth;
-        // What came in before the last loss may have gone with it.
-        let since = bucket.share_seconds.max(self.lost_at);
-        let gained = (share_seconds - since) * terms.rate;
-        let tokens = (bucket.tokens - lost).max(0.0) + gained;
+        let before = (self.lost_at - bucket.share_seconds).max(0.0) * terms.rate;
+        let before = (bucket.tokens + before).min(terms.depth);
+        let after = share_seconds - bucket.share_seconds.max(self.lost_at);
+        let tokens = (before - lost).max(0.0) + after * terms.rate;
         bucket.tokens = tokens.min(terms.depth * self.share);
         bucket.share_seconds = share_seconds;
         bucket.share_lost = share_lost;
