Borrowers: three timeouts before a lender counts as lost, no busy timer, no lost demand

Found in reading: a poll that found no place for another question kept its tokens as asked for, for ever; a node that knows no lender was due at each instant. Both have a test now (tests/quotas.rs, failing before by their construction; the second as an endless timer).

`pool` is a module of its own.

--- a/crates/organisation/src/borrower.rs
+++ b/crates/organisation/src/borrower.rs
@@ -4,6 +4,7 @@
 //! that is seldom seen here does a request wait for the lender's answer.
 
 use crate::lender::VOTE_LEASE;
+use crate::pool::Pool;
 use crate::QuotaBounds;
 use crate::GROUPS;
 use indexmap::IndexMap;
@@ -11,7 +12,6 @@
 use proto::Loan;
 use proto::OrganisationId;
 use rules::Quota;
-use std::collections::VecDeque;
 use std::time::Duration;
 use stdx::Bounded;
 use stdx::Time;
@@ -23,10 +23,10 @@
 const FIRST_VOTE: Duration = Duration::from_millis(20);
 
 /// After this time without an answer a lender is asked again.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// So many timeouts in a row make a lender count as lost.
-const MAX_TIMEOUTS: u32 = 2;
+const MAX_TIMEOUTS: u32 = 3;
 
 /// For how long a lost lender is not asked, and how many are remembered.
 const AVOID: Duration = Duration::from_secs(3);
@@ -37,16 +37,6 @@
 const MIN_SHORT: Duration = Duration::from_millis(60);
 const MAX_SHORT: Duration = Duration::from_millis(250);
 
-/// The time over which demand is averaged.
-const DEMAND_TIME: Duration = Duration::from_secs(1);
-
-/// The demand that is kept in reserve while the lender has plenty, and otherwise.
-const RESERVE: Duration = Duration::from_millis(400);
-const SMALL_RESERVE: Duration = Duration::from_millis(200);
-
-/// Below this part of the reserve, more is asked for at once.
-const LOW: f64 = 0.3;
-
 /// Questions of a group that wait for their answers.
 const MAX_IN_FLIGHT: usize = 32;
 
@@ -72,121 +62,6 @@
     pub wanted: Vec<(OrganisationId, u16)>,
 }
 
-/// How many requests a second come, averaged.
-#[derive(Debug, Default)]
-struct Demand {
-    count: f64,
-    at: Time,
-}
-
-impl Demand {
-    fn add(&mut self, now: Time) {
-        self.count = self.rate(now) * DEMAND_TIME.as_secs_f64() + 1.0;
-        self.at = now;
-    }
-
-    fn rate(&self, now: Time) -> f64 {
-        let decay = -now.since(self.at).as_secs_f64() / DEMAND_TIME.as_secs_f64();
-        self.count * decay.exp() / DEMAND_TIME.as_secs_f64()
-    }
-}
-
-/// What this node has of one organisation's quota.
-#[derive(Debug)]
-struct Pool {
-    quota: Quota,
-    /// Unused tokens by the time at which they expire, the first to expire first.
-    lots: VecDeque<(Time, u32)>,
-    demand: Demand,
-    /// Requests that wait for a token.
-    waiting: u32,
-    /// Tokens that were asked for and are not answered yet.
-    asked: u32,
-    plenty: bool,
-    /// Until then no more is asked for, because there was not enough.
-    short_until: Option<Time>,
-}
-
-impl Pool {
-    fn new(quota: Quota) -> Self {
-        Self {
-            quota,
-            lots: VecDeque::new(),
-            demand: Demand::default(),
-            waiting: 0,
-            asked: 0,
-            plenty: false,
-            short_until: None,
-        }
-    }
-
-    fn drop_expired(&mut self, now: Time) {
-        while self
-            .lots
-            .front()
-            .is_some_and(|(expires, _)| *expires <= now)
-        {
-            self.lots.pop_front();
-        }
-    }
-
-    fn held(&self) -> u32 {
-        self.lots.iter().map(|(_, tokens)| tokens).sum()
-    }
-
-    fn take(&mut self, now: Time) -> Option<Time> {
-        self.drop_expired(now);
-        let (expires, tokens) = self.lots.front_mut()?;
-        let expires = *expires;
-        *tokens -= 1;
-        if *tokens == 0 {
-            self.lots.pop_front();
-        }
-        Some(expires)
-    }
-
-    fn put(&mut self, expires: Time, tokens: u32) {
-        if tokens == 0 {
-            return;
-        }
-        let at = self.lots.partition_point(|(other, _)| *other <= expires);
-        self.lots.insert(at, (expires, tokens));
-    }
-
-    fn is_short(&self, now: Time) -> bool {
-        self.short_until.is_some_and(|until| now < until)
-    }
-
-    fn reserve(&self, now: Time) -> u32 {
-        let rate = self.demand.rate(now);
-        let time = match self.plenty {
-            true => RESERVE,
-            false => SMALL_RESERVE,
-        };
-        (rate * time.as_secs_f64()) as u32
-    }
-
-    /// How many tokens to ask for.
-    fn wanted(&mut self, now: Time) -> u32 {
-        if self.is_short(now) {
-            return 0;
-        }
-        self.drop_expired(now);
-        let needed = self.waiting + self.reserve(now);
-        needed.saturating_sub(self.held() + self.asked)
-    }
-
-    /// Whether the question cannot wait for the next vote.
-    fn is_urgent(&self, now: Time) -> bool {
-        if self.is_short(now) {
-            return false;
-        }
-        let held = self.held() + self.asked;
-        let reserve = self.reserve(now);
-        held < self.waiting || (reserve > 1 && f64::from(held) < f64::from(reserve) * LOW)
-    }
-}
-
 #[derive(Debug)]
 struct Question {
     sent: Time,
@@ -350,17 +225,22 @@
         self.time_out(now, group);
         let ballot = &mut self.ballots[usize::from(group)];
         ballot.follow(lender);
-        let lender = ballot.lender?;
         let votes = now >= ballot.vote_due;
         ballot.urgent |= ballot.again_at.take_if(|at| *at <= now).is_some();
-        if !votes && !std::mem::take(&mut ballot.urgent) {
+        if !std::mem::take(&mut ballot.urgent) && !votes {
             return None;
         }
+        let is_full = ballot.in_flight.len() >= MAX_IN_FLIGHT;
+        let Some(lender) = ballot.lender.filter(|_| !is_full) else {
+            ballot.vote_due = ballot.vote_due.max(now + MIN_SHORT);
+            ballot.again_at = Some(now + MIN_SHORT);
+            return None;
+        };
         let wanted = self.wanted(now, group);
-        let ballot = &mut self.ballots[usize::from(group)];
-        if (!votes && wanted.is_empty()) || ballot.in_flight.len() >= MAX_IN_FLIGHT {
+        if !votes && wanted.is_empty() {
             return None;
         }
+        let ballot = &mut self.ballots[usize::from(group)];
         let is_free = ballot
             .bound
             .is_none_or(|(to, until)| to == lender || now >= until);
--- a/crates/organisation/src/lib.rs
+++ b/crates/organisation/src/lib.rs
@@ -7,6 +7,7 @@
 mod borrower;
 mod freshness;
 mod lender;
+mod pool;
 
 pub use borrower::Borrower;
 pub use borrower::Credit;
--- a/crates/organisation/tests/quotas.rs
+++ b/crates/organisation/tests/quotas.rs
@@ -520,3 +520,41 @@
     let loan = lender.lend(later, ORGANISATION, quota(100, 100), 10, voters);
     assert_eq!(loan.tokens, 0);
 }
+
+#[test]
+fn a_node_that_knows_no_lender_is_not_due_all_the_time() {
+    let mut borrower = Borrower::new(QuotaBounds::default());
+    let quota = quota(10, 10);
+    borrower.set_quotas(true, |_| Some(quota));
+    let now = Time::ZERO + ms(1000);
+    assert_eq!(borrower.take(now, ORGANISATION, quota), None);
+    borrower.wait(now, ORGANISATION);
+    for group in 0..bilberry_organisation::GROUPS {
+        assert_eq!(borrower.poll(now, group, None), None);
+    }
+    assert!(!borrower.is_due(now));
+    let asked = borrower.poll(now + ms(100), group_of(ORGANISATION), Some(Incarnation(1)));
+    assert_eq!(asked.unwrap().wanted, [(ORGANISATION, 1)]);
+}
+
+#[test]
+fn questions_that_find_no_place_are_asked_later() {
+    let mut borrower = Borrower::new(QuotaBounds::default());
+    let quota = quota(1000, 1000);
+    let group = group_of(ORGANISATION);
+    borrower.set_quotas(true, |_| Some(quota));
+    let mut now = Time::ZERO + ms(1000);
+    let mut asked = 0;
+    for _ in 0..200 {
+        assert_eq!(borrower.take(now, ORGANISATION, quota), None);
+        borrower.wait(now, ORGANISATION);
+        if let Some(loans) = borrower.poll(now, group, Some(Incarnation(1))) {
+            asked += loans.wanted.first().map_or(0, |(_, tokens)| *tokens);
+        }
+        now = now + Duration::from_micros(200);
+    }
+    // None of the questions is answered, and all of them are given up.
+    now = now + ms(200);
+    let again = borrower.poll(now, group, Some(Incarnation(1))).unwrap();
+    assert!(asked > 0 && again.wanted[0].1 >= 200, "{asked} asked, then {again:?}");
+}
