The time spent waiting for a token is part of the deadline; refusals name the organisation

The line of a refusal names the organisation whose key was found, so that a 429 can be told from its id.

--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -6,6 +6,7 @@
 use crate::request::Draft;
 use crate::request::OpenRequest;
 use crate::request::Parents;
+use crate::request::Refused;
 use crate::Counter;
 use crate::Engine;
 use crate::Keyless;
@@ -83,11 +84,12 @@
             ..
         } = arrival;
         self.count(Counter::Request(operation.class));
-        let (keyed, id) = (key.is_some(), request.id.clone());
+        let refused = Refused::new(token, key.is_some(), &request);
+        let latest = at + operation.deadline;
         let patience = patience.map(|patience| patience.saturating_sub(now.since(at)));
         let draft = self
             .filter_context(now, token, parents, dice, operation, request)
-            .map(|draft| shorten(draft, now, patience))
+            .map(|draft| shorten(draft, now, patience, latest))
             .and_then(|draft| self.filter_key(draft, &caller, key));
         match draft {
             Ok(draft) => {
@@ -100,25 +102,23 @@
             }
             Err(reason) => {
                 self.return_credit(now, credit);
-                self.refuse_unopened(token, id, keyed, self.refusal(reason));
+                self.refuse_unopened(refused, self.refusal(reason));
             }
         }
     }
 
     fn refuse_arrival(&mut self, arrival: &Arrival, reason: Reason) {
-        let keyed = arrival.key.is_some();
-        let id = arrival.request.id.clone();
-        self.refuse_unopened(arrival.token, id, keyed, self.refusal(reason));
+        self.refuse_unopened(Refused::from(arrival), self.refusal(reason));
     }
 
     /// Refuses a request that no record was looked at for.
-    pub(crate) fn refuse_unopened(
-        &mut self,
-        token: Token,
-        id: Arc<str>,
-        keyed: bool,
-        refusal: Refusal,
-    ) {
+    pub(crate) fn refuse_unopened(&mut self, refused: Refused, refusal: Refusal) {
+        let Refused {
+            token,
+            request,
+            organisation,
+            keyed,
+        } = refused;
         let reason = refusal.reason;
         // Nobody has looked whether an earlier attempt with this key ran.
         let unjudged = keyed && !reason.is_callers_mistake();
@@ -128,7 +128,8 @@
             refusal
         };
         self.out.push(Output::Note(Note::Refused {
-            request: id,
+            request,
+            organisation,
             reason,
             rules: self.journal.version,
         }));
@@ -429,7 +430,9 @@
     }
 }
 
-fn shorten(mut draft: Draft, now: Time, patience: Option<Duration>) -> Draft {
+/// The time that a request has waited for a token is part of what it has.
+fn shorten(mut draft: Draft, now: Time, patience: Option<Duration>, latest: Time) -> Draft {
+    draft.deadline = draft.deadline.min(latest);
     if let Some(patience) = patience {
         draft.deadline = draft.deadline.min(now + patience);
     }
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -98,6 +98,8 @@
     Refused {
         /// The request.
         request: Arc<str>,
+        /// The organisation that it is from; empty if none was found.
+        organisation: Arc<str>,
         /// Why.
         reason: Reason,
         /// The version of the rules that decided.
@@ -201,13 +203,20 @@
             ),
             Note::Refused {
                 request,
+                organisation,
                 reason,
                 rules,
-            } => write!(
-                f,
-                "event=refused request={request} reason={} rules={rules}",
-                reason.name()
-            ),
+            } => {
+                let reason = reason.name();
+                write!(
+                    f,
+                    "event=refused request={request} reason={reason} rules={rules}"
+                )?;
+                match &**organisation {
+                    "" => Ok(()),
+                    organisation => write!(f, " organisation={organisation}"),
+                }
+            }
             Note::Keys {
                 trusted,
                 rules,
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -1,6 +1,7 @@
 //! The controller of quotas: who lends, and requests that wait for a token.
 
 use crate::request::Arrival;
+use crate::request::Refused;
 use crate::Engine;
 use crate::Output;
 use crate::Token;
@@ -363,9 +364,7 @@
             Reason::QuotaExceeded => RETRY_EXCEEDED.mul_f64(self.rng.random_range(1.0..2.0)),
             _ => RETRY_UNKNOWN,
         };
-        let keyed = arrival.key.is_some();
-        let refusal = Refusal::new(reason, retry_after);
-        self.refuse_unopened(arrival.token, arrival.request.id, keyed, refusal);
+        self.refuse_unopened(Refused::from(&arrival), Refusal::new(reason, retry_after));
     }
 
     /// A node that stops lends no more, and says so to whoever asks.
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -52,6 +52,33 @@
     pub(crate) request: Request,
 }
 
+/// What is written down and answered of a request that is refused before it was opened.
+#[derive(Debug)]
+pub(crate) struct Refused {
+    pub(crate) token: Token,
+    pub(crate) request: Arc<str>,
+    pub(crate) organisation: Arc<str>,
+    /// Its caller sent an idempotency key.
+    pub(crate) keyed: bool,
+}
+
+impl Refused {
+    pub(crate) fn new(token: Token, keyed: bool, request: &Request) -> Self {
+        Self {
+            token,
+            request: request.id.clone(),
+            organisation: request.organisation.clone(),
+            keyed,
+        }
+    }
+}
+
+impl From<&Arrival> for Refused {
+    fn from(arrival: &Arrival) -> Self {
+        Self::new(arrival.token, arrival.key.is_some(), &arrival.request)
+    }
+}
+
 /// What a request says of the run that it is part of.
 #[derive(Debug, Clone)]
 pub(crate) struct Parents {
--- a/crates/engine/tests/organisations.rs
+++ b/crates/engine/tests/organisations.rs
@@ -320,3 +320,24 @@
     assert!(!outputs.iter().any(asked));
     driver.check("/slots", None, Ok(""));
 }
+
+#[test]
+fn the_time_spent_waiting_for_a_token_is_part_of_the_deadline() {
+    let mut driver = Driver::new(&[("anna", "k1", "rate=10 burst=0")]);
+    driver.pass(1100, true);
+    let given = |outputs: &[Output]| {
+        outputs.iter().find_map(|output| match output {
+            Output::Run { remaining, .. } => Some(*remaining),
+            _ => None,
+        })
+    };
+    let without_wait = given(&driver.request("/days", None, None)).unwrap();
+    // The node has no vote yet; the first token comes while this waits.
+    let outputs = driver.request("/slots", Some("k1"), None);
+    assert!(end(&outputs).is_none());
+    let began = driver.now;
+    let remaining = (0..30).find_map(|_| given(&driver.pass(10, true)));
+    let waited = Duration::from_millis(driver.now - began);
+    assert_eq!(remaining, Some(without_wait - waited));
+    assert!(waited >= Duration::from_millis(50), "{waited:?}");
+}
--- a/crates/organisation/tests/quotas.rs
+++ b/crates/organisation/tests/quotas.rs
@@ -556,5 +556,8 @@
     // None of the questions is answered, and all of them are given up.
     now = now + ms(200);
     let again = borrower.poll(now, group, Some(Incarnation(1))).unwrap();
-    assert!(asked > 0 && again.wanted[0].1 >= 200, "{asked} asked, then {again:?}");
+    assert!(
+        asked > 0 && again.wanted[0].1 >= 200,
+        "{asked} asked, then {again:?}"
+    );
 }
