--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -10,7 +10,7 @@
 use organisation::Borrower;
 use organisation::Credit;
 use organisation::Lender;
-use organisation::Loans;
+use organisation::LoanRequest;
 use organisation::QuotaBounds;
 use organisation::GROUPS;
 use proto::hash64;
@@ -161,8 +161,8 @@
         nodes.max_by_key(|node| (hash64(&(group, node)), *node))
     }
 
-    fn ask_lender(&mut self, now: Time, group: u8, loans: Loans) {
-        let Loans {
+    fn ask_lender(&mut self, now: Time, group: u8, loans: LoanRequest) {
+        let LoanRequest {
             lender,
             number,
             vote,
--- a/crates/organisation/src/borrower.rs
+++ b/crates/organisation/src/borrower.rs
@@ -49,9 +49,9 @@
     pub expires: Time,
 }
 
-/// A question to a lender.
+/// Asks a lender for tokens, and may lend it a vote.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Loans {
+pub struct LoanRequest {
     /// Who is asked.
     pub lender: Incarnation,
     /// The question's number.
@@ -220,7 +220,12 @@
     }
 
     /// The next question of a group, to `lender`, if one is due.
-    pub fn poll(&mut self, now: Time, group: u8, lender: Option<Incarnation>) -> Option<Loans> {
+    pub fn poll(
+        &mut self,
+        now: Time,
+        group: u8,
+        lender: Option<Incarnation>,
+    ) -> Option<LoanRequest> {
         let began = *self.began.get_or_insert(now);
         self.time_out(now, group);
         let ballot = &mut self.ballots[usize::from(group)];
@@ -260,7 +265,7 @@
             wanted: wanted.clone(),
         };
         ballot.in_flight.insert(number, question);
-        Some(Loans {
+        Some(LoanRequest {
             lender,
             number,
             vote,
--- a/crates/organisation/src/lib.rs
+++ b/crates/organisation/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use borrower::Borrower;
 pub use borrower::Credit;
-pub use borrower::Loans;
+pub use borrower::LoanRequest;
 pub use freshness::Freshness;
 pub use freshness::Step;
 pub use lender::Lender;
--- a/crates/organisation/tests/quotas.rs
+++ b/crates/organisation/tests/quotas.rs
@@ -4,7 +4,7 @@
 use bilberry_organisation::group_of;
 use bilberry_organisation::Borrower;
 use bilberry_organisation::Lender;
-use bilberry_organisation::Loans;
+use bilberry_organisation::LoanRequest;
 use bilberry_organisation::QuotaBounds;
 use proto::hash64;
 use proto::Incarnation;
@@ -244,7 +244,7 @@
         })
     }
 
-    fn borrow(&mut self, at: usize, to: usize, loans: Loans) {
+    fn borrow(&mut self, at: usize, to: usize, loans: LoanRequest) {
         let wanted = loans.wanted.first().map_or(0, |(_, tokens)| *tokens);
         let message = Message::Borrow {
             from: self.nodes[at].incarnation,
