--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -86,8 +86,9 @@
 }
 
 impl Engine {
+    /// Requests may still wait for a token when new rules name no organisation any more.
     fn has_quotas(&self) -> bool {
-        self.journal.rules.organisations.is_some()
+        self.journal.rules.organisations.is_some() || self.quota.has_waiting()
     }
 
     /// New rules are in force.
--- a/crates/engine/tests/organisations.rs
+++ b/crates/engine/tests/organisations.rs
@@ -341,3 +341,13 @@
     assert_eq!(remaining, Some(without_wait - waited));
     assert!(waited >= Duration::from_millis(50), "{waited:?}");
 }
+
+#[test]
+fn a_request_that_waits_is_answered_though_new_rules_name_no_organisation() {
+    let mut driver = Driver::new(&[("anna", "k1", "rate=1 burst=0")]);
+    let outputs = driver.request("/slots", Some("k1"), None);
+    assert!(end(&outputs).is_none(), "no token is there yet");
+    driver.publish(&[]);
+    let outputs = driver.pass(400, false);
+    assert!(end(&outputs).is_some(), "{outputs:?}");
+}
