Log and count what backend servers say about themselves in responses

Cause: two backend servers named a request rate limit and got twice as many requests. Change: the rate limit and the departure that a server states in the head of a response are parsed in the platform package (a malformed value is a typed error and a counter, the response is forwarded all the same) and passed to the engine as soon as the head is read, for runs and health checks alike. The engine keeps them by server incarnation, logs changes (event=server_limit, event=server_leaving, rate_limit= on lines of ended runs), reports gauges, and counts the runs started under a limit by origin: client, call, repeat. No decision depends on them yet.

--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -1,5 +1,6 @@
 //! Counters of the engine and the node, and the names of their metrics.
 
+use crate::ReportError;
 use proto::Class;
 use proto::Reason;
 use stdx::plain;
@@ -48,6 +49,29 @@
     }
 }
 
+plain! {
+    /// The way by which a request has reached the node beside the server that runs it.
+    #[derive(Hash)]
+    pub enum RunOrigin {
+        /// A request of a client, sent for the first time.
+        Client,
+        /// A call made by a run, sent for the first time.
+        Call,
+        /// A retry or a hedge of either, or a call made by one.
+        Repeat,
+    }
+}
+
+impl RunOrigin {
+    fn name(self) -> &'static str {
+        match self {
+            RunOrigin::Client => "client",
+            RunOrigin::Call => "call",
+            RunOrigin::Repeat => "repeat",
+        }
+    }
+}
+
 plain! {
     /// An event to count. The node adds it to the metrics.
     #[derive(Hash)]
@@ -78,6 +102,10 @@
         ResponseReplayed,
         /// A run was started on this node's backend server.
         Run(Class),
+        /// A run was started while a rate limit of the backend server was in force.
+        RateLimitedRun(RunOrigin),
+        /// A header in which the backend server reports about itself was rejected.
+        MalformedServerReport(ReportError),
         /// A new incarnation of this node's backend server sent its first heartbeat.
         ServerStarted,
         /// A heartbeat of the backend server arrived after a newer one.
@@ -151,6 +179,10 @@
             Counter::OriginalAnsweredFirst => "late_answer_first".to_owned(),
             Counter::Redirect(reason) => format!("redirect.{}", reason.name()),
             Counter::Run(class) => format!("run.{}", class.name()),
+            Counter::RateLimitedRun(origin) => format!("rate_limited_run.{}", origin.name()),
+            Counter::MalformedServerReport(error) => {
+                format!("broken_server_report.{}", error.name())
+            }
             Counter::RetryBudgetSpent => "retry_budget_spent".to_owned(),
             Counter::Reattach => "reattach".to_owned(),
             Counter::ResendAttached => "attached".to_owned(),
--- a/crates/engine/src/diagnostic.rs
+++ b/crates/engine/src/diagnostic.rs
@@ -1,5 +1,6 @@
 //! Diagnostic events: what was decided about which request, and the inputs to the decision.
 
+use policy::RequestRate;
 use proto::Class;
 use proto::Incarnation;
 use proto::Outcome;
@@ -34,6 +35,8 @@
         pub limit: u16,
         /// The admission level; see [`proto::LoadReport`].
         pub level: u16,
+        /// The rate limit that the server has named, if one is in force.
+        pub rate_limit: Option<RequestRate>,
     }
 }
 
@@ -141,6 +144,22 @@
         /// The sequence number of its last heartbeat.
         sequence: u64,
     },
+    /// This node's backend server named another rate limit than before, or none any more.
+    ServerLimit {
+        /// The server's incarnation.
+        id: Arc<str>,
+        /// The rate limit now in force.
+        limit: Option<RequestRate>,
+        /// The rate limit that was in force before.
+        previous: Option<RequestRate>,
+        /// The time since the previous limit was last named.
+        age: Option<Duration>,
+    },
+    /// This node's backend server said for the first time that it is about to stop.
+    ServerLeaving {
+        /// The server's incarnation.
+        id: Arc<str>,
+    },
     /// A job for this node's backend server ended, whether or not its run was started.
     JobEnded {
         /// The id of the request.
@@ -182,6 +201,13 @@
     }
 }
 
+fn write_rate(f: &mut fmt::Formatter<'_>, key: &str, rate: Option<RequestRate>) -> fmt::Result {
+    match rate {
+        Some(rate) => write!(f, " {key}={rate}"),
+        None => write!(f, " {key}=none"),
+    }
+}
+
 impl fmt::Display for Diagnostic {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -258,6 +284,21 @@
                     "event=own_server id={id} open={accepts_work} sequence={sequence}"
                 )
             }
+            Diagnostic::ServerLimit {
+                id,
+                limit,
+                previous,
+                age,
+            } => {
+                write!(f, "event=server_limit id={id}")?;
+                write_rate(f, "limit", *limit)?;
+                write_rate(f, "previous", *previous)?;
+                match age {
+                    Some(age) => write!(f, " age_ms={}", age.as_millis()),
+                    None => Ok(()),
+                }
+            }
+            Diagnostic::ServerLeaving { id } => write!(f, "event=server_leaving id={id}"),
             Diagnostic::JobEnded {
                 request,
                 class,
@@ -275,7 +316,11 @@
                 server.queued,
                 server.limit,
                 server.level
-            ),
+            )
+            .and_then(|()| match server.rate_limit {
+                Some(_) => write_rate(f, "rate_limit", server.rate_limit),
+                None => Ok(()),
+            }),
         }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -263,6 +263,11 @@
             }
             Input::Server(announcement) => self.on_server_announcement(now, announcement),
             Input::ServerChecked { id, healthy } => self.on_server_checked(now, &id, healthy),
+            Input::ServerReport {
+                id,
+                sent_at,
+                report,
+            } => self.on_server_report(now, &id, sent_at, report),
             Input::RulesChecked { asked, version } => self.on_rules_checked(now, asked, version),
             Input::RulesCheckFailed => self.on_rules_check_failed(now),
             Input::LogUnreachable => self.on_log_unreachable(now),
--- a/crates/engine/src/gauges.rs
+++ b/crates/engine/src/gauges.rs
@@ -1,6 +1,7 @@
 //! Gauges: values that are sampled, as opposed to counters.
 
 use crate::Engine;
+use policy::RequestRate;
 use stdx::Time;
 
 /// The name of a metric and its current value.
@@ -8,7 +9,8 @@
 
 impl Engine {
     /// The sizes of all tables and the current state of the controllers. Utilisation and level are
-    /// in the units of [`proto::LoadReport`], the remaining time of the lease in milliseconds.
+    /// in the units of [`proto::LoadReport`], the remaining time of the lease in milliseconds, the
+    /// rate limit of the backend server in thousandths of a request per second.
     ///
     /// # Examples
     ///
@@ -46,6 +48,12 @@
             ("server.limit", u64::from(load.limit)),
             ("server.utilisation", u64::from(load.utilisation)),
             ("server.level", u64::from(load.level)),
+            ("server.rate_limited", u64::from(self.has_rate_limit())),
+            (
+                "server.rate_limit_millihertz",
+                self.rate_limit().map_or(0, RequestRate::millihertz),
+            ),
+            ("server.leaving", u64::from(self.reported_leaving())),
         ]
     }
 }
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -2,6 +2,7 @@
 
 use crate::Counter;
 use crate::Diagnostic;
+use crate::ServerReport;
 use bytes::Bytes;
 use journal::TopicEntry;
 use proto::Datagram;
@@ -118,6 +119,16 @@
         /// Whether the server reports that it is healthy and not about to stop.
         healthy: bool,
     },
+    /// This node's backend server has sent the head of a response, which says something about the
+    /// server itself. Reports that say nothing may be omitted unless [`crate::Engine::has_rate_limit`].
+    ServerReport {
+        /// The incarnation that sent the response.
+        id: Arc<str>,
+        /// When the request was sent.
+        sent_at: Time,
+        /// What the server says.
+        report: ServerReport,
+    },
     /// Response to [`Output::CheckRules`].
     RulesChecked {
         /// When the query was sent.
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -3,6 +3,7 @@
 use crate::operation_key::OperationKey;
 use crate::RequestToken;
 use crate::RunEnd;
+use crate::RunOrigin;
 use indexmap::IndexMap;
 use policy::RetryAllowance;
 use policy::WorkOutcome;
@@ -89,6 +90,17 @@
         }
     }
 
+    /// The way by which the request has reached this node.
+    pub(crate) fn origin(&self) -> RunOrigin {
+        if self.possible_repeat {
+            RunOrigin::Repeat
+        } else if self.depth > 0 {
+            RunOrigin::Call
+        } else {
+            RunOrigin::Client
+        }
+    }
+
     pub(crate) fn on_child_started(&mut self, now: Time, child: RequestToken) {
         if self.pending_children.is_empty() {
             self.children_pending_since = now;
--- a/crates/engine/src/own_server.rs
+++ b/crates/engine/src/own_server.rs
@@ -1,6 +1,7 @@
 //! This node's backend server as it announces itself: its current incarnation, and whether it
 //! accepts work.
 
+use crate::server_report::NamedLimit;
 use crate::Announcement;
 use crate::Counter;
 use crate::Diagnostic;
@@ -21,6 +22,13 @@
     is_leaving: bool,
     /// Whether it has confirmed that it is not about to stop.
     health_check: HealthCheck,
+    /// When its first heartbeat arrived.
+    pub(crate) known_since: Time,
+    /// The rate limit that it has named in its responses, if one is in force.
+    pub(crate) named_limit: Option<NamedLimit>,
+    /// Whether it has said in a response that it is about to stop. That is final for this
+    /// incarnation.
+    pub(crate) reported_leaving: bool,
 }
 
 /// The health check of the first server incarnation that this node process hears of.
@@ -44,6 +52,10 @@
         !self.is_leaving && !self.heartbeat.draining && self.health_check == HealthCheck::Passed
     }
 
+    pub(crate) fn has_id(&self, id: &str) -> bool {
+        *self.heartbeat.id == *id
+    }
+
     /// Whether a heartbeat is newer than the last one. Heartbeats may arrive late, even those of an
     /// incarnation that has ended. If a late one were applied, the node could send work to a server
     /// that is draining or has exited.
@@ -86,6 +98,9 @@
                     heartbeat,
                     is_leaving: false,
                     health_check,
+                    known_since: now,
+                    named_limit: None,
+                    reported_leaving: false,
                 });
                 let slots = server.heartbeat.slots;
                 self.server.on_server_restart(now, slots);
@@ -130,7 +145,7 @@
     /// asked again after its next heartbeat.
     pub(crate) fn on_server_checked(&mut self, now: Time, id: &str, healthy: bool) {
         let server = self.own_server.as_mut();
-        let Some(server) = server.filter(|server| *server.heartbeat.id == *id) else {
+        let Some(server) = server.filter(|server| server.has_id(id)) else {
             return;
         };
         if server.health_check != HealthCheck::Pending {
@@ -146,7 +161,7 @@
 
     fn on_server_leaving(&mut self, now: Time, id: &str) {
         let server = self.own_server.as_mut();
-        if let Some(server) = server.filter(|server| *server.heartbeat.id == *id) {
+        if let Some(server) = server.filter(|server| server.has_id(id)) {
             server.is_leaving = true;
             self.on_server_changed(now, false);
         }
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -252,7 +252,11 @@
             remaining,
             start_within,
         });
+        let origin = job.origin();
         self.count(Counter::Run(class));
+        if self.has_rate_limit() {
+            self.count(Counter::RateLimitedRun(origin));
+        }
         self.set_hedge_timer(now, run);
     }
 
@@ -413,6 +417,7 @@
             queued: queued as u32,
             limit,
             level: self.server.level(),
+            rate_limit: self.rate_limit(),
         }
     }
 }
--- a/crates/httpconn/src/connection.rs
+++ b/crates/httpconn/src/connection.rs
@@ -6,6 +6,7 @@
 use crate::response::Reuse;
 use crate::ExchangeError;
 use actix_http::header::HeaderMap;
+use actix_http::StatusCode;
 use bytes::BytesMut;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
@@ -76,8 +77,9 @@
         self.buf.is_empty() && matches!(read, Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Sends an encoded request and reads the response to it: the first one for which `is_match`
-    /// returns true. Cancelling the future leaves the connection in an unknown state, so this
+    /// Sends an encoded request and reads the response to it: the first one for which `accept_head`
+    /// returns true. `accept_head` is called as soon as the head of a response has been read.
+    /// Cancelling the future leaves the connection in an unknown state, so this
     /// consumes the connection and returns it only after a complete response.
     ///
     /// # Errors
@@ -87,7 +89,7 @@
         mut self,
         request: &[u8],
         max_body: usize,
-        is_match: impl Fn(&HeaderMap) -> bool,
+        accept_head: impl Fn(StatusCode, &HeaderMap) -> bool,
     ) -> Result<(CompleteResponse, Self), ExchangeError> {
         let (mut reader, mut writer) = self.stream.split();
         let mut written = false;
@@ -95,7 +97,13 @@
         // reading, which would block a client that only writes.
         let mut response = {
             let write = async { writer.write_all(request).await };
-            let read = read_matching(&self.parser, &mut reader, &mut self.buf, max_body, is_match);
+            let read = read_matching(
+                &self.parser,
+                &mut reader,
+                &mut self.buf,
+                max_body,
+                accept_head,
+            );
             tokio::pin!(write, read);
             loop {
                 tokio::select! {
@@ -120,17 +128,19 @@
     }
 }
 
-/// Reads responses until `is_match` accepts one, skipping at most [`MAX_UNMATCHED`].
+/// Reads responses until `accept_head` accepts one, skipping at most [`MAX_UNMATCHED`].
 async fn read_matching(
     parser: &Parser,
     reader: &mut tokio::net::tcp::ReadHalf<'_>,
     buf: &mut BytesMut,
     max_body: usize,
-    is_match: impl Fn(&HeaderMap) -> bool,
+    accept_head: impl Fn(StatusCode, &HeaderMap) -> bool,
 ) -> Result<CompleteResponse, ExchangeError> {
     for skipped in 0..=MAX_UNMATCHED {
-        let mut response = response::read(parser, reader, buf, max_body).await?;
-        if is_match(&response.headers) {
+        let head = response::read_head(parser, reader, buf).await?;
+        let is_match = accept_head(head.status, &head.headers);
+        let mut response = response::read_body(head, reader, buf, max_body).await?;
+        if is_match {
             if skipped > 0 {
                 // More responses to other requests may follow.
                 response.reuse = Reuse::No;
--- a/crates/httpconn/src/response.rs
+++ b/crates/httpconn/src/response.rs
@@ -58,13 +58,19 @@
     UntilClose,
 }
 
-/// Reads the next final response, whichever request it belongs to.
-pub(crate) async fn read<R>(
+/// The head of a response whose body has not been read yet.
+pub(crate) struct ResponseHead {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    framing: Framing,
+}
+
+/// Reads the head of the next final response, whichever request it belongs to.
+pub(crate) async fn read_head<R>(
     parser: &Parser,
     stream: &mut R,
     buf: &mut BytesMut,
-    max_body: usize,
-) -> Result<CompleteResponse, ExchangeError>
+) -> Result<ResponseHead, ExchangeError>
 where
     R: AsyncRead + Unpin,
 {
@@ -81,7 +87,29 @@
         }
     };
     let (status, headers) = (head.status, std::mem::take(head.headers_mut()));
-    let (body, is_framed) = match body_framing(codec, status, &headers) {
+    Ok(ResponseHead {
+        status,
+        framing: body_framing(codec, status, &headers),
+        headers,
+    })
+}
+
+/// Reads the body of a response whose head has been read.
+pub(crate) async fn read_body<R>(
+    head: ResponseHead,
+    stream: &mut R,
+    buf: &mut BytesMut,
+    max_body: usize,
+) -> Result<CompleteResponse, ExchangeError>
+where
+    R: AsyncRead + Unpin,
+{
+    let ResponseHead {
+        status,
+        headers,
+        framing,
+    } = head;
+    let (body, is_framed) = match framing {
         Framing::NoBody => (Bytes::new(), true),
         Framing::Framed(payload) => (read_framed(stream, buf, payload, max_body).await?, true),
         Framing::UntilClose => (read_until_close(stream, buf, max_body).await?, false),
--- a/crates/httpconn/tests/exchange.rs
+++ b/crates/httpconn/tests/exchange.rs
@@ -52,7 +52,7 @@
 ) -> Result<(String, bool), ExchangeError> {
     let addr = start_server(bytes, end).await;
     let connection = Connection::open(&Parser::default(), addr, TIMEOUT).await?;
-    let is_match = |headers: &actix_http::header::HeaderMap| headers.contains_key("x-ours");
+    let is_match = |_, headers: &actix_http::header::HeaderMap| headers.contains_key("x-ours");
     let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
     let (response, _) = connection.exchange(request, MAX_BODY, is_match).await?;
     let body = String::from_utf8(response.body.to_vec()).unwrap();
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -3,8 +3,11 @@
 use crate::dialect::OutgoingRun;
 use crate::shell::Shell;
 use crate::Settings;
+use actix_http::header::HeaderMap;
+use actix_http::StatusCode;
 use engine::Input;
 use engine::RunEnd;
+use engine::ServerReport;
 use httpconn::Connection;
 use httpconn::ExchangeError;
 use httpconn::Parser;
@@ -95,7 +98,7 @@
         }
     }
 
-    async fn exchange(&self, shell: &Shell, backend_run: &BackendRun) -> RunEnd {
+    async fn exchange(&self, shell: &Rc<Shell>, backend_run: &BackendRun) -> RunEnd {
         let started = Instant::now();
         let connection = match self.acquire(backend_run).await {
             Ok(connection) => connection,
@@ -117,10 +120,16 @@
             expected_server: backend_run.expected_server.as_deref(),
         };
         let request = (shell.dialect.encode_run)(&run);
-        let matches_request =
-            |headers: &_| (shell.dialect.matches_request)(headers, &backend_run.request);
+        let sent_at = shell.now();
+        let accept_head = |status, headers: &HeaderMap| {
+            let is_match = (shell.dialect.matches_request)(headers, &backend_run.request);
+            if let Some(id) = backend_run.expected_server.as_ref().filter(|_| is_match) {
+                pass_server_report(shell, id, sent_at, status, headers);
+            }
+            is_match
+        };
         match connection
-            .exchange(&request, self.max_body, matches_request)
+            .exchange(&request, self.max_body, accept_head)
             .await
         {
             Ok((response, connection)) => {
@@ -155,14 +164,19 @@
 
     async fn query_health(
         &self,
-        shell: &Shell,
-        id: &str,
+        shell: &Rc<Shell>,
+        id: &Arc<str>,
         path: &str,
     ) -> Result<bool, ExchangeError> {
         let connection = Connection::open(&self.parser, self.addr, HEALTH_CHECK_TIMEOUT).await?;
         let request = (shell.dialect.encode_health_check)(path, &self.addr.to_string());
+        let sent_at = shell.now();
+        let accept_head = |status, headers: &HeaderMap| {
+            pass_server_report(shell, id, sent_at, status, headers);
+            true
+        };
         let (response, _) = connection
-            .exchange(&request, self.max_body, |_| true)
+            .exchange(&request, self.max_body, accept_head)
             .await?;
         Ok((shell.dialect.is_healthy)(&response, id))
     }
@@ -191,6 +205,29 @@
     }
 }
 
+/// Passes on to the engine what the server says about itself in the head of a response. This does
+/// not wait for the body, which may be late or never complete.
+fn pass_server_report(
+    shell: &Rc<Shell>,
+    id: &Arc<str>,
+    sent_at: Time,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    let Some(report) = (shell.dialect.parse_server_report)(status, headers, Some(id)) else {
+        return;
+    };
+    if report == ServerReport::default() && !shell.engine.borrow().has_rate_limit() {
+        return;
+    }
+    let id = id.clone();
+    shell.handle_input(Input::ServerReport {
+        id,
+        sent_at,
+        report,
+    });
+}
+
 impl Shell {
     pub(crate) fn run_count(&self) -> usize {
         self.backend().running.borrow().len()
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -12,9 +12,11 @@
 use actix_http::header::HeaderMap;
 use actix_http::Request as HttpRequest;
 use actix_http::Response as HttpResponse;
+use actix_http::StatusCode;
 use bytes::Bytes;
 use bytes::BytesMut;
 use engine::RunEnd;
+use engine::ServerReport;
 use httpconn::CompleteResponse;
 use proto::Outcome;
 use proto::Reason;
@@ -67,6 +69,7 @@
     pub(crate) expected_server: Option<&'a str>,
 }
 
+type ParseServerReport = fn(StatusCode, &HeaderMap, Option<&str>) -> Option<ServerReport>;
 type ReadHead = dyn Fn(&HttpRequest) -> Result<RequestHead, Reason>;
 type RejectHead = dyn Fn(&HttpRequest, Reason) -> HttpResponse<BoxBody>;
 type Respond = dyn Fn(&str, Reply) -> HttpResponse<BoxBody>;
@@ -86,6 +89,9 @@
     /// Whether the response to a health check says that this incarnation is healthy and keeps
     /// accepting work.
     pub(crate) is_healthy: fn(&CompleteResponse, &str) -> bool,
+    /// Parses what the expected server incarnation says about itself in the head of a response, if
+    /// the response is from that incarnation.
+    pub(crate) parse_server_report: ParseServerReport,
     /// Whether a response of the backend server belongs to the request.
     pub(crate) matches_request: fn(&HeaderMap, &Request) -> bool,
     /// Derives the result of a run from its complete response.
--- a/crates/node/src/dialect/native.rs
+++ b/crates/node/src/dialect/native.rs
@@ -87,6 +87,7 @@
             httpconn::encode_request("GET", path, &[], &[("host", host)], &[])
         },
         is_healthy: |response, _| response.status.is_success(),
+        parse_server_report: |_, _, _| None,
         matches_request: |_, _| true,
         classify_response: Box::new(move |response| classify_response(response, &refusal_header)),
         oversized_response,
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -72,6 +72,8 @@
         Diagnostic::Peer { .. }
         | Diagnostic::Peers { .. }
         | Diagnostic::OwnServer { .. }
+        | Diagnostic::ServerLimit { .. }
+        | Diagnostic::ServerLeaving { .. }
         | Diagnostic::Keys { .. } => return log::info!("{diagnostic}"),
     };
     if is_success {
