Add failing tests for servers that name a rate limit or say that they leave

Cause: a server states its request rate limit and its departure in its responses, and no decision depends on either. Callers of the limited server meet a server in need that is given twice what it can take. Change: the trial's backend servers can send heartbeats, answer health checks, name a limit and say that they leave; its checker counts the requests of each sliding 4 s from 3 s after the first naming, and looks for requests sent more than 2.5 s after a departure was stated.

--- a/crates/trial/src/checker.rs
+++ b/crates/trial/src/checker.rs
@@ -1,5 +1,6 @@
 //! The guarantees of the system, checked at each step of a simulation.
 
+use crate::server_reports::ReportedServer;
 use crate::ClusterConfig;
 use crate::Node;
 use crate::Operation;
@@ -75,6 +76,9 @@
     key_runs: IndexMap<Key, u32>,
     /// The rules file of each version that any node has had in force.
     rules_files: IndexMap<u64, Arc<str>>,
+    /// What each backend server has reported about itself, and the requests that it got, by the
+    /// index of its node.
+    pub(crate) servers: IndexMap<usize, ReportedServer>,
     /// Unanswered calls from other nodes, by the incarnation that received them.
     pending_calls: IndexMap<Incarnation, IndexMap<CallId, PendingCall>>,
 }
--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -54,6 +54,9 @@
     /// Maximum number of requests queued in a backend server when its slots are taken; it refuses
     /// any more.
     pub max_backlog: usize,
+    /// Whether backend servers send heartbeats and answer health checks. Without heartbeats a node
+    /// cannot tell incarnations of its server apart, and ignores what it reports about itself.
+    pub servers_announce: bool,
     /// How long a node keeps its leases while it cannot read the log.
     pub max_log_staleness: Duration,
     /// One-way latency within a failure domain, within a region and between regions.
@@ -114,6 +117,7 @@
             slots: 10,
             policy: engine::Switches::ALL,
             max_backlog: 40,
+            servers_announce: false,
             max_log_staleness: once::Config::default().max_log_staleness,
             latency: [
                 Duration::from_micros(100),
--- a/crates/trial/src/fault.rs
+++ b/crates/trial/src/fault.rs
@@ -3,6 +3,7 @@
 use crate::Action;
 use crate::World;
 use engine::Input;
+use policy::RequestRate;
 use rand::RngExt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,6 +57,11 @@
     Publish(u32),
     /// Crashes the backend server; it is up again after a second.
     Crash(usize),
+    /// The backend server names this rate limit in its responses from now on, or none any more.
+    Limit(usize, Option<RequestRate>),
+    /// The backend server says in its responses from now on that it is about to stop, without
+    /// announcing it. It exits after some seconds, and another one starts at its address.
+    Leave(usize),
     /// Multiplies the service times of the service's backend servers by this factor.
     Slow(Arc<str>, u32),
     /// Requests whose body contains this text crash each backend server that runs them.
@@ -116,6 +122,8 @@
             Fault::LogExpire(keep) => self.log.expire(keep),
             Fault::Publish(operators) => self.publish_concurrently(operators),
             Fault::Crash(node) => self.crash_server(node),
+            Fault::Limit(node, rate) => self.nodes[node].server.report.rate_limit = Ok(rate),
+            Fault::Leave(node) => self.leave_by_response(node),
             Fault::Slow(service, factor) => {
                 for node in self
                     .nodes
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -19,6 +19,7 @@
 mod plan;
 mod process;
 mod server;
+mod server_reports;
 mod trace;
 mod world;
 
@@ -33,6 +34,7 @@
 pub use network::Network;
 pub use node::Node;
 pub use plan::check_seed;
+pub use plan::check_seed_with_server_reports;
 pub use plan::Plan;
 pub use server::FakeBackendServer;
 pub use trace::replay;
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -278,7 +278,26 @@
 /// The event trace, the state of each node and the report of the first violation.
 pub fn check_seed(seed: u64, homes_move: bool) -> Result<World, String> {
     let cluster = random_cluster(seed);
-    let mut world = Plan::new(seed, &cluster, homes_move).world(seed, cluster);
+    let plan = Plan::new(seed, &cluster, homes_move);
+    check_plan(seed, cluster, &plan)
+}
+
+/// As [`check_seed`], with backend servers that announce themselves, name rate limits and say that
+/// they are about to stop.
+///
+/// # Errors
+///
+/// The same as those of [`check_seed`].
+pub fn check_seed_with_server_reports(seed: u64) -> Result<World, String> {
+    let mut cluster = random_cluster(seed);
+    cluster.servers_announce = true;
+    let plan = Plan::new(seed, &cluster, seed % 2 == 0);
+    let plan = plan.with_server_reports(seed, cluster.placements.len());
+    check_plan(seed, cluster, &plan)
+}
+
+fn check_plan(seed: u64, cluster: ClusterConfig, plan: &Plan) -> Result<World, String> {
+    let mut world = plan.world(seed, cluster);
     world.run_for(WARM_UP + FAULT_PERIOD + Duration::from_secs(15));
     if world.checker.violations.is_empty() {
         world.settle(SETTLE_TIME);
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -13,6 +13,16 @@
 /// Time that a process takes to restart.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
+/// Parses rules and adds the path of a health check for each service with limits. Nodes whose
+/// servers send no heartbeats make no health checks.
+fn parse_rules_with_health_checks(file: &str) -> Option<rules::Rules> {
+    let mut rules = rules::Rules::parse(file).ok()?;
+    for service in ["order", "press", "royalty"] {
+        rules.health_paths.insert(service.into(), "/health".into());
+    }
+    Some(rules)
+}
+
 impl World {
     /// Starts the node's process as a new incarnation, unless one is running.
     pub(crate) fn start(&mut self, node: usize) {
@@ -31,6 +41,8 @@
             seed: incarnation.0,
             contacts,
             policy: self.cluster.policy,
+            server_announces: self.cluster.servers_announce,
+            parse_rules: parse_rules_with_health_checks,
             ..Config::default()
         };
         cfg.membership.seed = incarnation.0;
--- a/crates/trial/src/server.rs
+++ b/crates/trial/src/server.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use engine::Input;
 use engine::RunEnd;
+use engine::ServerReport;
 use indexmap::IndexMap;
 use proto::Incarnation;
 use proto::Outcome;
@@ -31,6 +32,12 @@
     pub running: IndexMap<u64, Work>,
     /// Work that waits for a slot, with its id.
     pub backlog: VecDeque<(u64, Work)>,
+    /// What it says about itself in its responses.
+    pub report: ServerReport,
+    /// Number of times that it has started.
+    pub(crate) starts: u64,
+    /// Number of heartbeats that this incarnation has sent.
+    pub(crate) heartbeats: u64,
     slots: usize,
     max_backlog: usize,
     next_work_id: u64,
@@ -46,6 +53,8 @@
     /// The request body.
     pub body: Bytes,
     deadline: Time,
+    /// When the node sent it, by the node's clock.
+    sent_at: Time,
     /// Number of child calls sent.
     children_sent: usize,
     /// Number of unanswered child calls.
@@ -64,6 +73,9 @@
             slow_factor: 1,
             running: IndexMap::new(),
             backlog: VecDeque::new(),
+            report: ServerReport::default(),
+            starts: 1,
+            heartbeats: 0,
             slots: cluster.slots,
             max_backlog: cluster.max_backlog,
             next_work_id: 0,
@@ -74,6 +86,10 @@
     pub fn set_slots(&mut self, slots: usize) {
         self.slots = slots;
     }
+
+    pub(crate) fn slots(&self) -> usize {
+        self.slots
+    }
 }
 
 impl ClusterConfig {
@@ -141,9 +157,14 @@
         let Some(operation) = self.cluster.operation_for(&request) else {
             return self.end_run(node, run, RunEnd::NeverSent);
         };
+        let sent_at = node_state.local_time(self.now);
         let full = node_state.server.running.len() >= node_state.server.slots;
+        let check_result = self.checker.on_server_arrival(node, self.now);
+        self.record_check(check_result);
+        let node_state = &self.nodes[node];
         if full && node_state.server.backlog.len() >= node_state.server.max_backlog {
             let retry_after = Some(Duration::from_secs(1));
+            self.send_server_report(node, sent_at);
             return self.end_run(node, run, RunEnd::Refused { retry_after });
         }
         let work = Work {
@@ -151,6 +172,7 @@
             operation,
             body: request.body,
             deadline,
+            sent_at,
             children_sent: 0,
             children_pending: 0,
             child_responses: IndexMap::new(),
@@ -234,6 +256,7 @@
                 body
             },
         };
+        self.send_server_report(node, work.sent_at);
         self.end_run(node, work.run, RunEnd::Response(response));
     }
 
@@ -332,8 +355,6 @@
         for run in lost {
             self.end_run(node, run, RunEnd::Lost);
         }
-        self.schedule_after(CRASH_RECOVERY_TIME, move |world| {
-            world.nodes[node].server.up = true
-        });
+        self.schedule_after(CRASH_RECOVERY_TIME, move |world| world.start_server(node));
     }
 }
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -112,6 +112,9 @@
         world.publish(0, 1, "first", &rules);
         for node in 0..world.nodes.len() {
             world.start(node);
+            if world.cluster.servers_announce {
+                world.send_heartbeat(node);
+            }
         }
         world
     }
@@ -289,6 +292,8 @@
                     self.checker
                         .on_run_submitted(&self.nodes[node], self.now, &request);
                 self.record_check(check_result);
+                let check_result = self.checker.on_run_decided(node, self.now);
+                self.record_check(check_result);
                 let (deadline, start_by) = (
                     self.now + remaining,
                     start_within.map(|within| self.now + within),
@@ -314,7 +319,8 @@
             Output::CheckRules => self.check_rules(node),
             Output::ReadLog => self.restart_reading(node),
             Output::Count(counter) => *self.counters.entry(counter.name()).or_insert(0) += 1,
-            Output::Diagnostic(_) | Output::CheckServer { .. } => {}
+            Output::CheckServer { id, .. } => self.check_health(node, id),
+            Output::Diagnostic(_) => {}
             Output::Stopped => self
                 .schedule_in_process(node, EXIT_DELAY, move |world| world.exit(node, incarnation)),
         }
--- /dev/null
+++ b/crates/trial/tests/server_reports.rs
@@ -0,0 +1,203 @@
+//! Backend servers that name a rate limit, or say that they are about to stop, in their responses.
+
+use engine::ServerReport;
+use policy::RequestRate;
+use std::time::Duration;
+use stdx::Time;
+use trial::Action;
+use trial::ActionOutcome;
+use trial::ClusterConfig;
+use trial::Fault;
+use trial::World;
+
+/// Operations, as indices into [`ClusterConfig::operations`].
+const ORDER_LOOKUP: usize = 0;
+const ROYALTY_LOOKUP: usize = 4;
+const ROYALTY_CHARGE: usize = 5;
+
+/// The nodes of the royalty service, as indices into [`World::nodes`].
+const ROYALTY: [usize; 3] = [6, 7, 8];
+
+/// The seeds of the random runs.
+const SEEDS: std::ops::Range<u64> = 1..25;
+
+fn world(seed: u64) -> World {
+    let mut cluster = ClusterConfig::small();
+    cluster.servers_announce = true;
+    let mut world = World::new(seed, cluster);
+    world.run_for(Duration::from_secs(5));
+    world
+}
+
+fn limit(node: usize, per_second: u64) -> Fault {
+    let rate = RequestRate::from_millihertz(per_second * 1000);
+    Fault::Limit(node, Some(rate))
+}
+
+/// Schedules `rate` actions a second for `secs` seconds, evenly spread over time and over the
+/// nodes, without re-sends.
+fn schedule(world: &mut World, operation: usize, rate: u32, secs: u32) {
+    let begin = world.now;
+    for nth in 0..rate * secs {
+        let mut action = Action::new(operation, &format!("{operation}-{nth}"));
+        action.max_resends = 0;
+        let at = begin + Duration::from_secs(1) * nth / rate;
+        world.submit(at, action, Some(nth as usize % 9));
+    }
+}
+
+fn check(world: &mut World, secs: u64) {
+    world.run_for(Duration::from_secs(secs));
+    assert_eq!(world.checker.violations, Vec::<String>::new());
+}
+
+fn succeeded(world: &World, operation: usize) -> (usize, usize) {
+    let actions = world.actions.iter();
+    let actions: Vec<_> = actions.filter(|it| it.operation == operation).collect();
+    let succeeded = actions
+        .iter()
+        .filter(|it| matches!(it.ended, Some((_, ActionOutcome::Succeeded))));
+    (succeeded.count(), actions.len())
+}
+
+/// A server that named a rate limit got as many requests as its siblings.
+#[test]
+fn limited_server_gets_no_more_requests_than_it_names() {
+    let mut world = world(1);
+    schedule(&mut world, ROYALTY_LOOKUP, 60, 20);
+    world.inject_fault(limit(ROYALTY[0], 5));
+    check(&mut world, 25);
+    assert_eq!(succeeded(&world, ROYALTY_LOOKUP), (1200, 1200));
+}
+
+/// Calls made by runs exceed the limit of a server that heeds it for requests of clients.
+#[test]
+fn limited_server_gets_no_more_calls_of_runs_than_it_names() {
+    let mut world = world(2);
+    schedule(&mut world, ORDER_LOOKUP, 40, 20);
+    world.inject_fault(limit(ROYALTY[0], 4));
+    world.inject_fault(limit(3, 4));
+    check(&mut world, 25);
+    assert_eq!(succeeded(&world, ORDER_LOOKUP), (800, 800));
+}
+
+/// A new process of the node does not know the limit that the server had named to the old one.
+#[test]
+fn restarted_node_heeds_the_limit_of_its_server() {
+    let mut world = world(3);
+    schedule(&mut world, ROYALTY_LOOKUP, 60, 30);
+    world.inject_fault(limit(ROYALTY[0], 5));
+    for restart in 0..4 {
+        let wait = Duration::from_secs(6 + 5 * restart);
+        world.schedule_after(wait, |world| world.inject_fault(Fault::Restart(ROYALTY[0])));
+    }
+    check(&mut world, 35);
+}
+
+/// A node that was frozen sends what has gathered meanwhile.
+#[test]
+fn resumed_node_heeds_the_limit_of_its_server() {
+    let mut world = world(4);
+    schedule(&mut world, ROYALTY_LOOKUP, 60, 30);
+    world.inject_fault(limit(ROYALTY[0], 5));
+    for pause in 0..4 {
+        let wait = Duration::from_secs(6 + 5 * pause);
+        world.schedule_after(wait, |world| {
+            world.inject_fault(Fault::Pause(ROYALTY[0], Duration::from_millis(1500)))
+        });
+    }
+    check(&mut world, 35);
+}
+
+/// Each limit holds from the response that names it, and none holds after it was lifted.
+#[test]
+fn limit_that_changes_holds_as_last_named() {
+    let mut world = world(5);
+    schedule(&mut world, ROYALTY_LOOKUP, 60, 60);
+    let steps = [Some(10), Some(2), Some(6), None, Some(3), None];
+    for (step, per_second) in steps.into_iter().enumerate() {
+        let rate = per_second.map(|rate: u64| RequestRate::from_millihertz(rate * 1000));
+        world.schedule_after(Duration::from_secs(8 * step as u64), move |world| {
+            world.inject_fault(Fault::Limit(ROYALTY[0], rate))
+        });
+    }
+    check(&mut world, 65);
+    assert_eq!(succeeded(&world, ROYALTY_LOOKUP), (3600, 3600));
+    let engine = world.nodes[ROYALTY[0]].engine.as_ref().unwrap();
+    assert!(!engine.has_rate_limit(), "the limit was lifted");
+}
+
+/// All servers of a service are limited to less than is asked for. Charges go first, and what does
+/// not fit is refused at once.
+#[test]
+fn charges_go_before_lookups_under_rate_limits() {
+    let mut world = world(6);
+    schedule(&mut world, ROYALTY_LOOKUP, 60, 20);
+    schedule(&mut world, ROYALTY_CHARGE, 6, 20);
+    for node in ROYALTY {
+        world.inject_fault(limit(node, 6));
+    }
+    let begin = world.now;
+    check(&mut world, 25);
+    let (charged, charges) = succeeded(&world, ROYALTY_CHARGE);
+    assert!(charged * 100 >= charges * 98, "{charged} of {charges}");
+    let (looked_up, _) = succeeded(&world, ROYALTY_LOOKUP);
+    assert!(looked_up >= 18 * 20 / 2, "{looked_up} lookups");
+    let settled = begin + Duration::from_secs(5);
+    for action in world.actions.iter().filter(|it| it.first_sent_at > settled) {
+        let (ended, outcome) = action.ended.expect("the action has ended");
+        let waited = ended.since(action.first_sent_at);
+        let is_refused = matches!(outcome, ActionOutcome::NotRun(_));
+        let in_time = !is_refused || waited < Duration::from_millis(500);
+        assert!(in_time, "{} was refused after {waited:?}", action.body);
+    }
+}
+
+/// A server that said in its responses that it is about to stop got requests until it exited.
+#[test]
+fn server_that_says_it_leaves_gets_no_requests() {
+    let mut world = world(7);
+    schedule(&mut world, ROYALTY_LOOKUP, 60, 20);
+    schedule(&mut world, ROYALTY_CHARGE, 6, 20);
+    world.inject_fault(Fault::Leave(ROYALTY[0]));
+    check(&mut world, 25);
+    assert_eq!(succeeded(&world, ROYALTY_LOOKUP), (1200, 1200));
+    assert_eq!(succeeded(&world, ROYALTY_CHARGE), (120, 120));
+}
+
+/// A new process of the node does not know that the server had said to the old one that it leaves.
+#[test]
+fn restarted_node_heeds_that_its_server_leaves() {
+    let mut world = world(8);
+    schedule(&mut world, ROYALTY_LOOKUP, 60, 12);
+    world.inject_fault(Fault::Leave(ROYALTY[0]));
+    world.schedule_after(Duration::from_secs(3), |world| {
+        world.inject_fault(Fault::Restart(ROYALTY[0]))
+    });
+    check(&mut world, 20);
+}
+
+/// A new server at the address of a limited one that left must not inherit its limit.
+#[test]
+fn server_at_a_reused_address_is_not_limited() {
+    let mut world = world(9);
+    schedule(&mut world, ROYALTY_LOOKUP, 60, 20);
+    world.inject_fault(limit(ROYALTY[0], 5));
+    world.inject_fault(Fault::Leave(ROYALTY[0]));
+    check(&mut world, 25);
+    let node = &world.nodes[ROYALTY[0]];
+    assert_eq!(node.server.report, ServerReport::default());
+    let gauges = node.engine.as_ref().unwrap().gauges(Time::ZERO);
+    assert!(gauges.contains(&("server.rate_limited", 0)));
+    assert!(gauges.contains(&("server.leaving", 0)));
+}
+
+/// Limits and departures among random kills, pauses, cuts and surges.
+#[test]
+fn servers_that_limit_or_leave_are_heeded_under_random_faults() {
+    for seed in SEEDS {
+        if let Err(report) = trial::check_seed_with_server_reports(seed) {
+            panic!("{report}");
+        }
+    }
+}
