Limit requests to a backend server to the rate that it names

What callers saw: a server in need named a limit of N requests a second in its answers and went on to get as many as its siblings, twice what it can take. Cause: no node read the limit. The class of fault: what a server says about itself in a response was forwarded as opaque headers, and no decision depended on it. Change: the node beside the server, the only way to it, has a token bucket of the named rate in its admission control. First sends, calls of runs, retries, hedges, suspects and queued work all start there, so the sum over all machines is limited without any message between nodes, and a restarted node learns the limit from the health check that precedes its first request. Orders leave the queue before lookups. Work beyond the limit is refused soon while another instance has room, and the ingress node sends a call refused for load there without spending a retry; without room elsewhere the admission level rises, so that lookups are shed at their first hop. Load reports show the offered rate against the limit, so other nodes send less. The retry delay covers the wait for a token. A limited server without traffic is asked by a health check every two seconds, because only a response can lift a limit. The trial gives rules with health checks to nodes whose servers announce themselves, as the platform does, and its tests send keyless orders, which no home node binds to one server; the checks are the same.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -222,6 +222,7 @@
             // The call was never sent and not refused, so the same node may accept it over another
             // connection.
             Reason::PeerLost => true,
+            Reason::QueueFull => call.key.is_none() && self.has_room_elsewhere(now, &call),
             _ => false,
         };
         if redirect && call.redirects < MAX_REDIRECTS {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -302,6 +302,7 @@
             self.peer_diagnostics.next_timer(),
             self.next_freshness_timer(),
             self.next_quota_timer(),
+            self.next_limit_check(),
         ]
         .into_iter()
         .flatten()
@@ -368,6 +369,7 @@
         self.tick_home(now);
         self.tick_freshness(now);
         self.tick_quotas(now);
+        self.check_rate_limit(now);
         self.start_queued_jobs(now);
     }
 
--- a/crates/engine/src/gauges.rs
+++ b/crates/engine/src/gauges.rs
@@ -53,7 +53,7 @@
                 "server.rate_limit_millihertz",
                 self.rate_limit().map_or(0, RequestRate::millihertz),
             ),
-            ("server.leaving", u64::from(self.reported_leaving())),
+            ("server.leaving", u64::from(self.server_is_leaving())),
         ]
     }
 }
--- a/crates/engine/src/own_server.rs
+++ b/crates/engine/src/own_server.rs
@@ -17,18 +17,15 @@
 #[derive(Debug)]
 pub(crate) struct OwnServer {
     heartbeat: Heartbeat,
-    /// Whether it has announced that it is stopping. That is final for this incarnation, which may
-    /// send no further heartbeat.
-    is_leaving: bool,
+    /// Whether it has announced that it is stopping, or said so in a response. That is final for this
+    /// incarnation, which may send no further heartbeat.
+    pub(crate) is_leaving: bool,
     /// Whether it has confirmed that it is not about to stop.
     health_check: HealthCheck,
     /// When its first heartbeat arrived.
     pub(crate) known_since: Time,
     /// The rate limit that it has named in its responses, if one is in force.
     pub(crate) named_limit: Option<NamedLimit>,
-    /// Whether it has said in a response that it is about to stop. That is final for this
-    /// incarnation.
-    pub(crate) reported_leaving: bool,
 }
 
 /// The health check of the first server incarnation that this node process hears of.
@@ -52,6 +49,10 @@
         !self.is_leaving && !self.heartbeat.draining && self.health_check == HealthCheck::Passed
     }
 
+    pub(crate) fn id(&self) -> &Arc<str> {
+        &self.heartbeat.id
+    }
+
     pub(crate) fn has_id(&self, id: &str) -> bool {
         *self.heartbeat.id == *id
     }
@@ -100,7 +101,6 @@
                     health_check,
                     known_since: now,
                     named_limit: None,
-                    reported_leaving: false,
                 });
                 let slots = server.heartbeat.slots;
                 self.server.on_server_restart(now, slots);
@@ -159,7 +159,7 @@
         self.on_server_changed(now, !healthy);
     }
 
-    fn on_server_leaving(&mut self, now: Time, id: &str) {
+    pub(crate) fn on_server_leaving(&mut self, now: Time, id: &str) {
         let server = self.own_server.as_mut();
         if let Some(server) = server.filter(|server| server.has_id(id)) {
             server.is_leaving = true;
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -31,6 +31,13 @@
         self.members.get(chosen).map(|peer| peer.instance.clone())
     }
 
+    /// Whether an instance that the call was not sent to yet has capacity.
+    pub(crate) fn has_room_elsewhere(&self, now: Time, call: &OutgoingCall) -> bool {
+        let is_untried = |id| id != call.target.incarnation && !call.avoid.contains(&id);
+        self.selector
+            .has_room(now, &call.request.service, is_untried)
+    }
+
     /// Adds this node's backend server to the candidates. Its load is known exactly.
     fn update_own_eligibility(&mut self, now: Time) {
         let eligibility = if self.stopping {
--- a/crates/engine/src/server_report.rs
+++ b/crates/engine/src/server_report.rs
@@ -6,9 +6,24 @@
 use crate::Output;
 use policy::RateError;
 use policy::RequestRate;
+use std::sync::Arc;
+use std::time::Duration;
 use stdx::plain;
 use stdx::Time;
 
+/// How long a limited server may go without a response before it is asked for one.
+const LIMIT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The rate of requests to a server that has no health check and names a lower limit. Without any
+/// request, its node would never learn that the limit was lifted.
+const MIN_RATE_WITHOUT_CHECKS: RequestRate = RequestRate::from_millihertz(250);
+
+/// The age up to which the load that another instance has reported is considered.
+const MAX_LOAD_AGE: Duration = Duration::from_secs(10);
+
+/// Utilisation of an instance whose concurrency limit is reached.
+const FULL_UTILISATION: u16 = 1000;
+
 plain! {
     /// Why a header in which a backend server reports about itself was rejected.
     #[derive(Hash)]
@@ -62,6 +77,8 @@
     pub(crate) rate: RequestRate,
     /// When a response last named it.
     confirmed_at: Time,
+    /// When the server last reported about itself or was last asked to.
+    checked_at: Time,
 }
 
 impl NamedLimit {
@@ -82,6 +99,7 @@
         let named = rate.map(|rate| Self {
             rate,
             confirmed_at: now,
+            checked_at: now,
         });
         contradicted.or(named)
     }
@@ -113,8 +131,7 @@
             server.named_limit = NamedLimit::update(previous, now, sent_at, rate);
         }
         let limit = server.named_limit.map(|limit| limit.rate);
-        let starts_leaving = report.leaving == Ok(true) && !server.reported_leaving;
-        server.reported_leaving |= starts_leaving;
+        let starts_leaving = report.leaving == Ok(true) && !server.is_leaving;
         if limit != previous.map(|previous| previous.rate) {
             self.outputs
                 .push(Output::Diagnostic(Diagnostic::ServerLimit {
@@ -123,15 +140,73 @@
                     previous: previous.map(|previous| previous.rate),
                     age: previous.map(|previous| now.since(previous.confirmed_at)),
                 }));
+            self.apply_rate_limit(now);
         }
         if starts_leaving {
-            self.outputs
-                .push(Output::Diagnostic(Diagnostic::ServerLeaving {
-                    id: id.into(),
-                }));
+            let leaving = Diagnostic::ServerLeaving { id: id.into() };
+            self.outputs.push(Output::Diagnostic(leaving));
         }
     }
 
+    /// Applies the limit that the server has named, to all paths by which work reaches it.
+    pub(crate) fn apply_rate_limit(&mut self, now: Time) {
+        let rate = self.rate_limit();
+        let lowest = match self.health_path() {
+            Some(_) => RequestRate::from_millihertz(0),
+            None => MIN_RATE_WITHOUT_CHECKS,
+        };
+        self.server
+            .set_rate_limit(now, rate.map(|rate| rate.max(lowest)));
+    }
+
+    /// When the server has to be asked whether it still names its limit.
+    pub(crate) fn next_limit_check(&self) -> Option<Time> {
+        let limit = self.own_server.as_ref()?.named_limit?;
+        self.health_path()?;
+        Some(limit.checked_at + LIMIT_CHECK_INTERVAL)
+    }
+
+    /// Asks a limited server that has got no requests for a while for a response, because only a
+    /// response can say that the limit was raised or lifted.
+    pub(crate) fn check_rate_limit(&mut self, now: Time) {
+        if self.next_limit_check().is_none_or(|due| now < due) {
+            return;
+        }
+        let Some(path) = self.health_path() else {
+            return;
+        };
+        let Some(server) = &mut self.own_server else {
+            return;
+        };
+        if let Some(limit) = &mut server.named_limit {
+            limit.checked_at = now;
+        }
+        let id = server.id().clone();
+        self.outputs.push(Output::CheckServer { id, path });
+    }
+
+    /// Updates whether other instances of the service have capacity for the work that exceeds the
+    /// rate limit.
+    pub(crate) fn update_siblings_have_room(&mut self, now: Time) {
+        if !self.has_rate_limit() {
+            return;
+        }
+        let service = &self.own_instance.service;
+        let loads = self.members.recent_loads(now, service, MAX_LOAD_AGE);
+        let mut loads = loads.peekable();
+        let have_room = match loads.peek() {
+            Some(_) => loads.any(|load| load.utilisation < FULL_UTILISATION && load.level == 0),
+            // Nothing is known of their load.
+            None => self.members.usable_peers(service).next().is_some(),
+        };
+        self.server.set_siblings_have_room(have_room);
+    }
+
+    fn health_path(&self) -> Option<Arc<str>> {
+        let rules = &self.journal.rules;
+        rules.health_paths.get(&self.own_instance.service).cloned()
+    }
+
     /// Whether the backend server has named a rate limit that is in force. The driver may omit
     /// reports that say nothing while there is none.
     pub fn has_rate_limit(&self) -> bool {
@@ -144,9 +219,9 @@
         Some(limit.rate)
     }
 
-    /// Whether the backend server has said in a response that it is about to stop.
-    pub(crate) fn reported_leaving(&self) -> bool {
+    /// Whether the backend server has said that it is about to stop, in a response or otherwise.
+    pub(crate) fn server_is_leaving(&self) -> bool {
         let server = self.own_server.as_ref();
-        server.is_some_and(|server| server.reported_leaving)
+        server.is_some_and(|server| server.is_leaving)
     }
 }
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -274,6 +274,22 @@
     assert_eq!(ingress.outcomes(), [Outcome::Unknown(Reason::Shed)]);
 }
 
+/// A server refuses an order because of its rate limit, while the other one is idle. The caller
+/// would be refused although there is room, or the order would spend a retry.
+#[test]
+fn call_that_was_refused_for_load_goes_where_there_is_room() {
+    let mut ingress = IngressNode::new();
+    ingress.send("a", "/check/1");
+    let (refusing, allowance) = (ingress.calls[0].0, ingress.calls[0].1.retry_allowance);
+    ingress.reply(not_run(Reason::QueueFull), DownstreamSummary::default());
+    let (second, call) = &ingress.calls[0];
+    assert_ne!(*second, refusing);
+    assert_eq!(call.retry_allowance, allowance);
+    assert!(!call.possible_repeat);
+    ingress.reply(completed(), DownstreamSummary::default());
+    assert_eq!(ingress.outcomes(), [completed()]);
+}
+
 /// Every call fails while every action has retries left. Without a limit per node, the retries
 /// would triple the load.
 #[test]
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -320,6 +320,22 @@
         })
     }
 
+    /// The loads of the peers that may be given new work for `service` and that this node has
+    /// received a message from within `max_age`.
+    pub fn recent_loads<'a>(
+        &'a self,
+        now: Time,
+        service: &'a str,
+        max_age: Duration,
+    ) -> impl Iterator<Item = LoadReport> + 'a {
+        let peers = self.usable_peers(service);
+        peers.filter_map(move |peer| {
+            let entry = self.peers.get(&peer.instance.incarnation)?;
+            let is_recent = now.since(entry.last_heard?) <= max_age;
+            is_recent.then_some(peer.load)
+        })
+    }
+
     pub(crate) fn send(&mut self, to: SocketAddr, message: MemberMessage) {
         self.effects.push(Effect::Send { to, message });
     }
--- a/crates/policy/src/admission_level.rs
+++ b/crates/policy/src/admission_level.rs
@@ -30,6 +30,9 @@
 /// overloaded service stays unused.
 const LOAD_TIME_CONSTANT: Duration = Duration::from_millis(600);
 
+/// The lowest rate limit for which an overload ratio is computed, in requests per second.
+const MIN_RATE: f64 = 0.001;
+
 /// Time in which the backlog should be worked off; the admitted load is reduced accordingly. If it
 /// is much longer, such as 2 s, nearly as many calls are queued as there are slots, and lookups
 /// with eight sequential reads are late. If it is much shorter than the duration of a call tree,
@@ -97,26 +100,52 @@
     BASE_RETRY_DELAY.mul_f64(retry_jitter(random_value) / admitted.max(0.1))
 }
 
-/// The load that would arrive if nothing were shed, in occupied slots, averaged with
-/// [`LOAD_TIME_CONSTANT`].
+/// Time constant of the moving average of the requests offered to a server that names a rate limit.
+/// It is longer than [`LOAD_TIME_CONSTANT`], because such limits are a few requests per second, and
+/// an average over few requests varies too much.
+const REQUESTS_TIME_CONSTANT: Duration = Duration::from_secs(2);
+
+/// An amount per second, as a moving average.
 #[derive(Debug, Default, Clone, Copy)]
-struct OfferedLoad {
-    slots: f64,
+struct MovingAverage {
+    per_second: f64,
     updated: Time,
 }
 
-impl OfferedLoad {
-    fn add(&mut self, now: Time, work: f64) {
-        self.slots = self.slots(now) + work / LOAD_TIME_CONSTANT.as_secs_f64();
+impl MovingAverage {
+    fn add(&mut self, now: Time, amount: f64, time_constant: Duration) {
+        self.per_second = self.get(now, time_constant) + amount / time_constant.as_secs_f64();
         self.updated = now;
     }
 
-    fn slots(&self, now: Time) -> f64 {
-        let age = now.since(self.updated).as_secs_f64() / LOAD_TIME_CONSTANT.as_secs_f64();
-        self.slots * (-age).exp()
+    fn get(&self, now: Time, time_constant: Duration) -> f64 {
+        let age = now.since(self.updated).as_secs_f64() / time_constant.as_secs_f64();
+        self.per_second * (-age).exp()
     }
 }
 
+/// The load that would arrive if nothing were shed.
+#[derive(Debug, Default, Clone, Copy)]
+struct OfferedLoad {
+    /// Slot seconds per second, which is the number of slots that it would occupy.
+    slots: MovingAverage,
+    /// Requests per second.
+    requests: MovingAverage,
+}
+
+/// The limits of a backend server that decide its admission level.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Capacity {
+    /// The concurrency limit.
+    pub(crate) slots: u16,
+    /// The rate limit that the server has named, in requests per second.
+    pub(crate) requests_per_second: Option<f64>,
+    /// The number of queued work items.
+    pub(crate) queued: usize,
+    /// The mean time for which work occupies a slot.
+    pub(crate) slot_time: Duration,
+}
+
 /// The admission level of one service at one node.
 ///
 /// Each call carries the level that its action passed at the entry node, and is weighted by
@@ -129,9 +158,14 @@
     bands: PriorityBands,
     offered: IndexMap<Group, OfferedLoad>,
     updated: Time,
+    /// The level by the load offered to the slots.
     level: u16,
+    /// The level by the requests offered under a rate limit; 0 without one.
+    rate_level: u16,
     /// Offered load divided by capacity; at least 1.
     overload_ratio: f64,
+    /// Offered requests divided by the rate limit; 0 without one.
+    rate_ratio: f64,
 }
 
 impl AdmissionLevel {
@@ -141,7 +175,9 @@
             offered: IndexMap::new(),
             updated: Time::ZERO,
             level: 0,
+            rate_level: 0,
             overload_ratio: 1.0,
+            rate_ratio: 0.0,
         }
     }
 
@@ -154,37 +190,72 @@
         self.level
     }
 
-    /// Offered load divided by capacity; at least 1.
+    /// As [`AdmissionLevel::get`], by the rate limit alone.
+    pub(crate) fn rate_level(&self) -> u16 {
+        self.rate_level
+    }
+
+    /// Offered load divided by capacity, or by the rate limit if that is less; at least 1.
     pub(crate) fn overload_ratio(&self) -> f64 {
-        self.overload_ratio
+        self.overload_ratio.max(self.rate_ratio)
+    }
+
+    /// Offered requests divided by the rate limit; 0 without a rate limit.
+    pub(crate) fn rate_ratio(&self) -> f64 {
+        self.rate_ratio
     }
 
-    /// Records offered work that will occupy a slot for `slot_time`.
-    pub(crate) fn record_offered(&mut self, now: Time, item: &WorkItem, slot_time: Duration) {
+    /// Records offered work that will occupy a slot for `slot_time`, if that is known.
+    pub(crate) fn record_offered(
+        &mut self,
+        now: Time,
+        item: &WorkItem,
+        slot_time: Option<Duration>,
+    ) {
         let group = Group::new(item.class, item.priority);
         // Calls of actions admitted earlier still arrive after their group was shed entirely.
         let share = self.bands.share(group, item.passed_level).max(PROBE_SHARE);
         if !self.offered.contains_key(&group) {
             self.offered.insert_sorted(group, OfferedLoad::default());
         }
-        self.offered[&group].add(now, slot_time.as_secs_f64() / share);
+        let offered = &mut self.offered[&group];
+        offered
+            .requests
+            .add(now, 1.0 / share, REQUESTS_TIME_CONSTANT);
+        if let Some(slot_time) = slot_time {
+            let slot_seconds = slot_time.as_secs_f64() / share;
+            offered.slots.add(now, slot_seconds, LOAD_TIME_CONSTANT);
+        }
     }
 
-    /// Recomputes the level if [`UPDATE_INTERVAL`] has passed. `slots` is the concurrency limit,
-    /// and `backlog` the queued work in seconds of one slot.
-    pub(crate) fn update(&mut self, now: Time, slots: u16, backlog: f64) {
+    /// Recomputes the level if [`UPDATE_INTERVAL`] has passed.
+    pub(crate) fn update(&mut self, now: Time, capacity: Capacity) {
         if now.since(self.updated) < UPDATE_INTERVAL {
             return;
         }
         self.updated = now;
-        let capacity = f64::from(slots) - backlog / BACKLOG_DRAIN_TIME.as_secs_f64();
-        let loads = self
-            .offered
-            .iter()
-            .map(|(group, load)| (*group, load.slots(now)));
-        let loads: Vec<(Group, f64)> = loads.collect();
-        let total: f64 = loads.iter().map(|(_, load)| load).sum();
-        self.overload_ratio = (total / capacity.max(1.0)).max(1.0);
-        self.level = self.bands.level(&loads, capacity);
+        let queued = capacity.queued as f64;
+        let backlog = queued * capacity.slot_time.as_secs_f64();
+        let free_slots = f64::from(capacity.slots) - backlog / BACKLOG_DRAIN_TIME.as_secs_f64();
+        let (slots, total) = self.offered(|load| load.slots.get(now, LOAD_TIME_CONSTANT));
+        self.overload_ratio = (total / free_slots.max(1.0)).max(1.0);
+        self.level = self.bands.level(&slots, free_slots);
+        let Some(limit) = capacity.requests_per_second else {
+            (self.rate_level, self.rate_ratio) = (0, 0.0);
+            return;
+        };
+        let (requests, total) = self.offered(|load| load.requests.get(now, REQUESTS_TIME_CONSTANT));
+        self.rate_ratio = total / limit.max(MIN_RATE);
+        let free_rate = limit - queued / REQUESTS_TIME_CONSTANT.as_secs_f64();
+        self.rate_level = self.bands.level(&requests, free_rate);
+    }
+
+    /// The offered load of each group in the unit of `amount`, and their sum.
+    fn offered(&self, amount: impl Fn(&OfferedLoad) -> f64) -> (Vec<(Group, f64)>, f64) {
+        let loads = self.offered.iter();
+        let loads = loads.map(|(group, load)| (*group, amount(load)));
+        let loads: Vec<(Group, f64)> = loads.filter(|(_, amount)| *amount > 0.0).collect();
+        let total = loads.iter().map(|(_, load)| load).sum();
+        (loads, total)
     }
 }
--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -277,6 +277,47 @@
         Some(chosen)
     }
 
+    /// Whether an instance of `service` for which `is_allowed` holds would start work immediately.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_policy::{Eligibility, InstanceSelector, Proximity};
+    /// use proto::{Incarnation, LoadReport};
+    /// use stdx::Time;
+    ///
+    /// let mut selector = InstanceSelector::new();
+    /// let (id, press) = (Incarnation(7), "press".into());
+    /// let near = Proximity::SameDomain;
+    /// selector.set_instance(Time::ZERO, id, &press, near, Eligibility::Ready);
+    /// assert!(selector.has_room(Time::ZERO, "press", |_| true));
+    /// let full = LoadReport {
+    ///     utilisation: 1000,
+    ///     limit: 10,
+    ///     ..LoadReport::default()
+    /// };
+    /// selector.on_report(Time::ZERO, id, full);
+    /// assert!(!selector.has_room(Time::ZERO, "press", |_| true));
+    /// ```
+    pub fn has_room(
+        &self,
+        now: Time,
+        service: &str,
+        is_allowed: impl Fn(Incarnation) -> bool,
+    ) -> bool {
+        let Some(instances) = self.services.get(service) else {
+            return false;
+        };
+        let mut ready = instances.ready.iter().flatten();
+        ready.any(|id| {
+            let instance = self.instances.get(id);
+            let has_room = instance.is_some_and(|instance| {
+                now >= instance.backoff_until && instance.load(now) < FREE_LOAD
+            });
+            has_room && is_allowed(*id)
+        })
+    }
+
     /// If connections to the chosen instance have failed, this call is a probe: no further call is
     /// sent there during the next backoff.
     fn extend_backoff(&mut self, now: Time, id: Incarnation, rng: &mut impl Rng) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 mod priority_bands;
 mod quarantine;
 mod queue;
+mod rate_limiter;
 mod reported_level;
 mod request_rate;
 mod resend_budget;
--- a/crates/policy/src/request_rate.rs
+++ b/crates/policy/src/request_rate.rs
@@ -35,7 +35,7 @@
     ///
     /// assert_eq!(RequestRate::from_millihertz(10_900).to_string(), "10.900");
     /// ```
-    pub fn from_millihertz(millihertz: u64) -> Self {
+    pub const fn from_millihertz(millihertz: u64) -> Self {
         Self(millihertz)
     }
 
--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -1,17 +1,20 @@
-//! Admission control for one backend server: the concurrency limit, the queue and the admission
-//! level.
+//! Admission control for one backend server: the concurrency limit, the rate limit that the server
+//! names, the queue and the admission level.
 
 use crate::admission_level::retry_jitter;
 use crate::admission_level::AdmissionLevel;
+use crate::admission_level::Capacity;
 use crate::admission_value;
 use crate::concurrency_limit::ConcurrencyLimit;
 use crate::failure_share::FailureShare;
 use crate::lookup_hold::LookupHold;
 use crate::queue::Queue;
+use crate::rate_limiter::RateLimiter;
 use crate::slowdown::Slowdown;
 use crate::work::Estimate;
 use crate::AdmissionDecision;
 use crate::PriorityBands;
+use crate::RequestRate;
 use crate::Switches;
 use crate::WorkItem;
 use crate::WorkOutcome;
@@ -46,12 +49,16 @@
 /// Number of classes, each with an estimate of its own.
 const CLASSES: usize = 5;
 
-/// Admission control for one backend server: the concurrency limit, the queue and the admission
-/// level.
+/// Admission control for one backend server: the concurrency limit, the rate limit that the server
+/// names, the queue and the admission level.
 #[derive(Debug)]
 pub struct ServerAdmission {
     switches: Switches,
     limit: ConcurrencyLimit,
+    /// The rate limit that the server has named, if one is in force.
+    rate_limiter: Option<RateLimiter>,
+    /// Whether other instances of the service have capacity for what exceeds the rate limit.
+    siblings_have_room: bool,
     level: AdmissionLevel,
     queue: Queue,
     max_wait: Duration,
@@ -101,6 +108,8 @@
         let mut server = Self {
             switches,
             limit: ConcurrencyLimit::new(min, max),
+            rate_limiter: None,
+            siblings_have_room: false,
             level: AdmissionLevel::new(),
             queue: Queue::default(),
             max_wait,
@@ -122,6 +131,7 @@
     /// learned for the previous process does not apply to it, so the limit starts at `slots`.
     pub fn on_server_restart(&mut self, now: Time, slots: u16) {
         self.down_until = None;
+        self.rate_limiter = None;
         self.failure_share.reset();
         self.slowdown = Slowdown::default();
         self.limit.restart(now);
@@ -129,6 +139,23 @@
         self.limit.set_to_max();
     }
 
+    /// Sets the rate of requests that the server accepts, or none. The server gets no more than
+    /// this, by whatever path requests reach it.
+    pub fn set_rate_limit(&mut self, now: Time, rate: Option<RequestRate>) {
+        match (&mut self.rate_limiter, rate) {
+            (Some(limiter), Some(rate)) if limiter.rate() == rate => {}
+            (Some(limiter), Some(rate)) => limiter.set_rate(now, rate),
+            (limiter, rate) => *limiter = rate.map(|rate| RateLimiter::new(now, rate)),
+        }
+    }
+
+    /// Sets whether other instances of the service have capacity. If so, work that exceeds the rate
+    /// limit is refused soon instead of queued, so that it can be sent there, and the excess is no
+    /// reason to shed actions.
+    pub fn set_siblings_have_room(&mut self, siblings_have_room: bool) {
+        self.siblings_have_room = siblings_have_room;
+    }
+
     /// Sets the priorities of the rules in force.
     pub fn set_priority_bands(&mut self, bands: PriorityBands) {
         self.level.set_priority_bands(bands);
@@ -149,26 +176,25 @@
 
     /// Offers work, and decides whether it starts, is queued or is refused.
     pub fn offer(&mut self, now: Time, item: WorkItem) -> AdmissionDecision {
-        if let Some(slot_time) = self.slot_time_with_abandoned[item.class as usize].mean() {
-            self.level.record_offered(now, &item, slot_time);
-        }
+        let slot_time = self.slot_time_with_abandoned[item.class as usize].mean();
+        self.level.record_offered(now, &item, slot_time);
         self.tick(now);
         let value = admission_value(item.class, item.random_value);
-        if self.switches.levels && !item.admitted && value < self.level.get() {
+        if !item.admitted && value < self.level() {
             self.hold_lookups(now, item.class);
-            return self.refuse(Reason::Shed, item);
+            return self.refuse(now, Reason::Shed, item);
         }
         if self.down_until.is_some_and(|until| now < until) {
-            return self.refuse(Reason::ServerLost, item);
+            return self.refuse(now, Reason::ServerLost, item);
         }
         if self.is_held_back(now, &item) {
             return self.refuse_for_load(now, item);
         }
         if self.is_too_late(now, &item, Duration::ZERO) {
-            return self.refuse(Reason::Deadline, item);
+            return self.refuse(now, Reason::Deadline, item);
         }
-        if self.has_capacity(item.class) && self.queue.is_empty() {
-            self.start(&item);
+        if self.can_start(now, item.class) && self.queue.is_empty() {
+            self.start(now, &item);
             return AdmissionDecision::Start;
         }
         self.enqueue(now, item)
@@ -176,10 +202,12 @@
 
     fn enqueue(&mut self, now: Time, item: WorkItem) -> AdmissionDecision {
         let ahead = self.queue.ahead_of(&item, self.switches.class_order);
-        let wait = self.drain_time(ahead + 1);
+        let token_wait = self.token_wait(now, ahead + 1);
+        let wait = self.drain_time(ahead + 1).max(token_wait);
         let too_late = self.switches.deadline_queue && self.is_too_late(now, &item, wait);
         let queue_full = ahead >= self.queue_capacity() && !item.admitted;
-        if too_late || queue_full || self.queue.len() >= MAX_QUEUE_LEN {
+        let prefers_siblings = self.siblings_have_room && token_wait > self.max_wait;
+        if prefers_siblings || too_late || queue_full || self.queue.len() >= MAX_QUEUE_LEN {
             return self.refuse_for_load(now, item);
         }
         self.queue.push(item);
@@ -190,7 +218,7 @@
     pub fn on_finished(&mut self, now: Time, class: Class, outcome: WorkOutcome) {
         // While the level sheds load, the limit counts as reached even if `running` is below it,
         // because there is demand for more slots.
-        let at_limit = self.running >= self.limit.get() || self.level() > 0;
+        let at_limit = self.running >= self.limit.get() || self.slot_level() > 0;
         self.tick(now);
         self.running = self.running.saturating_sub(1);
         self.failure_share
@@ -261,16 +289,16 @@
         } else {
             Class::Lookup
         };
-        if !self.has_capacity(next) {
+        if !self.can_start(now, next) {
             return None;
         }
         let item = self.queue.pop(self.switches.class_order)?;
-        self.start(&item);
+        self.start(now, &item);
         Some((item, AdmissionDecision::Start))
     }
 
     fn pop_expired(&mut self, now: Time) -> Option<WorkItem> {
-        let (max_wait, slot_time) = (self.max_wait, self.slot_time_by_class);
+        let (max_wait, slot_time) = (self.max_wait(), self.slot_time_by_class);
         let by_deadline = self.switches.deadline_queue;
         self.queue.pop_expired(|item| {
             let probe = !by_deadline || item.random_value % LATE_PROBE_INTERVAL == 0;
@@ -280,20 +308,34 @@
                 slot_time[item.class as usize].lower_bound()
             };
             let waited = now.since(item.arrived);
-            waited >= max_wait_of(max_wait, item) || now + lower_bound >= item.deadline
+            waited >= max_wait.of(item) || now + lower_bound >= item.deadline
         })
     }
 
     /// When [`ServerAdmission::next_decision`] must be called again even if no work finishes.
     pub fn next_timer(&self) -> Option<Time> {
-        let max_wait = self.max_wait;
-        self.queue.next_timer(|item| max_wait_of(max_wait, item))
+        let max_wait = self.max_wait();
+        let queue_timer = self.queue.next_timer(|item| max_wait.of(item));
+        queue_timer.into_iter().chain(self.token_timer()).min()
+    }
+
+    /// When queued work may start because the rate limit permits it.
+    fn token_timer(&self) -> Option<Time> {
+        let at = self.rate_limiter.as_ref()?.next_token_at()?;
+        // Later than the last tick, or the work waits for a slot and not for the rate limit.
+        Some(at).filter(|at| !self.queue.is_empty() && *at > self.last_tick)
     }
 
     /// The load report for other nodes.
     pub fn report(&self) -> LoadReport {
         let load = u32::from(self.running) + self.queue.len() as u32;
         let mut utilisation = load * 1000 / u32::from(self.limit.get().max(1));
+        let mut limit = self.limit.get();
+        if let Some(limiter) = &self.rate_limiter {
+            utilisation = utilisation.max((self.level.rate_ratio() * 1000.0) as u32);
+            // As many calls as the server accepts in a second.
+            limit = limit.min(limiter.rate().per_second().max(1.0) as u16);
+        }
         if self.down_until.is_some() {
             utilisation = u32::from(u16::MAX);
         }
@@ -301,7 +343,7 @@
             utilisation: utilisation.min(u32::from(u16::MAX)) as u16,
             penalty: self.penalty(),
             level: self.level(),
-            limit: self.limit.get(),
+            limit,
             draining: false,
         }
     }
@@ -325,6 +367,17 @@
 
     /// The current admission level.
     pub fn level(&self) -> u16 {
+        let counts_rate = self.switches.levels && !self.siblings_have_room;
+        let rate_level = if counts_rate {
+            self.level.rate_level()
+        } else {
+            0
+        };
+        self.slot_level().max(rate_level)
+    }
+
+    /// The admission level without regard to the rate limit.
+    fn slot_level(&self) -> u16 {
         if self.switches.levels {
             self.level.get()
         } else {
@@ -335,17 +388,30 @@
     /// Updates the admission level, so that it also falls while no work arrives.
     pub fn tick(&mut self, now: Time) {
         self.last_tick = now;
-        let slot_time = self.slot_time.mean().unwrap_or(Duration::ZERO);
-        let backlog = self.queue.len() as f64 * slot_time.as_secs_f64();
-        self.level.update(now, self.limit.get(), backlog);
+        let rate = self.rate_limiter.as_ref().map(RateLimiter::rate);
+        let capacity = Capacity {
+            slots: self.limit.get(),
+            requests_per_second: rate.map(RequestRate::per_second),
+            queued: self.queue.len(),
+            slot_time: self.slot_time.mean().unwrap_or(Duration::ZERO),
+        };
+        self.level.update(now, capacity);
     }
 
-    fn start(&mut self, item: &WorkItem) {
+    fn start(&mut self, now: Time, item: &WorkItem) {
         debug_assert!(
             item.class.is_protected() || item.arrived >= self.lookup_hold.last_refusal(),
             "a lookup that was queued when a protected call was refused for load must not start"
         );
         self.running += 1;
+        if let Some(limiter) = &mut self.rate_limiter {
+            limiter.take(now);
+        }
+    }
+
+    fn can_start(&self, now: Time, class: Class) -> bool {
+        let limiter = self.rate_limiter.as_ref();
+        self.has_capacity(class) && limiter.is_none_or(|limiter| limiter.has_token(now))
     }
 
     fn has_capacity(&self, class: Class) -> bool {
@@ -361,7 +427,7 @@
     /// refused for load, a later lookup must not run before there is capacity for such calls again:
     /// it would take the slot that the refused call needed.
     fn is_held_back(&mut self, now: Time, item: &WorkItem) -> bool {
-        let has_capacity = self.has_capacity(Class::Lookup) && self.queue.protected_len() == 0;
+        let has_capacity = self.can_start(now, Class::Lookup) && self.queue.protected_len() == 0;
         self.lookup_hold.check(now, has_capacity) && !item.class.is_protected()
     }
 
@@ -381,11 +447,15 @@
         if item.admitted {
             // Its deadline is too close because it was delayed before it arrived here. Holding back
             // lookups would not have helped it, and the queued lookups are partly done actions as
-            // well.
-            return self.refuse(Reason::Deadline, item);
+            // well. Under a rate limit, another instance may still run it in time.
+            let reason = match &self.rate_limiter {
+                Some(_) if self.siblings_have_room => Reason::QueueFull,
+                _ => Reason::Deadline,
+            };
+            return self.refuse(now, reason, item);
         }
         self.hold_lookups(now, item.class);
-        self.refuse(Reason::QueueFull, item)
+        self.refuse(now, Reason::QueueFull, item)
     }
 
     /// Records that work was refused for load before it was offered.
@@ -401,11 +471,12 @@
         }
     }
 
-    /// Refuses work with a retry delay: the time to work off the backlog, multiplied by the ratio
-    /// of offered load to capacity. Callers refused together would come back together, so the
+    /// Refuses work with a retry delay: the time to work off the backlog, at least until the rate
+    /// limit permits one more request, multiplied by the ratio of offered load to capacity. Callers refused together would come back together, so the
     /// random value of the action varies the delay.
-    fn refuse(&self, reason: Reason, item: WorkItem) -> AdmissionDecision {
+    fn refuse(&self, now: Time, reason: Reason, item: WorkItem) -> AdmissionDecision {
         let backlog = self.drain_time(self.queue.len() + usize::from(self.running));
+        let backlog = backlog.max(self.token_wait(now, self.queue.len() + 1));
         let wait = (backlog + MIN_RETRY_AFTER).mul_f64(self.level.overload_ratio().min(100.0));
         let jitter = if self.switches.spread {
             retry_jitter(item.random_value)
@@ -423,9 +494,29 @@
             Some((mean, _)) => limit * self.max_wait.as_secs_f64() / mean.max(1e-6),
             None => limit,
         };
+        let capacity = match &self.rate_limiter {
+            Some(limiter) => {
+                capacity.min(limiter.rate().per_second() * self.max_wait.as_secs_f64())
+            }
+            None => capacity,
+        };
         (capacity as usize).clamp(1, MAX_QUEUE_LEN)
     }
 
+    /// The time until the rate limit permits `count` more requests.
+    fn token_wait(&self, now: Time, count: usize) -> Duration {
+        let limiter = self.rate_limiter.as_ref();
+        limiter.map_or(Duration::ZERO, |limiter| limiter.time_for(now, count))
+    }
+
+    fn max_wait(&self) -> MaxWait {
+        let leaves_early = self.rate_limiter.is_some() && self.siblings_have_room;
+        MaxWait {
+            lookups: self.max_wait,
+            bounds_admitted: leaves_early,
+        }
+    }
+
     /// The time until `items` work items have left the queue.
     fn drain_time(&self, items: usize) -> Duration {
         let Some((mean, _)) = self.slot_time.0 else {
@@ -436,15 +527,27 @@
     }
 }
 
-/// How long a work item may be queued. Protected work leaves the queue before all lookups, so it
-/// waits long only if protected work alone exceeds the capacity. If it were refused after the
-/// maximum wait of lookups, all queued lookups would be refused with it (see `hold_lookups`).
-fn max_wait_of(max_wait: Duration, item: &WorkItem) -> Duration {
-    if item.admitted {
-        Duration::MAX
-    } else if item.class.is_protected() {
-        max_wait * PROTECTED_WAIT_FACTOR
-    } else {
-        max_wait
+/// How long work items may be queued.
+#[derive(Debug, Clone, Copy)]
+struct MaxWait {
+    /// The maximum wait of lookups that begin here.
+    lookups: Duration,
+    /// Whether calls of admitted actions have a maximum wait too, because another instance may run
+    /// them.
+    bounds_admitted: bool,
+}
+
+impl MaxWait {
+    /// The maximum wait of a work item. Protected work leaves the queue before all lookups, so it
+    /// waits long only if protected work alone exceeds the capacity. If it were refused after the
+    /// maximum wait of lookups, all queued lookups would be refused with it (see `hold_lookups`).
+    fn of(self, item: &WorkItem) -> Duration {
+        if item.admitted && !self.bounds_admitted {
+            Duration::MAX
+        } else if item.class.is_protected() {
+            self.lookups * PROTECTED_WAIT_FACTOR
+        } else {
+            self.lookups
+        }
     }
 }
--- a/crates/trial/src/fault.rs
+++ b/crates/trial/src/fault.rs
@@ -120,6 +120,10 @@
             Fault::LogSlow(time) => self.log.extra_latency = time,
             Fault::LogLose(count) => self.log.responses_to_lose = count,
             Fault::LogExpire(keep) => self.log.expire(keep),
+            Fault::Publish(_) if self.cluster.servers_announce => {
+                self.external_version += 1;
+                (0..self.nodes.len()).for_each(|node| self.send_external_rules(node));
+            }
             Fault::Publish(operators) => self.publish_concurrently(operators),
             Fault::Crash(node) => self.crash_server(node),
             Fault::Limit(node, rate) => self.nodes[node].server.report.rate_limit = Ok(rate),
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -3,6 +3,8 @@
 use crate::World;
 use engine::Config;
 use engine::Engine;
+use engine::Input;
+use engine::KeylessCalls;
 use proto::Incarnation;
 use rand::RngExt;
 use std::time::Duration;
@@ -10,6 +12,9 @@
 /// Maximum drift of a process's clock from the virtual clock, as a fraction.
 const MAX_CLOCK_DRIFT: f64 = 0.001;
 
+/// Maximum time until a process has read new rules, in milliseconds.
+const RULES_READ_TIME_MS: u64 = 300;
+
 /// Time that a process takes to restart.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
@@ -46,6 +51,9 @@
             ..Config::default()
         };
         cfg.membership.seed = incarnation.0;
+        if self.cluster.servers_announce {
+            cfg.keyless_calls = KeylessCalls::OwnedByIngress;
+        }
         cfg.once.max_log_staleness = self.cluster.max_log_staleness;
         let now = self.now;
         let engines = self.nodes.iter().filter_map(|node| node.engine.as_ref());
@@ -67,6 +75,17 @@
         self.trace_event(format!("{} starts as {incarnation}", self.nodes[node].name));
         self.schedule_tick(node);
         self.restart_reading(node);
+        if self.cluster.servers_announce {
+            self.send_external_rules(node);
+        }
+    }
+
+    /// Passes the newest rules to a node, as if it had read them from the operators' store.
+    pub(crate) fn send_external_rules(&mut self, node: usize) {
+        let wait = Duration::from_millis(self.rng.random_range(1..RULES_READ_TIME_MS));
+        let version = self.external_version;
+        let file = format!("{}# version {version}\n", self.cluster.rules).into();
+        self.schedule_input(node, wait, Input::RulesPublished { version, file });
     }
 
     /// Ends a process as `kill -9` does.
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -64,6 +64,9 @@
     /// Violations do not stop the run, for measurements of configurations that may violate the
     /// guarantees.
     pub continue_after_violation: bool,
+    /// The newest version of the rules, if servers announce themselves. Rules with health checks
+    /// cannot be published in the log and come from the operators' own store.
+    pub(crate) external_version: u64,
     /// Total service time of all started work, without the servers' slow factors.
     pub nominal_service_time: Duration,
     /// The random seed.
@@ -101,6 +104,7 @@
             counters: IndexMap::new(),
             event_trace: VecDeque::new(),
             continue_after_violation: false,
+            external_version: 1,
             nominal_service_time: Duration::ZERO,
             seed,
             next_token: 0,
@@ -108,8 +112,10 @@
             last_event_id: 0,
             cluster,
         };
-        let rules = world.cluster.rules.clone();
-        world.publish(0, 1, "first", &rules);
+        if !world.cluster.servers_announce {
+            let rules = world.cluster.rules.clone();
+            world.publish(0, 1, "first", &rules);
+        }
         for node in 0..world.nodes.len() {
             world.start(node);
             if world.cluster.servers_announce {
--- a/crates/trial/tests/server_reports.rs
+++ b/crates/trial/tests/server_reports.rs
@@ -41,6 +41,7 @@
     for nth in 0..rate * secs {
         let mut action = Action::new(operation, &format!("{operation}-{nth}"));
         action.max_resends = 0;
+        action.key = None;
         let at = begin + Duration::from_secs(1) * nth / rate;
         world.submit(at, action, Some(nth as usize % 9));
     }
