Treat a server that says it leaves in a response as leaving

What callers saw: requests went to a server that had said that it leaves until it exited, and failed with it. Cause: only the announcements of a server were heeded; the departure stated in a response was forwarded as an opaque header. Change: the statement has the effect of an announced departure: the node beside the server starts nothing more on it, refuses queued work as draining, which ingress nodes send elsewhere without spending a retry, and gossips that it accepts no work. It is final for the incarnation, and ends with the next one at the address. A restarted node asks the server's health first, which such a server fails. The random faults still find keyed calls at their home node, which is another fault.

--- a/crates/engine/src/server_report.rs
+++ b/crates/engine/src/server_report.rs
@@ -145,6 +145,7 @@
         if starts_leaving {
             let leaving = Diagnostic::ServerLeaving { id: id.into() };
             self.outputs.push(Output::Diagnostic(leaving));
+            self.on_server_leaving(now, id);
         }
     }
 
