Start no job on a server that has ceased to accept work

What callers saw: keyed calls were sent to a server that had said that it leaves, or had announced it, until it exited, and ended unknown. Cause: only calls without a key were checked against the state of the server when they arrived; calls for keys of this node, and jobs that had waited as suspects, were offered to it regardless. Change: the check is where every job is offered to the server. The home node answers that the call did not run, which is certain, and records no run.

--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -158,6 +158,11 @@
         if self.stopping && now >= self.closed_at {
             return self.end_job(now, run, self.not_run(Reason::Draining));
         }
+        // The server may have begun to leave while the job waited, and calls for keys of this node
+        // come regardless of what their senders know of the server.
+        if !self.server_accepts_work() {
+            return self.end_job(now, run, self.not_run(Reason::Draining));
+        }
         let fingerprint = job.fingerprint;
         let mut item = WorkItem {
             id: run.number,
--- a/crates/trial/tests/server_reports.rs
+++ b/crates/trial/tests/server_reports.rs
@@ -2,6 +2,7 @@
 
 use engine::ServerReport;
 use policy::RequestRate;
+use proto::Reason;
 use std::time::Duration;
 use stdx::Time;
 use trial::Action;
@@ -166,6 +167,24 @@
     assert_eq!(succeeded(&world, ROYALTY_CHARGE), (120, 120));
 }
 
+/// Calls with keys go to their home node whatever its server says, and reached the leaving server.
+#[test]
+fn leaving_server_of_a_home_node_gets_no_keyed_calls() {
+    let mut world = world(10);
+    schedule(&mut world, ROYALTY_CHARGE, 20, 7);
+    for (nth, action) in world.actions.iter_mut().enumerate() {
+        action.key = Some(format!("k{nth}").into());
+    }
+    world.inject_fault(Fault::Leave(ROYALTY[0]));
+    check(&mut world, 20);
+    let is_truthful = |action: &Action| {
+        let (_, outcome) = action.ended.expect("the action has ended");
+        let refused = ActionOutcome::NotRun(Reason::Draining);
+        outcome == ActionOutcome::Succeeded || outcome == refused
+    };
+    assert!(world.actions.iter().all(is_truthful));
+}
+
 /// A new process of the node does not know that the server had said to the old one that it leaves.
 #[test]
 fn restarted_node_heeds_that_its_server_leaves() {
