Tell callers that all instances refuse the delay that these gave

What callers saw: when each instance of a service had refused a call for load, the caller was told "no instance" and to come back after one second, whatever the instances had said. Cause: after the last refusal the call was routed again; with every instance excluded, the routing found none and used its default delay. Change: a call keeps the refusal with the shortest retry delay among those for load, and ends with it when no instance is left.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -64,6 +64,7 @@
             redirects: 0,
             reattaches: 0,
             avoid: Vec::new(),
+            soonest_refusal: None,
             request: draft.request,
         };
         // Calls of a retried run are retries themselves, and the budget is a ratio to first
@@ -84,6 +85,12 @@
         match self.admit(now, &mut call) {
             Ok(target) => self.send_to_target(now, call, target),
             Err(refusal) => {
+                // Without an instance left to try, the delays that the instances gave tell when to
+                // come back.
+                let refusal = match refusal.reason {
+                    Reason::NoInstance => call.soonest_refusal.unwrap_or(refusal),
+                    _ => refusal,
+                };
                 let refusal = call.scope_refusal(refusal);
                 self.finish_call(now, call, Outcome::NotRun(refusal));
             }
@@ -217,6 +224,9 @@
     /// Sends a call that did not run to another instance, if that may help, or ends it.
     pub(crate) fn on_not_run(&mut self, now: Time, mut call: OutgoingCall, refusal: Refusal) {
         let reason = refusal.reason;
+        if matches!(reason, Reason::QueueFull | Reason::ServerRefused) {
+            call.record_refusal(refusal);
+        }
         let redirect = match reason {
             Reason::Moving | Reason::Draining => self.has_other_target(&call),
             // The call was never sent and not refused, so the same node may accept it over another
--- a/crates/engine/src/outgoing.rs
+++ b/crates/engine/src/outgoing.rs
@@ -53,6 +53,8 @@
     pub(crate) reattaches: u8,
     /// Nodes that this call must not be sent to again.
     pub(crate) avoid: Vec<Incarnation>,
+    /// The refusal for load, among those of the instances tried, with the shortest retry delay.
+    pub(crate) soonest_refusal: Option<Refusal>,
     pub(crate) request: Request,
 }
 
@@ -65,6 +67,12 @@
 }
 
 impl OutgoingCall {
+    /// Records that an instance refused the call for load.
+    pub(crate) fn record_refusal(&mut self, refusal: Refusal) {
+        let refusals = self.soonest_refusal.into_iter().chain([refusal]);
+        self.soonest_refusal = refusals.min_by_key(|refusal| refusal.retry_after_ms);
+    }
+
     /// Limits a refusal to the current attempt if an earlier one may have run. The refusal comes
     /// from a node that has not seen the record of the key, and a key sent by the caller may have
     /// been sent before. If the caller were told that nothing ran, it might order again with
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -290,6 +290,21 @@
     assert_eq!(ingress.outcomes(), [completed()]);
 }
 
+/// All servers refuse. The caller was told to come back after a default delay, in which none of them
+/// had room again.
+#[test]
+fn call_that_all_refuse_for_load_is_refused() {
+    let mut ingress = IngressNode::new();
+    ingress.send("a", "/check/1");
+    let mut attempts = 0;
+    while !ingress.calls.is_empty() {
+        attempts += 1;
+        ingress.reply(not_run(Reason::QueueFull), DownstreamSummary::default());
+    }
+    assert!(attempts <= 4, "{attempts}");
+    assert_eq!(ingress.outcomes(), [not_run(Reason::QueueFull)]);
+}
+
 /// Every call fails while every action has retries left. Without a limit per node, the retries
 /// would triple the load.
 #[test]
