Test limits and departures of servers over real nodes, and of an only server

Cause: the fix was shown on a virtual clock only, with other servers to send the rest to. Change: three tests over node processes (a limit of zero that is lifted, a departure, malformed values) and one of a service with a single server.

--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -31,6 +31,8 @@
     addr: SocketAddr,
     heads: Rc<RefCell<Vec<String>>>,
     behaviour: Rc<Cell<Behaviour>>,
+    /// Header lines in which the server reports about itself in each response.
+    report: Rc<Cell<&'static str>>,
 }
 
 impl Server {
@@ -40,12 +42,15 @@
             addr: listener.local_addr().unwrap(),
             heads: Rc::default(),
             behaviour: Rc::new(Cell::new(Behaviour::Responds)),
+            report: Rc::new(Cell::new("")),
         };
         let (heads, behaviour) = (server.heads.clone(), server.behaviour.clone());
+        let report = server.report.clone();
         actix_rt::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                actix_rt::spawn(serve(stream, heads.clone(), behaviour.clone()));
+                let (heads, behaviour) = (heads.clone(), behaviour.clone());
+                actix_rt::spawn(serve(stream, heads, behaviour, report.clone()));
             }
         });
         server
@@ -56,16 +61,19 @@
     mut stream: TcpStream,
     heads: Rc<RefCell<Vec<String>>>,
     behaviour: Rc<Cell<Behaviour>>,
+    report: Rc<Cell<&'static str>>,
 ) {
     while let Some(head) = read_head(&mut stream).await {
         let id = header(&head, "x-bilberrycove-request-id").unwrap_or_default();
+        let report = report.get();
         if head.starts_with("GET /healthz ") {
             let status = match behaviour.get() {
                 Behaviour::Unhealthy => "503 Unwell",
                 _ => "200 OK",
             };
             let response = format!(
-                "HTTP/1.1 {status}\r\nx-bilberrycove-instance-id: a\r\ncontent-length: 0\r\n\r\n"
+                "HTTP/1.1 {status}\r\nx-bilberrycove-instance-id: a\r\n{report}\
+                 content-length: 0\r\n\r\n"
             );
             if stream.write_all(response.as_bytes()).await.is_err() {
                 return;
@@ -75,7 +83,8 @@
         heads.borrow_mut().push(head);
         let response = match behaviour.get() {
             Behaviour::Responds => format!(
-                "HTTP/1.1 200 OK\r\nx-bilberrycove-request-id: {id}\r\ncontent-length: 3\r\n\r\nink"
+                "HTTP/1.1 200 OK\r\nx-bilberrycove-request-id: {id}\r\n{report}\
+                 content-length: 3\r\n\r\nink"
             ),
             Behaviour::NotExecuted => "HTTP/1.1 503 Full\r\nx-bilberrycove-not-executed: 1\r\n\
                                       content-length: 0\r\n\r\n"
@@ -320,6 +329,7 @@
         addr: press.server.addr,
         heads: press.server.heads.clone(),
         behaviour: press.server.behaviour.clone(),
+        report: press.server.report.clone(),
     };
     server.behaviour.set(Behaviour::Unhealthy);
     drop(press.node);
@@ -336,3 +346,60 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Sends bookings, and checks that they are refused with a retry delay and do not reach the server.
+async fn check_refused(entry: &Instance, press: &Instance) {
+    let reached = press.server.heads.borrow().len();
+    for n in 0..3 {
+        let (status, head, _) = book(entry, &format!("refused{n}")).await;
+        assert_eq!(status, 503);
+        assert!(header(&head, "retry-after").is_some(), "{head}");
+    }
+    assert_eq!(press.server.heads.borrow().len(), reached);
+}
+
+/// A server that names a rate limit of zero takes no requests at all, and got them all the same. Its
+/// response is delivered, and a health check finds that the limit was lifted.
+#[actix_rt::test]
+async fn limited_server_gets_no_requests_until_it_lifts_its_limit() {
+    let (_store, entry, press) = start().await;
+    press.server.report.set("server-limit: 0\r\n");
+    let (status, head, body) = book(&entry, "b1").await;
+    assert_eq!((status, &*body), (200, "ink"));
+    assert_eq!(header(&head, "server-limit").as_deref(), Some("0"));
+    check_refused(&entry, &press).await;
+    press.server.report.set("");
+    while book(&entry, "after").await.0 != 200 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A server that says that it leaves got requests until it exited.
+#[actix_rt::test]
+async fn server_that_says_it_leaves_gets_no_further_requests() {
+    let (_store, entry, press) = start().await;
+    press.server.report.set("server-leaving: 1\r\n");
+    let (status, head, body) = book(&entry, "b1").await;
+    assert_eq!((status, &*body), (200, "ink"));
+    assert_eq!(header(&head, "server-leaving").as_deref(), Some("1"));
+    check_refused(&entry, &press).await;
+}
+
+/// Garbled reports of a server must neither stop its requests nor cost a response.
+#[actix_rt::test]
+async fn response_with_malformed_report_is_delivered() {
+    let (_store, entry, press) = start().await;
+    let reports = [
+        "server-limit: -1\r\n",
+        "server-limit: NaN\r\nserver-leaving: maybe\r\n",
+        "server-limit: 0\r\nserver-limit: 0\r\n",
+        "server-limit: 99999999999999999999\r\n",
+    ];
+    for (n, report) in reports.into_iter().enumerate() {
+        press.server.report.set(report);
+        for attempt in 0..2 {
+            let (status, _, body) = book(&entry, &format!("b{n}-{attempt}")).await;
+            assert_eq!((status, &*body), (200, "ink"), "{report}");
+        }
+    }
+}
--- a/crates/trial/tests/server_reports.rs
+++ b/crates/trial/tests/server_reports.rs
@@ -155,6 +155,29 @@
     }
 }
 
+/// The only server of a service is limited, and there is no other one to send the rest to.
+#[test]
+fn limit_of_an_only_server_is_heeded() {
+    let mut cluster = ClusterConfig::with_instances(1);
+    cluster.servers_announce = true;
+    let mut world = World::new(11, cluster);
+    world.run_for(Duration::from_secs(5));
+    for (operation, rate) in [(ROYALTY_LOOKUP, 30), (ROYALTY_CHARGE, 3)] {
+        for nth in 0..rate * 20 {
+            let mut action = Action::new(operation, &format!("{operation}-{nth}"));
+            (action.max_resends, action.key) = (0, None);
+            let at = world.now + Duration::from_secs(1) * nth / rate;
+            world.submit(at, action, Some(nth as usize % 3));
+        }
+    }
+    world.inject_fault(limit(2, 10));
+    check(&mut world, 25);
+    let (charged, charges) = succeeded(&world, ROYALTY_CHARGE);
+    assert!(charged * 100 >= charges * 98, "{charged} of {charges}");
+    let (looked_up, _) = succeeded(&world, ROYALTY_LOOKUP);
+    assert!(looked_up >= 7 * 20 / 2, "{looked_up} lookups");
+}
+
 /// A server that said in its responses that it is about to stop got requests until it exited.
 #[test]
 fn server_that_says_it_leaves_gets_no_requests() {
