Show limits and departures of servers on the status line and the metrics page

Cause: the metrics page had counters only, and bilberryctl status did not show that a server is limited or leaves, so an operator could not see why an instance gets fewer requests than others. Change: the metrics page lists the gauges, and the status line of a node has rate_limit= and leaving= where they apply. Measured: a test with a status page of a limited server; it fails without the change.

--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -112,6 +112,7 @@
         value("listed"),
         value("runs")
     ));
+    line.push_str(&format_server_report(page));
     for (key, count) in page {
         let name = key.strip_prefix("counter.").unwrap_or("");
         if SHOWN_COUNTERS.iter().any(|prefix| name.starts_with(prefix)) {
@@ -120,3 +121,25 @@
     }
     println!("{line}");
 }
+
+/// The rate limit in requests per second that the node's backend server has named, and whether it
+/// leaves; empty if neither is the case.
+fn format_server_report(page: &StatusPage) -> String {
+    let gauge = |name: &str| -> u64 {
+        let value = page.get(&format!("gauge.server.{name}"));
+        value.and_then(|value| value.parse().ok()).unwrap_or(0)
+    };
+    let mut text = String::new();
+    if gauge("rate_limited") > 0 {
+        let millihertz = gauge("rate_limit_millihertz");
+        text.push_str(&format!(
+            " rate_limit={}.{:03}",
+            millihertz / 1000,
+            millihertz % 1000
+        ));
+    }
+    if gauge("leaving") > 0 {
+        text.push_str(" leaving=true");
+    }
+    text
+}
--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -4,8 +4,12 @@
 use node::Node;
 use node::Settings;
 use standin::Store;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
 
@@ -331,3 +335,39 @@
     assert_eq!(ctl(&["check", file.path()]).await.0, 0);
     assert_ne!(ctl(&["key"]).await.1, out);
 }
+
+/// Starts a server that answers each request with this status page.
+async fn start_status_server(page: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buf = [0; 1024];
+            assert!(stream.read(&mut buf).await.unwrap() > 0);
+            let response = format!(
+                "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{page}",
+                page.len()
+            );
+            stream.write_all(response.as_bytes()).await.unwrap();
+        }
+    });
+    addr
+}
+
+/// Guards against a status line that hides why an instance gets fewer requests than others.
+#[actix_rt::test]
+async fn status_shows_limits_and_departures_of_servers() {
+    let page = "service press\ngauge.server.rate_limited 1\n\
+                gauge.server.rate_limit_millihertz 10900\ngauge.server.leaving 1\n";
+    let addr = start_status_server(page).await.to_string();
+    let (code, out, err) = ctl(&["status", "--node", &addr]).await;
+    assert_eq!(code, 0, "{err}");
+    assert!(out.contains(" rate_limit=10.900 leaving=true"), "{out}");
+    let addr = start_status_server("service press\n").await.to_string();
+    let (_, out, _) = ctl(&["status", "--node", &addr]).await;
+    assert!(
+        !out.contains("rate_limit") && !out.contains("leaving"),
+        "{out}"
+    );
+}
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -92,8 +92,9 @@
 
 /// Serves counters and latency quantiles.
 pub(crate) async fn handle_metrics(shell: Rc<Shell>, _req: HttpRequest) -> HttpResponse<BoxBody> {
+    let gauges = shell.engine.borrow().gauges(shell.now());
     HttpResponse::build(StatusCode::OK)
-        .body(shell.metrics.render())
+        .body(shell.metrics.render(&gauges))
         .map_into_boxed_body()
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -92,13 +92,14 @@
         histogram.saturating_record(elapsed.as_micros() as u64);
     }
 
-    /// Counters and latency quantiles, one name and value per line.
-    pub(crate) fn render(&self) -> String {
+    /// Counters, latency quantiles and these gauges, one name and value per line.
+    pub(crate) fn render(&self, gauges: &[Gauge]) -> String {
         let mut lines: Vec<String> = self
             .counters()
             .into_iter()
-            .map(|(name, count)| format!("{PREFIX}_{} {count}", name.replace(['.', '-'], "_")))
+            .map(|(name, count)| metric_line(&name, count))
             .collect();
+        lines.extend(gauges.iter().map(|(name, value)| metric_line(name, *value)));
         for (outcome, histogram) in &*self.latencies.borrow() {
             let name = format!("{PREFIX}_latency_us_{}", outcome.replace('-', "_"));
             lines.push(format!("{name}_count {}", histogram.len()));
@@ -139,6 +140,10 @@
     }
 }
 
+fn metric_line(name: &str, value: u64) -> String {
+    format!("{PREFIX}_{} {value}", name.replace(['.', '-'], "_"))
+}
+
 /// Adds to a byte counter.
 pub(crate) fn add_bytes(total: &Cell<u64>, added: usize) {
     total.set(total.get() + added as u64);
