Decide by tokens, not only by averages, what a rate limit sheds

Cause: the level subtracts the whole queue from the rate, so queued reads of admitted lookups shed orders that would go before them; and the moving average of one request exceeds a limit of less than one request in two seconds. Also, on large fleets the load of siblings is rarely known, and each gap counted as room. Change: queued lookups reduce the rate for lookups only; an arriving action is not shed for the rate limit while the bucket is full, or for protected actions while it has a token; the last known state of the siblings is kept. The trial's nodes of announcing servers use the announced slots as the concurrency limit, as the platform's nodes do. Measured: two new tests fail before and pass after.

--- a/crates/engine/src/server_report.rs
+++ b/crates/engine/src/server_report.rs
@@ -79,6 +79,8 @@
     confirmed_at: Time,
     /// When the server last reported about itself or was last asked to.
     checked_at: Time,
+    /// Whether other instances of the service had capacity when their load was last known.
+    siblings_have_room: bool,
 }
 
 impl NamedLimit {
@@ -100,6 +102,7 @@
             rate,
             confirmed_at: now,
             checked_at: now,
+            siblings_have_room: previous.is_none_or(|previous| previous.siblings_have_room),
         });
         contradicted.or(named)
     }
@@ -189,18 +192,20 @@
     /// Updates whether other instances of the service have capacity for the work that exceeds the
     /// rate limit.
     pub(crate) fn update_siblings_have_room(&mut self, now: Time) {
-        if !self.has_rate_limit() {
+        let server = self.own_server.as_mut();
+        let Some(limit) = server.and_then(|server| server.named_limit.as_mut()) else {
             return;
-        }
+        };
         let service = &self.own_instance.service;
         let loads = self.members.recent_loads(now, service, MAX_LOAD_AGE);
         let mut loads = loads.peekable();
-        let have_room = match loads.peek() {
-            Some(_) => loads.any(|load| load.utilisation < FULL_UTILISATION && load.level == 0),
-            // Nothing is known of their load.
-            None => self.members.usable_peers(service).next().is_some(),
-        };
-        self.server.set_siblings_have_room(have_room);
+        if loads.peek().is_some() {
+            limit.siblings_have_room =
+                loads.any(|load| load.utilisation < FULL_UTILISATION && load.level == 0);
+        } else if self.members.usable_peers(service).next().is_none() {
+            limit.siblings_have_room = false;
+        }
+        self.server.set_siblings_have_room(limit.siblings_have_room);
     }
 
     fn health_path(&self) -> Option<Arc<str>> {
--- a/crates/policy/src/admission_level.rs
+++ b/crates/policy/src/admission_level.rs
@@ -142,6 +142,8 @@
     pub(crate) requests_per_second: Option<f64>,
     /// The number of queued work items.
     pub(crate) queued: usize,
+    /// The number of queued work items of protected classes.
+    pub(crate) queued_protected: usize,
     /// The mean time for which work occupies a slot.
     pub(crate) slot_time: Duration,
 }
@@ -234,8 +236,7 @@
             return;
         }
         self.updated = now;
-        let queued = capacity.queued as f64;
-        let backlog = queued * capacity.slot_time.as_secs_f64();
+        let backlog = capacity.queued as f64 * capacity.slot_time.as_secs_f64();
         let free_slots = f64::from(capacity.slots) - backlog / BACKLOG_DRAIN_TIME.as_secs_f64();
         let (slots, total) = self.offered(|load| load.slots.get(now, LOAD_TIME_CONSTANT));
         self.overload_ratio = (total / free_slots.max(1.0)).max(1.0);
@@ -246,7 +247,13 @@
         };
         let (requests, total) = self.offered(|load| load.requests.get(now, REQUESTS_TIME_CONSTANT));
         self.rate_ratio = total / limit.max(MIN_RATE);
-        let free_rate = limit - queued / REQUESTS_TIME_CONSTANT.as_secs_f64();
+        // Queued lookups are a reason to shed lookups only: protected work goes before them.
+        let is_protected = |(group, _): &&(Group, f64)| group.is_protected();
+        let protected = requests.iter().filter(is_protected);
+        let protected: f64 = protected.map(|(_, amount)| amount).sum();
+        let drained = |queued: usize| queued as f64 / REQUESTS_TIME_CONSTANT.as_secs_f64();
+        let for_protected = protected.min(limit - drained(capacity.queued_protected));
+        let free_rate = (limit - drained(capacity.queued)).max(for_protected);
         self.rate_level = self.bands.level(&requests, free_rate);
     }
 
--- a/crates/policy/src/priority_bands.rs
+++ b/crates/policy/src/priority_bands.rs
@@ -29,6 +29,10 @@
 }
 
 impl Group {
+    pub(crate) fn is_protected(&self) -> bool {
+        !self.is_lookup
+    }
+
     pub(crate) fn new(class: Class, priority: u8) -> Self {
         Self {
             is_lookup: !class.is_protected(),
--- a/crates/policy/src/rate_limiter.rs
+++ b/crates/policy/src/rate_limiter.rs
@@ -50,6 +50,11 @@
         self.next_token_at().is_some_and(|at| at <= now)
     }
 
+    /// Whether the bucket is full: fewer requests came than the server accepts.
+    pub(crate) fn is_full(&self, now: Time) -> bool {
+        self.interval().is_some() && self.full_at <= now
+    }
+
     /// When the bucket has a token; `None` if never.
     pub(crate) fn next_token_at(&self) -> Option<Time> {
         let interval = self.interval()?;
--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -180,7 +180,7 @@
         self.level.record_offered(now, &item, slot_time);
         self.tick(now);
         let value = admission_value(item.class, item.random_value);
-        if !item.admitted && value < self.level() {
+        if !item.admitted && value < self.level_for(now, item.class) {
             self.hold_lookups(now, item.class);
             return self.refuse(now, Reason::Shed, item);
         }
@@ -367,16 +367,37 @@
 
     /// The current admission level.
     pub fn level(&self) -> u16 {
-        let counts_rate = self.switches.levels && !self.siblings_have_room;
-        let rate_level = if counts_rate {
-            self.level.rate_level()
-        } else {
-            0
+        self.slot_level().max(self.rate_level())
+    }
+
+    /// The admission level for an action that arrives now.
+    fn level_for(&self, now: Time, class: Class) -> u16 {
+        match self.rate_limit_permits(now, class) {
+            true => self.slot_level(),
+            false => self.level(),
+        }
+    }
+
+    /// The admission level by the rate limit.
+    fn rate_level(&self) -> u16 {
+        match self.switches.levels && !self.siblings_have_room {
+            true => self.level.rate_level(),
+            false => 0,
+        }
+    }
+
+    /// Whether the rate limit leaves no reason to refuse an action. Under a limit of less than one
+    /// request per second, the average would shed nearly all actions, also those that the server
+    /// accepts. Tokens that lookups would take are left to protected actions under overload.
+    fn rate_limit_permits(&self, now: Time, class: Class) -> bool {
+        let Some(limiter) = &self.rate_limiter else {
+            return true;
         };
-        self.slot_level().max(rate_level)
+        let has_token = limiter.is_full(now) || class.is_protected() && limiter.has_token(now);
+        self.queue.is_empty() && has_token
     }
 
-    /// The admission level without regard to the rate limit.
+    /// The admission level by the concurrency limit.
     fn slot_level(&self) -> u16 {
         if self.switches.levels {
             self.level.get()
@@ -393,6 +414,7 @@
             slots: self.limit.get(),
             requests_per_second: rate.map(RequestRate::per_second),
             queued: self.queue.len(),
+            queued_protected: self.queue.protected_len(),
             slot_time: self.slot_time.mean().unwrap_or(Duration::ZERO),
         };
         self.level.update(now, capacity);
--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -203,6 +203,37 @@
     assert!(server.report().utilisation > 1000);
 }
 
+/// A single order at an idle server was shed, because one request exceeds the average of a limit of
+/// one request in five seconds.
+#[test]
+fn idle_server_with_a_low_limit_accepts_an_order() {
+    let mut server = limited(0);
+    server.set_rate_limit(at(0), Some(RequestRate::from_millihertz(200)));
+    for n in 1..4 {
+        let now = at(n * 6000);
+        let decision = server.offer(now, item(n, Class::Order, now));
+        assert_eq!(decision, AdmissionDecision::Start);
+        server.on_finished(now, Class::Order, completed());
+    }
+}
+
+/// Lookups of admitted actions queue up behind the limit. They are no reason to shed orders, which
+/// go before them.
+#[test]
+fn queued_lookups_shed_no_orders() {
+    let mut server = limited(4);
+    for id in 0..40 {
+        let lookup = WorkItem {
+            admitted: true,
+            deadline: at(1000) + Duration::from_secs(30),
+            ..item(id, Class::Lookup, at(1000))
+        };
+        server.offer(at(1000), lookup);
+    }
+    server.tick(at(1100));
+    assert!((1..0x8000).contains(&server.level()), "{}", server.level());
+}
+
 proptest! {
     /// Whatever the limits and their changes, a window never gets more than the highest limit
     /// allows for it and for the second that the bucket holds.
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -52,7 +52,9 @@
         };
         cfg.membership.seed = incarnation.0;
         if self.cluster.servers_announce {
+            // As on the users' platform, where servers announce their slots.
             cfg.keyless_calls = KeylessCalls::OwnedByIngress;
+            cfg.policy.adaptive_limit = false;
         }
         cfg.once.max_log_staleness = self.cluster.max_log_staleness;
         let now = self.now;
