Shed nothing by the concurrency level at an idle server

What callers saw: an order was shed four times in a row at an idle server with one usable slot. Cause: the load of an arriving action counts towards the level that decides on it. A run that takes longer than the averaging time of 0.6 s is more than one slot can take, so the level sheds part of all orders with nothing else there. Change: an action that arrives at a server without runs and queue is not shed by the concurrency level.

--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -372,10 +372,14 @@
 
     /// The admission level for an action that arrives now.
     fn level_for(&self, now: Time, class: Class) -> u16 {
-        match self.rate_limit_permits(now, class) {
-            true => self.slot_level(),
-            false => self.level(),
-        }
+        let is_idle = self.running == 0 && self.queue.is_empty();
+        // The load of one long action can exceed the average that a few slots can take.
+        let slot_level = if is_idle { 0 } else { self.slot_level() };
+        let rate_level = match self.rate_limit_permits(now, class) {
+            true => 0,
+            false => self.rate_level(),
+        };
+        slot_level.max(rate_level)
     }
 
     /// The admission level by the rate limit.
--- a/crates/policy/tests/server_admission.rs
+++ b/crates/policy/tests/server_admission.rs
@@ -248,3 +248,21 @@
         assert_eq!(decision, AdmissionDecision::Start, "order {id}");
     }
 }
+
+/// An order that takes longer than the averaging time of the load was shed by an idle server with one
+/// slot, again and again.
+#[test]
+fn idle_server_with_one_slot_accepts_a_long_order() {
+    let mut switches = Switches::ALL;
+    switches.adaptive_limit = false;
+    let mut server = ServerAdmission::new(switches, 1, 1, MAX_WAIT);
+    for nth in 0..20 {
+        let now = at(nth * 3000);
+        let order = WorkItem {
+            random_value: 0,
+            ..work_item(nth, Class::Order, now)
+        };
+        assert_eq!(server.offer(now, order), AdmissionDecision::Start, "{nth}");
+        server.on_finished(at(nth * 3000 + 1500), Class::Order, completed(1500));
+    }
+}
