Ask other instances for their load while the own server is limited

What callers saw: in the first seconds after all servers of a deep service were limited, half of the lookups were admitted, worked on and then failed for want of their last call, and some bookings with them. Cause: the node of a limited server learns of its siblings' load from the regular probes, which reach each of them once in a round over all nodes. Until then it assumes that they have room, and sheds nothing. Change: while a limit is in force, the node pings three instances of its service a second; their acks carry the load.

--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -75,7 +75,7 @@
             let effects = self.members.set_roster(now, self.journal.instances());
             self.apply_membership_effects(now, effects);
         }
-        self.update_siblings_have_room(now);
+        self.check_siblings(now);
         self.server.tick(now);
         let load = self.load_report();
         self.members.set_load(load);
--- a/crates/engine/src/server_report.rs
+++ b/crates/engine/src/server_report.rs
@@ -4,8 +4,10 @@
 use crate::Diagnostic;
 use crate::Engine;
 use crate::Output;
+use membership::Membership;
 use policy::RateError;
 use policy::RequestRate;
+use proto::LoadReport;
 use std::sync::Arc;
 use std::time::Duration;
 use stdx::plain;
@@ -19,7 +21,13 @@
 const MIN_RATE_WITHOUT_CHECKS: RequestRate = RequestRate::from_millihertz(250);
 
 /// The age up to which the load that another instance has reported is considered.
-const MAX_LOAD_AGE: Duration = Duration::from_secs(10);
+const MAX_LOAD_AGE: Duration = Duration::from_secs(3);
+
+/// How often the node of a limited server asks other instances of the service for their load, and
+/// how many of them. The regular probes reach each of them once in a round over all nodes, which is
+/// too late to tell whether what exceeds the limit can be sent there.
+const LOAD_QUERY_INTERVAL: Duration = Duration::from_secs(1);
+const QUERIED_SIBLINGS: usize = 3;
 
 /// Utilisation of an instance whose concurrency limit is reached.
 const FULL_UTILISATION: u16 = 1000;
@@ -81,6 +89,8 @@
     checked_at: Time,
     /// Whether other instances of the service had capacity when their load was last known.
     siblings_have_room: bool,
+    /// When other instances of the service were last asked for their load.
+    siblings_asked_at: Option<Time>,
 }
 
 impl NamedLimit {
@@ -103,6 +113,7 @@
             confirmed_at: now,
             checked_at: now,
             siblings_have_room: previous.is_none_or(|previous| previous.siblings_have_room),
+            siblings_asked_at: previous.and_then(|previous| previous.siblings_asked_at),
         });
         contradicted.or(named)
     }
@@ -190,22 +201,22 @@
     }
 
     /// Updates whether other instances of the service have capacity for the work that exceeds the
-    /// rate limit.
-    pub(crate) fn update_siblings_have_room(&mut self, now: Time) {
+    /// rate limit, and asks some of them from time to time.
+    pub(crate) fn check_siblings(&mut self, now: Time) {
         let server = self.own_server.as_mut();
         let Some(limit) = server.and_then(|server| server.named_limit.as_mut()) else {
             return;
         };
         let service = &self.own_instance.service;
-        let loads = self.members.recent_loads(now, service, MAX_LOAD_AGE);
-        let mut loads = loads.peekable();
-        if loads.peek().is_some() {
-            limit.siblings_have_room =
-                loads.any(|load| load.utilisation < FULL_UTILISATION && load.level == 0);
-        } else if self.members.usable_peers(service).next().is_none() {
-            limit.siblings_have_room = false;
-        }
+        limit.siblings_have_room =
+            siblings_have_room(&self.members, now, service).unwrap_or(limit.siblings_have_room);
         self.server.set_siblings_have_room(limit.siblings_have_room);
+        let is_due = |asked_at| now >= asked_at + LOAD_QUERY_INTERVAL;
+        if limit.siblings_asked_at.is_none_or(is_due) {
+            limit.siblings_asked_at = Some(now);
+            let effects = self.members.query_loads(service, QUERIED_SIBLINGS);
+            self.apply_membership_effects(now, effects);
+        }
     }
 
     fn health_path(&self) -> Option<Arc<str>> {
@@ -231,3 +242,14 @@
         server.is_some_and(|server| server.is_leaving)
     }
 }
+
+/// Whether another instance of the service has capacity; `None` if the load of none is known.
+fn siblings_have_room(members: &Membership, now: Time, service: &str) -> Option<bool> {
+    let mut loads = members.recent_loads(now, service, MAX_LOAD_AGE).peekable();
+    if loads.peek().is_some() {
+        let has_room = |load: LoadReport| load.utilisation < FULL_UTILISATION && load.level == 0;
+        return Some(loads.any(has_room));
+    }
+    let has_sibling = members.usable_peers(service).next().is_some();
+    (!has_sibling).then_some(false)
+}
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -15,6 +15,7 @@
 use proto::PeerState;
 use proto::PeerUpdate;
 use rand::rngs::StdRng;
+use rand::seq::index;
 use rand::seq::SliceRandom;
 use rand::SeedableRng;
 use std::collections::BTreeSet;
@@ -336,6 +337,18 @@
         })
     }
 
+    /// Pings up to `count` random peers that may be given new work for `service`, to learn their
+    /// loads sooner than by the regular probes.
+    pub fn query_loads(&mut self, service: &str, count: usize) -> Vec<Effect> {
+        let peers = self.usable_peers(service);
+        let addrs: Vec<SocketAddr> = peers.map(|peer| peer.instance.addr).collect();
+        let chosen = index::sample(&mut self.rng, addrs.len(), count.min(addrs.len()));
+        for index in chosen {
+            self.ping(addrs[index]);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
     pub(crate) fn send(&mut self, to: SocketAddr, message: MemberMessage) {
         self.effects.push(Effect::Send { to, message });
     }
--- a/crates/trial/tests/server_reports.rs
+++ b/crates/trial/tests/server_reports.rs
@@ -3,16 +3,20 @@
 use engine::ServerReport;
 use policy::RequestRate;
 use proto::Reason;
+use rand::RngExt;
 use std::time::Duration;
 use stdx::Time;
 use trial::Action;
 use trial::ActionOutcome;
 use trial::ClusterConfig;
 use trial::Fault;
+use trial::Placement;
 use trial::World;
 
 /// Operations, as indices into [`ClusterConfig::operations`].
 const ORDER_LOOKUP: usize = 0;
+const PRESS_LOOKUP: usize = 2;
+const PRESS_BOOKING: usize = 3;
 const ROYALTY_LOOKUP: usize = 4;
 const ROYALTY_CHARGE: usize = 5;
 
@@ -178,6 +182,96 @@
     assert!(looked_up >= 7 * 20 / 2, "{looked_up} lookups");
 }
 
+/// Outcomes of the press lookups and press bookings of [`run_press_load`], sent at least 3 s after
+/// the limits were named.
+#[derive(Debug, Default, PartialEq)]
+struct PressOutcomes {
+    lookups: usize,
+    lookups_failed: usize,
+    bookings: usize,
+    bookings_succeeded: usize,
+}
+
+/// Sends lookups and bookings to the press service, each of which calls the royalty service once,
+/// ten and one a second for each of `instances` instances. `limited` of the royalty servers accept
+/// four requests a second.
+fn run_press_load(instances: usize, limited: usize) -> PressOutcomes {
+    let domains = [("mi", "a"), ("vr", "a"), ("bg", "b"), ("pd", "b")];
+    let mut cluster = ClusterConfig::small();
+    cluster.servers_announce = true;
+    cluster.slots = 51;
+    cluster.rules = cluster.rules.replace("=2..12", "=2..48");
+    cluster.placements.clear();
+    for service in ["order", "press", "royalty"] {
+        for nth in 0..instances {
+            let (failure_domain, region) = domains[nth % domains.len()];
+            cluster.placements.push(Placement {
+                service: service.into(),
+                failure_domain: failure_domain.into(),
+                region: region.into(),
+            });
+        }
+    }
+    for operation in &mut cluster.operations {
+        operation.service_time = Duration::from_millis(60);
+    }
+    let mut world = World::new(12, cluster);
+    world.run_for(Duration::from_secs(10));
+    let begin = world.now;
+    let nodes = world.nodes.len();
+    for (operation, rate) in [(PRESS_LOOKUP, 10), (PRESS_BOOKING, 1)] {
+        for nth in 0..rate * 20 * instances as u32 {
+            let mut action = Action::new(operation, &format!("{operation}-{nth}"));
+            (action.max_resends, action.key) = (0, None);
+            let at = begin + Duration::from_micros(world.rng.random_range(0..20_000_000));
+            let node = world.rng.random_range(0..nodes);
+            world.submit(at, action, Some(node));
+        }
+    }
+    for node in nodes - instances..nodes - instances + limited {
+        world.inject_fault(limit(node, 4));
+    }
+    check(&mut world, 25);
+    let mut outcomes = PressOutcomes::default();
+    let settled = begin + Duration::from_secs(3);
+    for action in world.actions.iter().filter(|it| it.first_sent_at > settled) {
+        let outcome = action.ended.expect("the action has ended").1;
+        let refused = matches!(outcome, ActionOutcome::NotRun(_));
+        let succeeded = outcome == ActionOutcome::Succeeded;
+        if action.operation == PRESS_LOOKUP {
+            outcomes.lookups += 1;
+            outcomes.lookups_failed += usize::from(!refused && !succeeded);
+        } else {
+            outcomes.bookings += 1;
+            outcomes.bookings_succeeded += usize::from(succeeded);
+        }
+    }
+    outcomes
+}
+
+/// All servers of a deep service are limited to a third of the load. Lookups were admitted, worked on
+/// and then failed for want of their last call, and bookings with them.
+#[test]
+fn excess_over_the_limits_of_a_deep_service_is_shed_at_the_first_hop() {
+    let outcomes = run_press_load(6, 6);
+    assert!(
+        outcomes.lookups_failed * 100 <= outcomes.lookups * 2,
+        "{outcomes:?}"
+    );
+    assert!(
+        outcomes.bookings_succeeded * 100 >= outcomes.bookings * 98,
+        "{outcomes:?}"
+    );
+}
+
+/// Two of six servers of a deep service are limited, and the others have room for the rest.
+#[test]
+fn excess_over_the_limits_of_some_servers_is_served_by_others() {
+    let outcomes = run_press_load(6, 2);
+    assert_eq!(outcomes.lookups_failed, 0, "{outcomes:?}");
+    assert_eq!(outcomes.bookings_succeeded, outcomes.bookings);
+}
+
 /// A server that said in its responses that it is about to stop got requests until it exited.
 #[test]
 fn server_that_says_it_leaves_gets_no_requests() {
