--- a/crates/proto/src/answer.rs
+++ b/crates/proto/src/answer.rs
@@ -263,7 +263,9 @@
     /// about itself is only a hint.
     #[derive(Default)]
     pub struct LoadReport {
-        /// Running and queued requests, in thousandths of the concurrency limit.
+        /// Running and queued requests, in thousandths of the concurrency limit. If the backend
+        /// server has named a rate limit, the offered requests in thousandths of that limit if they
+        /// are more.
         pub utilisation: u16,
         /// Penalty for failed requests and above-normal latency, in the unit of `utilisation`. It
         /// diverts calls from the server even while it has spare capacity.
@@ -272,7 +274,8 @@
         /// value is at or above the level; 0 admits all. Lookups use the lower half of the range,
         /// all other classes the upper half.
         pub level: u16,
-        /// The current concurrency limit, in calls.
+        /// The current concurrency limit, in calls. If the backend server has named a rate limit, at
+        /// most the number of calls that it accepts in one second.
         pub limit: u16,
         /// The node is shutting down and accepts no new calls.
         pub draining: bool,
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -15,6 +15,9 @@
     /// No process ends or is evicted, so each key keeps its home.
     #[options(no_short)]
     homes_stay: bool,
+    /// Backend servers announce themselves, name rate limits and say that they leave.
+    #[options(no_short)]
+    server_reports: bool,
     /// Continue after a failure, and print only the violations.
     #[options()]
     all: bool,
@@ -30,7 +33,11 @@
     };
     let mut failed = 0;
     for seed in first..end {
-        let Err(report) = trial::check_seed(seed, !args.homes_stay) else {
+        let result = match args.server_reports {
+            true => trial::check_seed_with_server_reports(seed),
+            false => trial::check_seed(seed, !args.homes_stay),
+        };
+        let Err(report) = result else {
             continue;
         };
         failed += 1;
--- a/crates/trial/tests/server_reports.rs
+++ b/crates/trial/tests/server_reports.rs
@@ -52,6 +52,15 @@
     }
 }
 
+/// Injects a fault four times, in intervals of 5 s.
+fn inject_repeatedly(world: &mut World, fault: Fault) {
+    for nth in 0..4 {
+        let fault = fault.clone();
+        let wait = Duration::from_secs(6 + 5 * nth);
+        world.schedule_after(wait, |world| world.inject_fault(fault));
+    }
+}
+
 fn check(world: &mut World, secs: u64) {
     world.run_for(Duration::from_secs(secs));
     assert_eq!(world.checker.violations, Vec::<String>::new());
@@ -93,10 +102,7 @@
     let mut world = world(3);
     schedule(&mut world, ROYALTY_LOOKUP, 60, 30);
     world.inject_fault(limit(ROYALTY[0], 5));
-    for restart in 0..4 {
-        let wait = Duration::from_secs(6 + 5 * restart);
-        world.schedule_after(wait, |world| world.inject_fault(Fault::Restart(ROYALTY[0])));
-    }
+    inject_repeatedly(&mut world, Fault::Restart(ROYALTY[0]));
     check(&mut world, 35);
 }
 
@@ -106,12 +112,8 @@
     let mut world = world(4);
     schedule(&mut world, ROYALTY_LOOKUP, 60, 30);
     world.inject_fault(limit(ROYALTY[0], 5));
-    for pause in 0..4 {
-        let wait = Duration::from_secs(6 + 5 * pause);
-        world.schedule_after(wait, |world| {
-            world.inject_fault(Fault::Pause(ROYALTY[0], Duration::from_millis(1500)))
-        });
-    }
+    let pause = Fault::Pause(ROYALTY[0], Duration::from_millis(1500));
+    inject_repeatedly(&mut world, pause);
     check(&mut world, 35);
 }
 
