Answer unknown if a hedge is refused at the deadline while the first attempt runs

What callers saw: a read whose first attempt was running was answered as not run. Cause: a refusal of the second attempt waits for the first one only before the deadline; at the deadline it became the outcome of the call, and the running attempt was forgotten. Change: a call that gives up its first attempt may have run. Measured: the new test fails before (NotRun) and passes after (Unknown).

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -343,6 +343,7 @@
             if self.awaits_original(now, &call, &outcome) {
                 return self.resume_original(call, original);
             }
+            call.may_have_run = true;
             self.cancel_original(original);
         }
         let downstream = DownstreamSummary {
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -456,6 +456,19 @@
     assert_eq!(ingress.outcomes(), [completed()]);
 }
 
+/// The refusal of the second attempt arrives at the deadline. The first attempt runs, so "not run"
+/// would be wrong.
+#[test]
+fn a_second_attempt_refused_at_the_deadline_leaves_the_outcome_unknown() {
+    let mut ingress = IngressNode::new();
+    ingress.send("b", "/p/x");
+    ingress.report_slow_run();
+    ingress.calls.remove(0);
+    ingress.now = ingress.now + Duration::from_secs(2);
+    ingress.reply(not_run(Reason::CallerGone), DownstreamSummary::default());
+    assert_eq!(ingress.outcomes(), [Outcome::Unknown(Reason::CallerGone)]);
+}
+
 /// An order is late. It may be running or have run already, and sent to a second instance it could
 /// be done twice.
 #[test]
