Remember that a lost first attempt may have run when the hedge is refused

What callers saw: a read whose first attempt had run and was lost was answered as not run, because its second attempt was refused. Cause: an answer of the first attempt that is no complete response was discarded while the second one was in flight, and with it the knowledge that the first may have run. Change: such an answer marks the call as one that may have run, unless it proves the contrary.

--- a/crates/engine/src/hedge.rs
+++ b/crates/engine/src/hedge.rs
@@ -109,6 +109,7 @@
             return true;
         };
         if !matches!(answer.outcome, Outcome::Completed(_)) {
+            call.may_have_run |= !matches!(answer.outcome, Outcome::NotRun(_));
             self.selector.on_ended(original.target.incarnation);
             return true;
         }
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -469,6 +469,20 @@
     assert_eq!(ingress.outcomes(), [Outcome::Unknown(Reason::CallerGone)]);
 }
 
+/// The first attempt runs and is lost, and the second one is refused after that. "Not run" would be
+/// wrong for the two together.
+#[test]
+fn a_second_attempt_refused_after_the_first_was_lost_leaves_the_outcome_unknown() {
+    let mut ingress = IngressNode::new();
+    ingress.send("b", "/p/x");
+    ingress.report_slow_run();
+    let lost = Outcome::Unknown(Reason::ServerLost);
+    ingress.reply(lost, DownstreamSummary::default());
+    assert_eq!(ingress.outcomes(), []);
+    ingress.reply(not_run(Reason::Shed), DownstreamSummary::default());
+    assert_eq!(ingress.outcomes(), [Outcome::Unknown(Reason::Shed)]);
+}
+
 /// An order is late. It may be running or have run already, and sent to a second instance it could
 /// be done twice.
 #[test]
