--- a/crates/trial/tests/seeds.rs
+++ b/crates/trial/tests/seeds.rs
@@ -35,3 +35,12 @@
         .into_iter()
         .for_each(|seed| check(seed, true));
 }
+
+/// A call with a key is refused while another attempt of its caller with the same key is on its way
+/// to the key's home node, which then runs it. "Not run" is no longer true when the caller reads it.
+#[test]
+fn refusal_of_a_key_holds_while_another_attempt_is_on_its_way() {
+    [229, 337, 731]
+        .into_iter()
+        .for_each(|seed| check(seed, true));
+}
