Leave the orders under a rate limit the room that the probes of lookups take

What callers saw: with lookups queued for the limit, a third of the orders that fit were shed (level 43,007 of 65,536). Cause: the level keeps a sixty-fourth of each group as probes, before it admits anything, and the rate left to orders did not cover the probes of the lookups. Change: the rate that is left covers the probes. Both tests offer orders that a level would shed.

--- a/crates/policy/src/admission_level.rs
+++ b/crates/policy/src/admission_level.rs
@@ -252,7 +252,8 @@
         let protected = requests.iter().filter(is_protected);
         let protected: f64 = protected.map(|(_, amount)| amount).sum();
         let drained = |queued: usize| queued as f64 / REQUESTS_TIME_CONSTANT.as_secs_f64();
-        let for_protected = protected.min(limit - drained(capacity.queued_protected));
+        let needed = protected + total * PROBE_SHARE;
+        let for_protected = needed.min(limit - drained(capacity.queued_protected));
         let free_rate = (limit - drained(capacity.queued)).max(for_protected);
         self.rate_level = self.bands.level(&requests, free_rate);
     }
--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -211,7 +211,11 @@
     server.set_rate_limit(at(0), Some(RequestRate::from_millihertz(200)));
     for n in 1..4 {
         let now = at(n * 6000);
-        let decision = server.offer(now, item(n, Class::Order, now));
+        let order = WorkItem {
+            random_value: 0,
+            ..item(n, Class::Order, now)
+        };
+        let decision = server.offer(now, order);
         assert_eq!(decision, AdmissionDecision::Start);
         server.on_finished(now, Class::Order, completed());
     }
@@ -230,6 +234,10 @@
         };
         server.offer(at(1000), lookup);
     }
+    // One order a second is a quarter of the limit.
+    for id in 100..102 {
+        server.offer(at(1000), item(id, Class::Order, at(1000)));
+    }
     server.tick(at(1100));
     assert!((1..0x8000).contains(&server.level()), "{}", server.level());
 }
