Check a restarted server that stated something before its heartbeat

What callers would see: a server that restarts under its id, and says that it leaves or names a limit before its new heartbeat arrives, gets requests again with that heartbeat, as if it had said nothing. Cause: the heartbeat of a new incarnation clears what is known of the old one, and until it arrives the two cannot be told apart by their id. Change: if the predecessor with the same id had stated anything, the new incarnation gets the health check that the first server of a process gets; its response repeats the statement. Measured: the new test fails before (no check is asked for) and passes after.

--- a/crates/engine/src/own_server.rs
+++ b/crates/engine/src/own_server.rs
@@ -28,11 +28,12 @@
     pub(crate) named_limit: Option<NamedLimit>,
 }
 
-/// The health check of the first server incarnation that this node process hears of.
+/// The health check of the first server incarnation that this node process hears of, and of one with
+/// the id of a predecessor whose statements may have been its own.
 ///
 /// An earlier process of this node may already have acknowledged that the server is stopping, and a
 /// heartbeat from before that may arrive late. If it were trusted, requests would go to a server
-/// that is about to exit and fail seconds after a planned stop. Later incarnations need no check,
+/// that is about to exit and fail seconds after a planned stop. Other incarnations need no check,
 /// because they are told apart by their start times.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum HealthCheck {
@@ -57,6 +58,11 @@
         *self.heartbeat.id == *id
     }
 
+    /// Whether it has named a rate limit that is in force, or said that it is about to stop.
+    fn has_stated(&self) -> bool {
+        self.named_limit.is_some() || self.is_leaving
+    }
+
     /// Whether a heartbeat is newer than the last one. Heartbeats may arrive late, even those of an
     /// incarnation that has ended. If a late one were applied, the node could send work to a server
     /// that is draining or has exited.
@@ -93,6 +99,10 @@
             server => {
                 let health_check = match server {
                     None => HealthCheck::Due,
+                    // The new incarnation may have made the statement, before this heartbeat.
+                    Some(server) if server.has_id(&heartbeat.id) && server.has_stated() => {
+                        HealthCheck::Due
+                    }
                     Some(_) => HealthCheck::Passed,
                 };
                 let server = self.own_server.insert(OwnServer {
--- a/crates/engine/tests/server_report.rs
+++ b/crates/engine/tests/server_report.rs
@@ -213,3 +213,20 @@
     assert_eq!(gauge(&engine, "server.rate_limited"), 0);
     assert_eq!(gauge(&engine, "server.leaving"), 0);
 }
+
+/// A server restarts under its id and states its departure before its new heartbeat arrives. The
+/// heartbeat, taken for the start of another server, would let requests reach it again.
+#[test]
+fn restarted_server_that_stated_something_before_its_heartbeat_is_checked() {
+    for report in [limit(Some(3)), leaving()] {
+        let mut engine = node();
+        respond(&mut engine, 10, 5, report);
+        let outputs = engine.handle(at(100), heartbeat("a", 200));
+        let is_check = |output: &Output| matches!(output, Output::CheckServer { .. });
+        assert!(outputs.iter().any(is_check), "{outputs:?}");
+    }
+    let mut engine = node();
+    let outputs = engine.handle(at(100), heartbeat("a", 200));
+    let is_check = |output: &Output| matches!(output, Output::CheckServer { .. });
+    assert!(!outputs.iter().any(is_check), "nothing was stated before");
+}
