Split the admission of a server, the calls of a node and the peer table

Change: a pure move of functions into server_admission/{level,refusal,waiting}.rs, engine/retries.rs and membership/loads.rs, and two comments reworded. A script compared added and removed lines, visibility and imports aside: none only on one side. Measured: tests of the three packages pass.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -41,6 +41,7 @@
 mod refusal;
 mod request;
 mod resends;
+mod retries;
 mod routing;
 mod serve;
 mod server_report;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -13,6 +13,7 @@
 mod digest;
 mod domain;
 mod evict;
+mod loads;
 mod members;
 mod peer;
 mod pick;
--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -1,9 +1,11 @@
 //! Admission control for one backend server: the concurrency limit, the rate limit that the server
 //! names, the queue and the admission level.
 
-use crate::admission_level::retry_jitter;
+mod level;
+mod refusal;
+mod waiting;
+
 use crate::admission_level::AdmissionLevel;
-use crate::admission_level::Capacity;
 use crate::admission_value;
 use crate::concurrency_limit::ConcurrencyLimit;
 use crate::failure_share::FailureShare;
@@ -21,28 +23,13 @@
 use proto::Class;
 use proto::LoadReport;
 use proto::Reason;
-use proto::Refusal;
 use std::time::Duration;
 use stdx::Time;
+use waiting::MAX_QUEUE_LEN;
 
 /// How long an unreachable server is not tried again.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(200);
 
-/// Bounds of the retry delay given to refused callers.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
-
-/// Of the work that is expected to miss its deadline, one item in this many runs anyway. If none
-/// did, a decrease of the run times would never be measured.
-const LATE_PROBE_INTERVAL: u16 = 16;
-
-/// Factor by which protected work may wait longer than lookups.
-const PROTECTED_WAIT_FACTOR: u32 = 3;
-
-/// Maximum length of the queue. It is more than a server can process within any deadline and only
-/// bounds memory.
-const MAX_QUEUE_LEN: usize = 10_000;
-
 /// Multiple of the mean slot time after which an abandoned run counts as lost by the server.
 const SILENT_FACTOR: u32 = 3;
 
@@ -297,21 +284,6 @@
         Some((item, AdmissionDecision::Start))
     }
 
-    fn pop_expired(&mut self, now: Time) -> Option<WorkItem> {
-        let (max_wait, slot_time) = (self.max_wait(), self.slot_time_by_class);
-        let by_deadline = self.switches.deadline_queue;
-        self.queue.pop_expired(|item| {
-            let probe = !by_deadline || item.random_value % LATE_PROBE_INTERVAL == 0;
-            let lower_bound = if probe {
-                Duration::ZERO
-            } else {
-                slot_time[item.class as usize].lower_bound()
-            };
-            let waited = now.since(item.arrived);
-            waited >= max_wait.of(item) || now + lower_bound >= item.deadline
-        })
-    }
-
     /// When [`ServerAdmission::next_decision`] must be called again even if no work finishes.
     pub fn next_timer(&self) -> Option<Time> {
         let max_wait = self.max_wait();
@@ -319,13 +291,6 @@
         queue_timer.into_iter().chain(self.token_timer()).min()
     }
 
-    /// When queued work may start because the rate limit permits it.
-    fn token_timer(&self) -> Option<Time> {
-        let at = self.rate_limiter.as_ref()?.next_token_at()?;
-        // Later than the last tick, or the work waits for a slot and not for the rate limit.
-        Some(at).filter(|at| !self.queue.is_empty() && *at > self.last_tick)
-    }
-
     /// The load report for other nodes.
     pub fn report(&self) -> LoadReport {
         let load = u32::from(self.running) + self.queue.len() as u32;
@@ -365,65 +330,6 @@
         (self.running, self.queue.len(), self.limit.get())
     }
 
-    /// The current admission level.
-    pub fn level(&self) -> u16 {
-        self.slot_level().max(self.rate_level())
-    }
-
-    /// The admission level for an action that arrives now.
-    fn level_for(&self, now: Time, class: Class) -> u16 {
-        let is_idle = self.running == 0 && self.queue.is_empty();
-        // The load of one long action can exceed the average that a few slots can take.
-        let slot_level = if is_idle { 0 } else { self.slot_level() };
-        let rate_level = match self.rate_limit_permits(now, class) {
-            true => 0,
-            false => self.rate_level(),
-        };
-        slot_level.max(rate_level)
-    }
-
-    /// The admission level by the rate limit.
-    fn rate_level(&self) -> u16 {
-        match self.switches.levels && !self.siblings_have_room {
-            true => self.level.rate_level(),
-            false => 0,
-        }
-    }
-
-    /// Whether the rate limit leaves no reason to refuse an action. Under a limit of less than one
-    /// request per second, the average would shed nearly all actions, also those that the server
-    /// accepts. Tokens that lookups would take are left to protected actions under overload.
-    fn rate_limit_permits(&self, now: Time, class: Class) -> bool {
-        let Some(limiter) = &self.rate_limiter else {
-            return true;
-        };
-        let has_token = limiter.is_full(now) || class.is_protected() && limiter.has_token(now);
-        self.queue.is_empty() && has_token
-    }
-
-    /// The admission level by the concurrency limit.
-    fn slot_level(&self) -> u16 {
-        if self.switches.levels {
-            self.level.get()
-        } else {
-            0
-        }
-    }
-
-    /// Updates the admission level, so that it also falls while no work arrives.
-    pub fn tick(&mut self, now: Time) {
-        self.last_tick = now;
-        let rate = self.rate_limiter.as_ref().map(RateLimiter::rate);
-        let capacity = Capacity {
-            slots: self.limit.get(),
-            requests_per_second: rate.map(RequestRate::per_second),
-            queued: self.queue.len(),
-            queued_protected: self.queue.protected_len(),
-            slot_time: self.slot_time.mean().unwrap_or(Duration::ZERO),
-        };
-        self.level.update(now, capacity);
-    }
-
     fn start(&mut self, now: Time, item: &WorkItem) {
         debug_assert!(
             item.class.is_protected() || item.arrived >= self.lookup_hold.last_refusal(),
@@ -456,124 +362,4 @@
         let has_capacity = self.can_start(now, Class::Lookup) && self.queue.protected_len() == 0;
         self.lookup_hold.check(now, has_capacity) && !item.class.is_protected()
     }
-
-    /// Whether not even a quick run would end before the deadline after waiting for `wait`.
-    fn is_too_late(&self, now: Time, item: &WorkItem, wait: Duration) -> bool {
-        if !self.switches.deadline_queue {
-            return now >= item.deadline;
-        }
-        if now + wait >= item.deadline {
-            return true;
-        }
-        let lower_bound = self.slot_time_by_class[item.class as usize].lower_bound();
-        now + wait + lower_bound >= item.deadline && item.random_value % LATE_PROBE_INTERVAL != 0
-    }
-
-    fn refuse_for_load(&mut self, now: Time, item: WorkItem) -> AdmissionDecision {
-        if item.admitted {
-            // Its deadline is too close because it was delayed before it arrived here. Holding back
-            // lookups would not have helped it, and the queued lookups are partly done actions as
-            // well. Under a rate limit, another instance may still run it in time.
-            let reason = match &self.rate_limiter {
-                Some(_) if self.siblings_have_room => Reason::QueueFull,
-                _ => Reason::Deadline,
-            };
-            return self.refuse(now, reason, item);
-        }
-        self.hold_lookups(now, item.class);
-        self.refuse(now, Reason::QueueFull, item)
-    }
-
-    /// Records that work was refused for load before it was offered.
-    pub fn on_refused_before_offer(&mut self, now: Time, class: Class) {
-        self.hold_lookups(now, class);
-    }
-
-    /// If a protected call is refused for load, the queued lookups are refused as well, and so are
-    /// those that arrive shortly afterwards.
-    fn hold_lookups(&mut self, now: Time, class: Class) {
-        if class.is_protected() && self.switches.class_order {
-            self.lookup_hold.begin(now);
-        }
-    }
-
-    /// Refuses work with a retry delay: the time to work off the backlog, at least until the rate
-    /// limit permits one more request, multiplied by the ratio of offered load to capacity. Callers refused together would come back together, so the
-    /// random value of the action varies the delay.
-    fn refuse(&self, now: Time, reason: Reason, item: WorkItem) -> AdmissionDecision {
-        let backlog = self.drain_time(self.queue.len() + usize::from(self.running));
-        let backlog = backlog.max(self.token_wait(now, self.queue.len() + 1));
-        let wait = (backlog + MIN_RETRY_AFTER).mul_f64(self.level.overload_ratio().min(100.0));
-        let jitter = if self.switches.spread {
-            retry_jitter(item.random_value)
-        } else {
-            1.0
-        };
-        let wait = wait.mul_f64(jitter).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        AdmissionDecision::Refused(Refusal::new(reason, wait))
-    }
-
-    /// Maximum number of work items that can leave the queue within the maximum queueing time.
-    fn queue_capacity(&self) -> usize {
-        let limit = f64::from(self.limit.get());
-        let capacity = match self.slot_time.0 {
-            Some((mean, _)) => limit * self.max_wait.as_secs_f64() / mean.max(1e-6),
-            None => limit,
-        };
-        let capacity = match &self.rate_limiter {
-            Some(limiter) => {
-                capacity.min(limiter.rate().per_second() * self.max_wait.as_secs_f64())
-            }
-            None => capacity,
-        };
-        (capacity as usize).clamp(1, MAX_QUEUE_LEN)
-    }
-
-    /// The time until the rate limit permits `count` more requests.
-    fn token_wait(&self, now: Time, count: usize) -> Duration {
-        let limiter = self.rate_limiter.as_ref();
-        limiter.map_or(Duration::ZERO, |limiter| limiter.time_for(now, count))
-    }
-
-    fn max_wait(&self) -> MaxWait {
-        let leaves_early = self.rate_limiter.is_some() && self.siblings_have_room;
-        MaxWait {
-            lookups: self.max_wait,
-            bounds_admitted: leaves_early,
-        }
-    }
-
-    /// The time until `items` work items have left the queue.
-    fn drain_time(&self, items: usize) -> Duration {
-        let Some((mean, _)) = self.slot_time.0 else {
-            return Duration::ZERO;
-        };
-        let secs = items as f64 * mean / f64::from(self.limit.get().max(1));
-        Duration::from_secs_f64(secs.min(3600.0))
-    }
-}
-
-/// How long work items may be queued.
-#[derive(Debug, Clone, Copy)]
-struct MaxWait {
-    /// The maximum wait of lookups that begin here.
-    lookups: Duration,
-    /// Whether calls of admitted actions have a maximum wait too, because another instance may run
-    /// them.
-    bounds_admitted: bool,
-}
-
-impl MaxWait {
-    /// The maximum wait of a work item. Protected work leaves the queue before all lookups, so it
-    /// waits long only if protected work alone exceeds the capacity. If it were refused after the
-    /// maximum wait of lookups, all queued lookups would be refused with it (see `hold_lookups`).
-    fn of(self, item: &WorkItem) -> Duration {
-        if item.admitted && !self.bounds_admitted {
-            Duration::MAX
-        } else if item.class.is_protected() {
-            self.lookups * PROTECTED_WAIT_FACTOR
-        } else {
-            self.lookups
-        }
-    }
 }
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -18,8 +18,8 @@
 /// Time that a process takes to restart.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
-/// Parses rules and adds the path of a health check for each service with limits. Nodes whose
-/// servers send no heartbeats make no health checks.
+/// Parses rules and adds the path of a health check for each service. Nodes whose servers send no
+/// heartbeats make no health checks.
 fn parse_rules_with_health_checks(file: &str) -> Option<rules::Rules> {
     let mut rules = rules::Rules::parse(file).ok()?;
     for service in ["order", "press", "royalty"] {
