Carry latency objectives with calls, and reserve fields of load reports

Cause: an action with an objective of 4 s and one of 0.5 s look alike after the ingress node, so no later decision can tell who can wait. Load reports and downstream summaries get fields for the slowdown that a server reports and for the share of attempts that servers refuse. Protocol version 6. Result: no decision uses the fields yet; the tests pass.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -39,6 +39,7 @@
             passed_level: draft.passed_level,
             depth: draft.depth,
             deadline: draft.deadline,
+            objective: draft.objective,
             idempotent: draft.operation.idempotent,
             key: draft.key,
             first_attempt: draft.first_attempt,
@@ -145,6 +146,7 @@
             passed_level: call.passed_level,
             role,
             remaining_ms: self.callee_remaining_ms(now, call),
+            objective_ms: call.objective.map(|at| saturating_ms(now.until(at))),
             retry_allowance: call.delegated_retries,
             possible_repeat: call.possible_repeat,
             idempotent: call.idempotent,
@@ -163,8 +165,7 @@
             Proximity::SameRegion => Duration::from_millis(2),
             Proximity::OtherRegion => Duration::from_millis(25),
         };
-        let remaining = now.until(call.deadline).saturating_sub(travel_time);
-        u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX)
+        saturating_ms(now.until(call.deadline).saturating_sub(travel_time))
     }
 
     pub(crate) fn on_answer(&mut self, now: Time, from: Incarnation, id: CallId, answer: Answer) {
@@ -247,6 +248,7 @@
             calls: call
                 .downstream_calls
                 .saturating_add(call.attempts.saturating_sub(1)),
+            refused_permille: 0,
         };
         self.report_to_parent(now, &call, downstream);
         // If the last attempt did not run, an earlier one may still have run.
@@ -315,3 +317,7 @@
         to_peer.map(|(id, _)| *id).collect()
     }
 }
+
+fn saturating_ms(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -120,6 +120,8 @@
     pub(crate) keys_were_trusted: bool,
     /// The quota tokens of organisations that this node has lent and borrowed.
     pub(crate) quota: QuotaController,
+    /// Whether the rules in force schedule work by slack.
+    pub(crate) schedules_by_slack: bool,
     /// Calls that wait for the transfer of their slot to this node.
     pub(crate) held_calls: HeldCalls,
     /// When a stopping node no longer waits until other nodes have taken over its slots.
@@ -198,6 +200,7 @@
             is_domain_leader: false,
             keys_were_trusted: false,
             quota: QuotaController::new(cfg.quota_tolerance),
+            schedules_by_slack: false,
             held_calls: HeldCalls::new(),
             handover_deadline: None,
             timers: Timers::default(),
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -98,6 +98,9 @@
         self.count(Counter::Request(operation.class));
         let refused = RefusedRequest::new(token, key.is_some(), &request);
         let latest_deadline = at + operation.deadline;
+        let objective = self
+            .schedules_by_slack
+            .then_some(at + operation.latency_objective);
         let caller_timeout =
             caller_timeout.map(|caller_timeout| caller_timeout.saturating_sub(now.since(at)));
         let draft = self
@@ -108,6 +111,7 @@
             Ok(draft) => {
                 let draft = RequestDraft {
                     quota_token,
+                    objective: draft.objective.or(objective),
                     ..draft
                 };
                 match self.filter_resend(now, &caller, draft) {
@@ -213,6 +217,7 @@
             passed_level: job.passed_level,
             depth: job.depth + 1,
             deadline: job.deadline.min(now + operation.deadline),
+            objective: job.objective,
             retry_allowance: RetryAllowance::new(delegated),
             parent: Some(run),
             retries_from_parent: delegated,
@@ -249,6 +254,7 @@
             passed_level: 0,
             depth: 0,
             deadline: now + operation.deadline,
+            objective: None,
             retry_allowance: RetryAllowance::new(self.tree_retries(&operation)),
             parent: None,
             retries_from_parent: 0,
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -27,6 +27,8 @@
     pub(crate) admission_sample: u16,
     pub(crate) depth: u8,
     pub(crate) deadline: Time,
+    /// When the latency objective of the action ends, if work is scheduled by slack.
+    pub(crate) objective: Option<Time>,
     pub(crate) retry_allowance: RetryAllowance,
     /// Whether the run may repeat an earlier one, so that each of its child calls spends a retry.
     pub(crate) possible_repeat: bool,
@@ -115,6 +117,7 @@
         DownstreamSummary {
             level: self.child_levels.values().copied().max().unwrap_or(0),
             calls: self.downstream_calls,
+            refused_permille: 0,
         }
     }
 
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -145,6 +145,7 @@
         };
         self.server.set_priority_bands(bands.clone());
         self.admission.set_priority_bands(bands);
+        self.schedules_by_slack = self.journal.rules.schedules_by_slack();
         self.update_quotas();
         let longest_deadline = longest_deadline.unwrap_or(limit.key_retention);
         self.home
--- a/crates/engine/src/outgoing.rs
+++ b/crates/engine/src/outgoing.rs
@@ -26,6 +26,8 @@
     pub(crate) passed_level: u16,
     pub(crate) depth: u8,
     pub(crate) deadline: Time,
+    /// When the latency objective of the action ends, if work is scheduled by slack.
+    pub(crate) objective: Option<Time>,
     pub(crate) idempotent: bool,
     pub(crate) key: Option<(KeyHash, Fingerprint)>,
     pub(crate) first_attempt: bool,
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -102,6 +102,8 @@
     pub(crate) passed_level: u16,
     pub(crate) depth: u8,
     pub(crate) deadline: Time,
+    /// When the latency objective of the action ends, if work is scheduled by slack.
+    pub(crate) objective: Option<Time>,
     pub(crate) retry_allowance: RetryAllowance,
     pub(crate) parent: Option<RunId>,
     /// The retries that the parent run delegated to this request.
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -115,6 +115,9 @@
             admission_sample: call.admission_sample,
             depth: call.depth,
             deadline: now + Duration::from_millis(u64::from(call.remaining_ms)),
+            objective: call
+                .objective_ms
+                .map(|left| now + Duration::from_millis(u64::from(left))),
             retry_allowance: RetryAllowance::new(call.retry_allowance),
             possible_repeat: call.possible_repeat,
             operation: operation.map(operation_key),
@@ -171,6 +174,7 @@
             passed_level: job.passed_level,
             random_value: job.admission_sample,
             deadline: job.deadline,
+            latest_start: None,
             arrived: now,
             admitted: job.depth > 0,
         };
--- a/crates/engine/tests/announced.rs
+++ b/crates/engine/tests/announced.rs
@@ -43,6 +43,7 @@
             class: Class::Order,
             idempotent: false,
             deadline: Duration::from_secs(2),
+            latency_objective: Duration::from_secs(2),
             priority: 0,
             retries: 1,
             public: false,
@@ -52,7 +53,6 @@
             },
         },
         targets: vec![(service, 1)],
-        latency_objective: Duration::from_secs(1),
     };
     let mut routes = Routes::default();
     routes.insert(&HOST.into(), file.into(), route);
--- a/crates/engine/tests/levels.rs
+++ b/crates/engine/tests/levels.rs
@@ -108,6 +108,7 @@
             passed_level: 0,
             role: CallRole::Serve,
             remaining_ms: 5000,
+            objective_ms: None,
             retry_allowance: 0,
             possible_repeat: false,
             idempotent: true,
--- a/crates/node/src/link/tests.rs
+++ b/crates/node/src/link/tests.rs
@@ -26,6 +26,7 @@
         passed_level: 0,
         role: CallRole::Serve,
         remaining_ms: 1000,
+        objective_ms: None,
         retry_allowance: 0,
         possible_repeat: false,
         idempotent: true,
--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -86,6 +86,7 @@
     ///     random_value: 7,
     ///     passed_level: 0,
     ///     deadline: Time::from_micros(1_000_000),
+    ///     latest_start: None,
     ///     arrived: Time::ZERO,
     ///     admitted: false,
     /// };
@@ -309,6 +310,7 @@
             penalty: self.penalty(),
             level: self.level(),
             limit,
+            slowdown_percent: 0,
             draining: false,
         }
     }
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -21,6 +21,9 @@
         pub passed_level: u16,
         /// When its answer is due.
         pub deadline: Time,
+        /// The latest start that still meets the latency objective of its action, if work is
+        /// scheduled by slack.
+        pub latest_start: Option<Time>,
         /// When it arrived.
         pub arrived: Time,
         /// Whether it is a call of an action that was admitted at its entry node. Refusing it would
--- a/crates/policy/tests/admitted.rs
+++ b/crates/policy/tests/admitted.rs
@@ -27,6 +27,7 @@
         passed_level: 0,
         random_value: 100,
         deadline: now + Duration::from_secs(2),
+        latest_start: None,
         arrived: now,
         admitted,
     }
--- a/crates/policy/tests/call_trees.rs
+++ b/crates/policy/tests/call_trees.rs
@@ -126,6 +126,7 @@
             passed_level,
             random_value,
             deadline: at(began + TIMEOUT_MS),
+            latest_start: None,
             arrived: at(self.now),
             admitted: true,
         }
--- a/crates/policy/tests/late_runs.rs
+++ b/crates/policy/tests/late_runs.rs
@@ -53,6 +53,7 @@
                 passed_level: 0,
                 random_value: 100,
                 deadline: now + Duration::from_secs(1),
+                latest_start: None,
                 arrived: now,
                 admitted: true,
             };
@@ -117,6 +118,7 @@
                     passed_level: 0,
                     random_value: (ms * 7919) as u16,
                     deadline: now + Duration::from_millis(700),
+                    latest_start: None,
                     arrived: now,
                     admitted: false,
                 };
--- a/crates/policy/tests/priority_bands.rs
+++ b/crates/policy/tests/priority_bands.rs
@@ -95,6 +95,7 @@
                 passed_level: 0,
                 random_value: bands.scale_to_band(Class::Lookup, priority, rng.random()),
                 deadline: now + Duration::from_millis(800),
+                latest_start: None,
                 arrived: now,
                 admitted: false,
             };
@@ -151,6 +152,7 @@
         passed_level: 0,
         random_value: u16::MAX,
         deadline: at(2_000),
+        latest_start: None,
         arrived: at(0),
         admitted,
     };
--- a/crates/policy/tests/server_admission.rs
+++ b/crates/policy/tests/server_admission.rs
@@ -24,6 +24,7 @@
         passed_level: 0,
         random_value: u16::MAX,
         deadline: now + Duration::from_secs(2),
+        latest_start: None,
         arrived: now,
         admitted: false,
     }
--- a/crates/proto/src/answer.rs
+++ b/crates/proto/src/answer.rs
@@ -255,6 +255,9 @@
         pub level: u16,
         /// The number of calls.
         pub calls: u16,
+        /// The highest share of attempts, in thousandths, that the backend servers of a service in
+        /// the tree refuse by themselves.
+        pub refused_permille: u16,
     }
 }
 
@@ -277,6 +280,9 @@
         /// The current concurrency limit, in calls. If the backend server has named a rate limit, at
         /// most the number of calls that it accepts in one second.
         pub limit: u16,
+        /// How long work takes on the backend server's machine at this moment, in percent of the
+        /// usual; 0 if the server does not report it.
+        pub slowdown_percent: u16,
         /// The node is shutting down and accepts no new calls.
         pub draining: bool,
     }
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -16,7 +16,7 @@
 use stdx::plain;
 
 /// Version of frames and datagrams. Messages of other versions are rejected and counted.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 data! {
     /// A message on a TCP connection between nodes. The transport adds the length prefix.
@@ -116,6 +116,9 @@
         pub priority: u8,
         /// Time left until the deadline, in milliseconds.
         pub remaining_ms: u32,
+        /// Time left until the latency objective of the action ends, in milliseconds; 0 after that.
+        /// `None` if the sender's rules do not schedule by slack.
+        pub objective_ms: Option<u32>,
         /// Number of retries that this call and all calls below it may use.
         pub retry_allowance: u16,
         /// An earlier attempt whose answer was lost may have made the same child calls, so each
--- a/crates/rules/src/explain.rs
+++ b/crates/rules/src/explain.rs
@@ -112,6 +112,9 @@
             Readable(self.deadline),
             self.retries
         )?;
+        if self.latency_objective != self.deadline {
+            write!(f, " objective={}", Readable(self.latency_objective))?;
+        }
         if self.priority > 0 {
             write!(f, " priority={}", self.priority)?;
         }
--- a/crates/rules/src/model.rs
+++ b/crates/rules/src/model.rs
@@ -39,6 +39,9 @@
         /// Priority among operations that are shed together (lookups, or all other classes); 0 is
         /// the most urgent and is shed last.
         pub priority: u8,
+        /// Time from a caller's first attempt within which a response is of the most value. It may
+        /// be longer than `deadline`, which limits one attempt.
+        pub latency_objective: Duration,
         /// Number of retries that a root call of this operation may use in its whole call tree.
         pub retries: u16,
         /// Whether callers need no API key when organisations are configured.
@@ -143,6 +146,20 @@
         self.operations.iter().chain(routes)
     }
 
+    /// Whether work is scheduled by the time that its callers can still wait: some of them can wait,
+    /// so that capacity can go first to those who cannot.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let text = "operation press POST /slots class=booking deadline=2s # asked by Anna";
+    /// let rules = bilberry_rules::Rules::parse(text).unwrap();
+    /// assert!(!rules.schedules_by_slack());
+    /// ```
+    pub fn schedules_by_slack(&self) -> bool {
+        self.all_operations().any(Operation::is_patient)
+    }
+
     /// Iterates over all combinations of class and priority that a request can have. A combination
     /// may occur more than once.
     pub fn class_priorities(&self) -> impl Iterator<Item = (Class, u8)> + '_ {
@@ -163,7 +180,25 @@
     }
 }
 
+/// Ratio of the latency objective to the deadline from which callers of an operation can wait: a
+/// caller who is refused can come back and a second attempt of full length still meets the
+/// objective.
+const PATIENT_RATIO: u32 = 2;
+
 impl Operation {
+    /// Whether callers can come back after a refusal and still be served within the objective.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let text = "operation press POST /slots class=booking deadline=2s objective=5s # asked by Anna";
+    /// let rules = bilberry_rules::Rules::parse(text).unwrap();
+    /// assert!(rules.operation("press", "POST", "/slots").unwrap().is_patient());
+    /// ```
+    pub fn is_patient(&self) -> bool {
+        self.latency_objective >= self.deadline * PATIENT_RATIO
+    }
+
     fn matches(&self, service: &str, method: &str, path: &str) -> bool {
         let method_matches = &*self.method == "*" || &*self.method == method;
         let path_matches = match self.path.strip_suffix('*') {
--- a/crates/rules/src/parse/operation.rs
+++ b/crates/rules/src/parse/operation.rs
@@ -1,5 +1,5 @@
-//! `operation SERVICE METHOD PATH class=CLASS deadline=TIME [priority=N] [retries=N] [idempotent]
-//! [public]`.
+//! `operation SERVICE METHOD PATH class=CLASS deadline=TIME [objective=TIME] [priority=N] [retries=N]
+//! [idempotent] [public]`.
 
 use super::words::bounded_duration;
 use super::words::parse_name;
@@ -31,6 +31,7 @@
     }
     let mut class = None;
     let mut deadline = None;
+    let mut objective = None;
     let mut priority = 0;
     let mut retries = 0;
     let mut idempotent = false;
@@ -39,6 +40,9 @@
         match option {
             "class" => class = Some(parse_class(value).ok_or((column, BAD_CLASS))?),
             "deadline" => deadline = Some(bounded_duration(value).ok_or((column, BAD_DEADLINE))?),
+            "objective" => {
+                objective = Some(bounded_duration(value).ok_or((column, BAD_OBJECTIVE))?);
+            }
             "priority" => priority = parse_priority(value).ok_or((column, BAD_PRIORITY))?,
             "retries" => retries = parse_number(value, 0, 10).ok_or((column, BAD_RETRIES))?,
             "idempotent" if value.is_empty() => idempotent = true,
@@ -48,13 +52,15 @@
             _ => return Err((column, RuleErrorKind::UnknownOption(option.to_owned()))),
         }
     }
+    let deadline = deadline.ok_or((end_column, RuleErrorKind::Missing("deadline")))?;
     let operation = Operation {
         service: service.into(),
         method: method.into(),
         path: path.into(),
         class: class.ok_or((end_column, RuleErrorKind::Missing("class")))?,
         idempotent,
-        deadline: deadline.ok_or((end_column, RuleErrorKind::Missing("deadline")))?,
+        deadline,
+        latency_objective: objective.unwrap_or(deadline),
         priority,
         retries,
         public,
@@ -129,6 +135,10 @@
     option: "deadline",
     allowed: "a duration from 1ms to 24h",
 };
+const BAD_OBJECTIVE: RuleErrorKind = RuleErrorKind::BadValue {
+    option: "objective",
+    allowed: "a duration from 1ms to 24h",
+};
 pub(super) const BAD_PRIORITY: RuleErrorKind = RuleErrorKind::BadValue {
     option: "priority",
     allowed: "a whole number from 0, the most urgent, to 9",
--- a/crates/rules/src/route.rs
+++ b/crates/rules/src/route.rs
@@ -5,7 +5,6 @@
 use indexmap::IndexMap;
 use proto::Request;
 use std::sync::Arc;
-use std::time::Duration;
 use stdx::data;
 
 data! {
@@ -15,8 +14,6 @@
         pub operation: Operation,
         /// The services among which requests are split, with their weights; never empty.
         pub targets: Vec<(Arc<str>, u32)>,
-        /// Target latency. A response within this time is of the most value to the caller.
-        pub latency_objective: Duration,
     }
 }
 
--- a/crates/rules/tests/parse.rs
+++ b/crates/rules/tests/parse.rs
@@ -310,3 +310,23 @@
     let shown = format!("{:?}", KeyDigest::parse(DIGEST).unwrap());
     assert!(!shown.contains("a6a99e"), "{shown}");
 }
+
+/// Guards against callers who cannot wait being served after others because a rule was read as
+/// patient: work is scheduled by slack only if an objective is at least twice the deadline.
+#[test]
+fn objective_of_twice_the_deadline_schedules_by_slack() {
+    let schedules = |objective: &str| {
+        let text = format!(
+            "operation press POST /slots class=booking deadline=2s{objective} # asked by Anna"
+        );
+        Rules::parse(&text).unwrap().schedules_by_slack()
+    };
+    assert!(!schedules(""));
+    assert!(!schedules(" objective=3999ms"));
+    assert!(schedules(" objective=4s"));
+    check(
+        "",
+        "operation press GET /x class=lookup deadline=2s objective=0s # asked by Ugo",
+        &["1:49: `objective` takes a duration from 1ms to 24h"],
+    );
+}
--- a/crates/rules/tests/routes.rs
+++ b/crates/rules/tests/routes.rs
@@ -21,6 +21,7 @@
             class: Class::Lookup,
             idempotent: true,
             deadline: Duration::from_secs(1),
+            latency_objective: Duration::from_secs(1),
             priority: 0,
             retries: 1,
             public: false,
@@ -30,7 +31,6 @@
             },
         },
         targets,
-        latency_objective: Duration::from_secs(1),
     }
 }
 
