Ask only for existing records while the store does not answer

Cause: a reader whose long-poll read failed in a silence of the store began another one at once. It blocked for 12 s, also after the store had returned, so new rules came into force up to 7 s late. Change: after a failure, reads do not wait for new records until the store has answered.

--- a/crates/node/src/store_reader.rs
+++ b/crates/node/src/store_reader.rs
@@ -1,5 +1,8 @@
 //! Follows a topic of the store: reads the newest record of each key first, then later records.
 
+#[cfg(test)]
+mod tests;
+
 use crate::metrics::add_bytes;
 use crate::shell::Shell;
 use engine::Input;
@@ -54,6 +57,17 @@
         self.next_delay = (self.next_delay * 2).min(MAX_BACKOFF);
     }
 
+    /// How long the next read may wait for new records, if it usually waits for `poll_timeout`.
+    ///
+    /// After a failure, a read asks only for the records that exist. If it waited for new ones and
+    /// the store was still silent, it would block for `poll_timeout` after the store's return.
+    fn read_wait(&self, poll_timeout: Duration) -> Duration {
+        match self.down_since {
+            Some(_) => Duration::ZERO,
+            None => poll_timeout,
+        }
+    }
+
     /// Resets the delay. Logs the end of an outage.
     pub(crate) fn record_success(&mut self, call: &str) {
         self.next_delay = MIN_BACKOFF;
@@ -97,8 +111,9 @@
             }
         }
         let asked = shell.now();
+        let wait = backoff.read_wait(poll_timeout);
         let result = tokio::select! {
-            result = read_once(&shell, topic, from, poll_timeout) => result,
+            result = read_once(&shell, topic, from, wait) => result,
             // Something is missing. A read pending on a connection that has gone silent would block
             // until its time-out, so start a new one.
             () = shell.store_read_requested.notified() => continue,
