Schedule work by slack at a server

An action that begins at a server waits for 0.1 s (protected classes 0.3 s) at most, whatever its objective, and the admission level takes a burst of 0.6 s for overload. So a burst of an action whose callers can wait is refused, although the server could serve it later and still in time.

Work of one rank leaves the queue by latest start; what is late goes behind the rest of its rank. An action that begins here waits until its latest start or is refused on arrival, and patient actions pass the slot level. An organisation has at most half of the queue while another one is waiting.

--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -190,7 +190,8 @@
             Some((key, _)) => {
                 let home = self.home_of(&call.request.service, key);
                 let level = home.as_ref().map(|home| self.instance_level(now, home));
-                (home, level.filter(|level| may_shed && value < *level))
+                let sheds = |level: &u16| may_shed && value < *level && !self.can_wait(call);
+                (home, level.filter(sheds))
             }
             None if is_root => self.choose_admitting(now, call, value),
             None if self.cfg.policy.by_load => (self.choose_instance(now, call), None),
@@ -234,11 +235,24 @@
         }
         let chosen = self.choose_instance(now, call);
         call.avoid.truncate(avoided);
+        if self.can_wait(call) {
+            let chosen = chosen.or_else(|| self.choose_instance(now, call));
+            return (chosen, None);
+        }
         call.passed_level = call.passed_level.max(lowest_admitting.unwrap_or(0));
         let level = lowest_shedding.filter(|_| chosen.is_none());
         (chosen, level)
     }
 
+    /// Whether the levels of the instances that can run a call do not apply to it. A patient action
+    /// may be served in time although the level of an instance would shed it, and the queue of that
+    /// instance decides on it. Instances that shed are still avoided while others do not.
+    fn can_wait(&self, call: &OutgoingCall) -> bool {
+        let open = self.open_requests.get(&call.token);
+        let is_patient = open.is_some_and(|open| open.operation.is_patient());
+        call.depth == 0 && call.objective.is_some() && is_patient
+    }
+
     /// Chooses among all instances of a service in rotation, whatever their load.
     fn choose_round_robin(&mut self, call: &OutgoingCall) -> Option<Instance> {
         let turn = self.allocate_id() as usize;
--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -1,6 +1,7 @@
 //! Counters of the engine and the node, and the names of their metrics.
 
 use crate::ReportError;
+use policy::SlackEvent;
 use proto::Class;
 use proto::Reason;
 use stdx::plain;
@@ -104,6 +105,8 @@
         Run(Class),
         /// A run was started while a rate limit of the backend server was in force.
         RateLimitedRun(RunOrigin),
+        /// An event of scheduling by slack at this node's backend server.
+        Slack(SlackEvent),
         /// A header in which the backend server reports about itself was rejected.
         MalformedServerReport(ReportError),
         /// A new incarnation of this node's backend server sent its first heartbeat.
@@ -180,6 +183,7 @@
             Counter::Redirect(reason) => format!("redirect.{}", reason.name()),
             Counter::Run(class) => format!("run.{}", class.name()),
             Counter::RateLimitedRun(origin) => format!("rate_limited_run.{}", origin.name()),
+            Counter::Slack(event) => format!("slack.{}", event.name()),
             Counter::MalformedServerReport(error) => {
                 format!("broken_server_report.{}", error.name())
             }
--- a/crates/engine/src/diagnostic.rs
+++ b/crates/engine/src/diagnostic.rs
@@ -174,6 +174,10 @@
         started: bool,
         /// The time left until the deadline, in milliseconds.
         left_ms: u64,
+        /// The time from the start, or from the refusal, to the latest start that still met the
+        /// objective, in milliseconds; negative if it was too late. `None` unless the job was
+        /// scheduled by slack.
+        slack_ms: Option<i64>,
         /// The state of the server's controllers.
         server: ServerState,
     },
@@ -306,6 +310,7 @@
                 outcome,
                 started,
                 left_ms,
+                slack_ms,
                 server,
             } => write!(
                 f,
@@ -320,6 +325,10 @@
             .and_then(|()| match server.rate_limit {
                 Some(_) => write_rate(f, "rate_limit", server.rate_limit),
                 None => Ok(()),
+            })
+            .and_then(|()| match slack_ms {
+                Some(slack_ms) => write!(f, " slack_ms={slack_ms}"),
+                None => Ok(()),
             }),
         }
     }
--- a/crates/engine/src/gauges.rs
+++ b/crates/engine/src/gauges.rs
@@ -29,6 +29,7 @@
     pub fn gauges(&self, now: Time) -> Vec<Gauge> {
         let sizes = self.table_sizes();
         let load = self.load_report();
+        let (queued_late, queued_patient) = self.server.slack_occupancy();
         vec![
             ("requests", sizes.requests as u64),
             ("calls", sizes.calls as u64),
@@ -48,6 +49,8 @@
             ("server.limit", u64::from(load.limit)),
             ("server.utilisation", u64::from(load.utilisation)),
             ("server.level", u64::from(load.level)),
+            ("server.queued_late", queued_late as u64),
+            ("server.queued_patient", queued_patient as u64),
             ("server.rate_limited", u64::from(self.has_rate_limit())),
             (
                 "server.rate_limit_millihertz",
--- a/crates/engine/src/hedge.rs
+++ b/crates/engine/src/hedge.rs
@@ -63,6 +63,7 @@
         let WorkOutcome::Completed { elapsed, .. } = outcome else {
             return;
         };
+        self.record_slack_run_time(run, elapsed);
         let operation = self.jobs.get(&run).and_then(|job| job.operation.clone());
         if let Some(operation) = operation {
             self.admission.record_run_time(now, &operation, elapsed);
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -29,6 +29,11 @@
     pub(crate) deadline: Time,
     /// When the latency objective of the action ends, if work is scheduled by slack.
     pub(crate) objective: Option<Time>,
+    /// Whether its operation is patient; see [`Operation::is_patient`].
+    pub(crate) patient: bool,
+    /// The latest start that still meets the objective, from the run times known when the job was
+    /// offered.
+    pub(crate) latest_start: Option<Time>,
     pub(crate) retry_allowance: RetryAllowance,
     /// Whether the run may repeat an earlier one, so that each of its child calls spends a retry.
     pub(crate) possible_repeat: bool,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -45,6 +45,7 @@
 mod routing;
 mod serve;
 mod server_report;
+mod slack;
 mod timers;
 
 pub use config::Config;
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -17,7 +17,6 @@
 use policy::admission_value;
 use policy::AdmissionDecision;
 use policy::RetryAllowance;
-use policy::WorkItem;
 use proto::ActionId;
 use proto::Answer;
 use proto::Call;
@@ -33,6 +32,7 @@
 use proto::Refusal;
 use proto::RunId;
 use rules::MatchedRule;
+use rules::Operation;
 use std::sync::Arc;
 use std::time::Duration;
 use stdx::Time;
@@ -118,6 +118,8 @@
             objective: call
                 .objective_ms
                 .map(|left| now + Duration::from_millis(u64::from(left))),
+            patient: operation.is_some_and(Operation::is_patient),
+            latest_start: None,
             retry_allowance: RetryAllowance::new(call.retry_allowance),
             possible_repeat: call.possible_repeat,
             operation: operation.map(operation_key),
@@ -167,17 +169,10 @@
             return self.end_job(now, run, self.not_run(Reason::Draining));
         }
         let fingerprint = job.fingerprint;
-        let mut item = WorkItem {
-            id: run.number,
-            class: job.class,
-            priority: job.priority,
-            passed_level: job.passed_level,
-            random_value: job.admission_sample,
-            deadline: job.deadline,
-            latest_start: None,
-            arrived: now,
-            admitted: job.depth > 0,
-        };
+        let mut item = self.work_item(now, run.number, job);
+        if let Some(job) = self.jobs.get_mut(&run) {
+            job.latest_start = item.latest_start;
+        }
         if !self.check_quarantine(now, run, fingerprint) {
             return;
         }
@@ -198,7 +193,7 @@
         }
         let decision = self.server.offer(now, item);
         if !item.admitted {
-            let passed_level = item.passed_level.max(self.server.level());
+            let passed_level = item.passed_level.max(self.server.level_of(&item));
             if let Some(job) = self.jobs.get_mut(&run) {
                 job.passed_level = passed_level;
             }
@@ -224,6 +219,7 @@
             };
             self.apply_decision(now, run, decision);
         }
+        self.count_slack_events();
     }
 
     fn apply_decision(&mut self, now: Time, run: RunId, decision: AdmissionDecision) {
@@ -328,6 +324,7 @@
             outcome: OutcomeSummary::of(&outcome),
             started: job.started.is_some(),
             left_ms: now.until(job.deadline).as_millis() as u64,
+            slack_ms: job.slack_ms(now),
             server: self.server_state(),
         }));
         if self.jobs_by_request_id.get(&job.request.id) == Some(&run) {
--- a/crates/policy/src/admission_level.rs
+++ b/crates/policy/src/admission_level.rs
@@ -144,6 +144,9 @@
     pub(crate) queued: usize,
     /// The number of queued work items of protected classes.
     pub(crate) queued_protected: usize,
+    /// The number of queued work items that wait because they can; see
+    /// [`WorkItem::waits_by_choice`]. They are not a backlog.
+    pub(crate) queued_by_choice: usize,
     /// The mean time for which work occupies a slot.
     pub(crate) slot_time: Duration,
 }
@@ -230,13 +233,22 @@
         }
     }
 
+    /// The number of slots that the offered work of more urgent groups would occupy.
+    pub(crate) fn slots_before(&self, now: Time, item: &WorkItem) -> f64 {
+        let group = Group::new(item.class, item.priority);
+        let more_urgent = self.offered.iter().take_while(|(other, _)| **other < group);
+        let slots = more_urgent.map(|(_, load)| load.slots.get(now, LOAD_TIME_CONSTANT));
+        slots.sum()
+    }
+
     /// Recomputes the level if [`UPDATE_INTERVAL`] has passed.
     pub(crate) fn update(&mut self, now: Time, capacity: Capacity) {
         if now.since(self.updated) < UPDATE_INTERVAL {
             return;
         }
         self.updated = now;
-        let backlog = capacity.queued as f64 * capacity.slot_time.as_secs_f64();
+        let backlog = (capacity.queued - capacity.queued_by_choice) as f64;
+        let backlog = backlog * capacity.slot_time.as_secs_f64();
         let free_slots = f64::from(capacity.slots) - backlog / BACKLOG_DRAIN_TIME.as_secs_f64();
         let (slots, total) = self.offered(|load| load.slots.get(now, LOAD_TIME_CONSTANT));
         self.overload_ratio = (total / free_slots.max(1.0)).max(1.0);
--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -3,6 +3,7 @@
 
 mod level;
 mod refusal;
+mod slack;
 mod waiting;
 
 use crate::admission_level::AdmissionLevel;
@@ -17,13 +18,18 @@
 use crate::AdmissionDecision;
 use crate::PriorityBands;
 use crate::RequestRate;
+use crate::RunTimes;
+use crate::SlackEvent;
 use crate::Switches;
 use crate::WorkItem;
 use crate::WorkOutcome;
 use proto::Class;
 use proto::LoadReport;
 use proto::Reason;
+use slack::SlackCounts;
+use slack::MAX_OPERATIONS;
 use std::time::Duration;
+use stdx::BoundedMap;
 use stdx::Time;
 use waiting::MAX_QUEUE_LEN;
 
@@ -66,6 +72,13 @@
     /// Set while the server is unreachable; it is not tried again before this time.
     down_until: Option<Time>,
     lookup_hold: LookupHold,
+    /// The longest time that work scheduled by slack may wait, under the rules in force.
+    longest_slack: Duration,
+    slack_counts: SlackCounts,
+    /// Durations of the runs of each operation, where work is scheduled by slack.
+    run_times: BoundedMap<u32, RunTimes>,
+    /// As `slot_time_by_class`, in seconds, but it follows a change of the server within a second.
+    recent_slot_time: [Option<f64>; CLASSES],
 }
 
 impl ServerAdmission {
@@ -87,6 +100,9 @@
     ///     passed_level: 0,
     ///     deadline: Time::from_micros(1_000_000),
     ///     latest_start: None,
+    ///     operation: 0,
+    ///     patient: false,
+    ///     organisation: 0,
     ///     arrived: Time::ZERO,
     ///     admitted: false,
     /// };
@@ -110,6 +126,10 @@
             slowdown: Slowdown::default(),
             down_until: None,
             lookup_hold: LookupHold::default(),
+            longest_slack: Duration::ZERO,
+            slack_counts: SlackCounts::default(),
+            run_times: BoundedMap::new(MAX_OPERATIONS),
+            recent_slot_time: [None; CLASSES],
         };
         server.skip_slow_start();
         server
@@ -153,6 +173,7 @@
     pub fn set_bounds(&mut self, min: u16, max: u16, max_wait: Duration) {
         self.limit.set_bounds(min, max);
         self.max_wait = max_wait;
+        self.longest_slack = Duration::ZERO;
         self.skip_slow_start();
     }
 
@@ -168,7 +189,7 @@
         self.level.record_offered(now, &item, slot_time);
         self.tick(now);
         let value = admission_value(item.class, item.random_value);
-        if !item.admitted && value < self.level_for(now, item.class) {
+        if !item.admitted && value < self.level_for(now, &item) {
             self.hold_lookups(now, item.class);
             return self.refuse(now, Reason::Shed, item);
         }
@@ -189,16 +210,29 @@
     }
 
     fn enqueue(&mut self, now: Time, item: WorkItem) -> AdmissionDecision {
-        let ahead = self.queue.ahead_of(&item, self.switches.class_order);
+        self.record_slack(now, &item);
+        self.queue.demote_late(now);
+        let ahead = self.queue.ahead_of(now, &item, self.switches.class_order);
+        let ahead = ahead.saturating_sub(self.displaced_by(&item));
         let token_wait = self.token_wait(now, ahead + 1);
-        let wait = self.drain_time(ahead + 1).max(token_wait);
-        let too_late = self.switches.deadline_queue && self.is_too_late(now, &item, wait);
-        let queue_full = ahead >= self.queue_capacity() && !item.admitted;
+        let drain_time = match item.latest_start {
+            Some(_) => self.expected_wait(now, &item, ahead),
+            None => self.drain_time(ahead + 1),
+        };
+        let wait = drain_time.max(token_wait);
+        let too_late = self.switches.deadline_queue && self.is_too_late(now, &item, wait)
+            || self.would_become_late(now, &item, wait);
+        let has_own_bound = item.admitted || item.latest_start.is_some();
+        let queue_full = ahead >= self.queue_capacity() && !has_own_bound;
         let prefers_siblings = self.siblings_have_room && token_wait > self.max_wait;
         if prefers_siblings || too_late || queue_full || self.queue.len() >= MAX_QUEUE_LEN {
-            return self.refuse_for_load(now, item);
+            return self.refuse_arrival(now, item, SlackEvent::RefusedOnArrival);
+        }
+        if self.is_over_share(&item) {
+            return self.refuse_arrival(now, item, SlackEvent::RefusedOverShare);
         }
-        self.queue.push(item);
+        self.count_queued(now, &item);
+        self.queue.push(now, item);
         AdmissionDecision::Queued
     }
 
@@ -215,6 +249,7 @@
             WorkOutcome::Completed { elapsed, own_time } => {
                 self.down_until = None;
                 self.slot_time.record(elapsed);
+                self.record_recent_slot_time(class, elapsed);
                 self.slot_time_by_class[class as usize].record(elapsed);
                 self.slot_time_with_abandoned[class as usize].record(elapsed);
                 self.slowdown.record(now, class, own_time);
@@ -261,7 +296,9 @@
 
     /// The next work item that leaves the queue, either to start or refused. Call until `None`.
     pub fn next_decision(&mut self, now: Time) -> Option<(WorkItem, AdmissionDecision)> {
+        self.queue.demote_late(now);
         if let Some(item) = self.pop_expired(now) {
+            self.count_expired(&item);
             return Some((item, self.refuse_for_load(now, item)));
         }
         if self.lookup_hold.is_active() {
@@ -272,6 +309,9 @@
         if let Some(item) = self.queue.evict_excess(self.queue_capacity()) {
             return Some((item, self.refuse_for_load(now, item)));
         }
+        if let Some(item) = self.evict_by_slack(now) {
+            return Some((item, self.refuse_for_load(now, item)));
+        }
         let next = if self.queue.protected_len() > 0 {
             Class::Order
         } else {
@@ -281,6 +321,10 @@
             return None;
         }
         let item = self.queue.pop(self.switches.class_order)?;
+        if self.would_end_too_late(now, &item, Duration::ZERO) {
+            self.count_expired(&item);
+            return Some((item, self.refuse_for_load(now, item)));
+        }
         self.start(now, &item);
         Some((item, AdmissionDecision::Start))
     }
@@ -338,14 +382,19 @@
             "a lookup that was queued when a protected call was refused for load must not start"
         );
         self.running += 1;
+        self.count_started(now, item);
         if let Some(limiter) = &mut self.rate_limiter {
             limiter.take(now);
         }
     }
 
     fn can_start(&self, now: Time, class: Class) -> bool {
+        self.has_capacity(class) && self.has_token(now)
+    }
+
+    fn has_token(&self, now: Time) -> bool {
         let limiter = self.rate_limiter.as_ref();
-        self.has_capacity(class) && limiter.is_none_or(|limiter| limiter.has_token(now))
+        limiter.is_none_or(|limiter| limiter.has_token(now))
     }
 
     fn has_capacity(&self, class: Class) -> bool {
--- a/crates/policy/src/server_admission/level.rs
+++ b/crates/policy/src/server_admission/level.rs
@@ -5,6 +5,7 @@
 use crate::admission_level::Capacity;
 use crate::rate_limiter::RateLimiter;
 use crate::RequestRate;
+use crate::WorkItem;
 use proto::Class;
 use std::time::Duration;
 use stdx::Time;
@@ -16,11 +17,12 @@
     }
 
     /// The admission level for an action that arrives now.
-    pub(super) fn level_for(&self, now: Time, class: Class) -> u16 {
+    pub(super) fn level_for(&self, now: Time, item: &WorkItem) -> u16 {
         let is_idle = self.running == 0 && self.queue.is_empty();
         // The load of one long action can exceed the average that a few slots can take.
-        let slot_level = if is_idle { 0 } else { self.slot_level() };
-        let rate_level = match self.rate_limit_permits(now, class) {
+        let is_exempt = is_idle || item.waits_by_choice();
+        let slot_level = if is_exempt { 0 } else { self.slot_level() };
+        let rate_level = match self.rate_limit_permits(now, item.class) {
             true => 0,
             false => self.rate_level(),
         };
@@ -65,6 +67,7 @@
             requests_per_second: rate.map(RequestRate::per_second),
             queued: self.queue.len(),
             queued_protected: self.queue.protected_len(),
+            queued_by_choice: self.queue.patient_len(),
             slot_time: self.slot_time.mean().unwrap_or(Duration::ZERO),
         };
         self.level.update(now, capacity);
--- a/crates/policy/src/server_admission/waiting.rs
+++ b/crates/policy/src/server_admission/waiting.rs
@@ -53,15 +53,18 @@
 
     /// Maximum number of work items that can leave the queue within the maximum queueing time.
     pub(super) fn queue_capacity(&self) -> usize {
+        self.capacity_within(self.max_wait)
+    }
+
+    /// Number of work items that can leave the queue within a time.
+    pub(super) fn capacity_within(&self, time: Duration) -> usize {
         let limit = f64::from(self.limit.get());
         let capacity = match self.slot_time.0 {
-            Some((mean, _)) => limit * self.max_wait.as_secs_f64() / mean.max(1e-6),
+            Some((mean, _)) => limit * time.as_secs_f64() / mean.max(1e-6),
             None => limit,
         };
         let capacity = match &self.rate_limiter {
-            Some(limiter) => {
-                capacity.min(limiter.rate().per_second() * self.max_wait.as_secs_f64())
-            }
+            Some(limiter) => capacity.min(limiter.rate().per_second() * time.as_secs_f64()),
             None => capacity,
         };
         (capacity as usize).clamp(1, MAX_QUEUE_LEN)
@@ -102,11 +105,13 @@
 }
 
 impl MaxWait {
-    /// The maximum wait of a work item. Protected work leaves the queue before all lookups, so it
+    /// The maximum wait of a work item. Work with a latest start was queued because it is expected
+    /// to leave the queue in time, and waits until its deadline. Protected work leaves the queue before all lookups, so it
     /// waits long only if protected work alone exceeds the capacity. If it were refused after the
     /// maximum wait of lookups, all queued lookups would be refused with it (see `hold_lookups`).
     pub(super) fn of(self, item: &WorkItem) -> Duration {
-        if item.admitted && !self.bounds_admitted {
+        let has_own_bound = item.admitted || item.latest_start.is_some();
+        if has_own_bound && !self.bounds_admitted {
             Duration::MAX
         } else if item.class.is_protected() {
             self.lookups * PROTECTED_WAIT_FACTOR
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -24,6 +24,15 @@
         /// The latest start that still meets the latency objective of its action, if work is
         /// scheduled by slack.
         pub latest_start: Option<Time>,
+        /// Identifies its operation, for [`crate::ServerAdmission::long_run_time`]. A hash
+        /// suffices: operations with the same one share what is learned of their run times.
+        pub operation: u32,
+        /// Whether its caller can come back after a refusal and still be served within the
+        /// objective.
+        pub patient: bool,
+        /// Identifies the organisation that sent the action; 0 if there is none. A hash suffices:
+        /// organisations with the same one share their part of the queue.
+        pub organisation: u32,
         /// When it arrived.
         pub arrived: Time,
         /// Whether it is a call of an action that was admitted at its entry node. Refusing it would
@@ -33,6 +42,20 @@
     }
 }
 
+impl WorkItem {
+    /// Whether it waits because its caller can: a patient action that begins here and whose latest
+    /// start is known. It says nothing about overload while it can be served in time.
+    pub(crate) fn waits_by_choice(&self) -> bool {
+        self.patient && !self.admitted && self.latest_start.is_some()
+    }
+
+    /// Whether it counts towards its organisation's part of the queue. Calls of admitted actions do
+    /// not: they are never displaced.
+    pub(crate) fn counts_for_organisation(&self) -> bool {
+        self.organisation != 0 && !self.admitted && self.latest_start.is_some()
+    }
+}
+
 /// The decision on an offered work item.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionDecision {
--- a/crates/policy/tests/admitted.rs
+++ b/crates/policy/tests/admitted.rs
@@ -28,6 +28,9 @@
         random_value: 100,
         deadline: now + Duration::from_secs(2),
         latest_start: None,
+        operation: 0,
+        patient: false,
+        organisation: 0,
         arrived: now,
         admitted,
     }
--- a/crates/policy/tests/call_trees.rs
+++ b/crates/policy/tests/call_trees.rs
@@ -127,6 +127,9 @@
             random_value,
             deadline: at(began + TIMEOUT_MS),
             latest_start: None,
+            operation: 0,
+            patient: false,
+            organisation: 0,
             arrived: at(self.now),
             admitted: true,
         }
--- a/crates/policy/tests/late_runs.rs
+++ b/crates/policy/tests/late_runs.rs
@@ -54,6 +54,9 @@
                 random_value: 100,
                 deadline: now + Duration::from_secs(1),
                 latest_start: None,
+                operation: 0,
+                patient: false,
+                organisation: 0,
                 arrived: now,
                 admitted: true,
             };
@@ -119,6 +122,9 @@
                     random_value: (ms * 7919) as u16,
                     deadline: now + Duration::from_millis(700),
                     latest_start: None,
+                    operation: 0,
+                    patient: false,
+                    organisation: 0,
                     arrived: now,
                     admitted: false,
                 };
--- a/crates/policy/tests/priority_bands.rs
+++ b/crates/policy/tests/priority_bands.rs
@@ -96,6 +96,9 @@
                 random_value: bands.scale_to_band(Class::Lookup, priority, rng.random()),
                 deadline: now + Duration::from_millis(800),
                 latest_start: None,
+                operation: 0,
+                patient: false,
+                organisation: 0,
                 arrived: now,
                 admitted: false,
             };
@@ -153,6 +156,9 @@
         random_value: u16::MAX,
         deadline: at(2_000),
         latest_start: None,
+        operation: 0,
+        patient: false,
+        organisation: 0,
         arrived: at(0),
         admitted,
     };
--- a/crates/policy/tests/server_admission.rs
+++ b/crates/policy/tests/server_admission.rs
@@ -25,6 +25,9 @@
         random_value: u16::MAX,
         deadline: now + Duration::from_secs(2),
         latest_start: None,
+        operation: 0,
+        patient: false,
+        organisation: 0,
         arrived: now,
         admitted: false,
     }
--- /dev/null
+++ b/crates/policy/tests/slack_queue.rs
@@ -0,0 +1,283 @@
+//! Properties of the queue where work is scheduled by slack, for arbitrary sequences of work on
+//! virtual time.
+
+use bilberry_policy::AdmissionDecision;
+use bilberry_policy::ServerAdmission;
+use bilberry_policy::Switches;
+use bilberry_policy::WorkItem;
+use bilberry_policy::WorkOutcome;
+use proptest::prelude::*;
+use proto::Class;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use stdx::Time;
+
+const SLOTS: usize = 3;
+const RUN_MS: u64 = 50;
+
+/// The longest time until a deadline.
+const MAX_DEADLINE_MS: u64 = 1500;
+
+/// The number of runs that the server can end until the longest deadline.
+const MAX_RUNS: usize = SLOTS * (MAX_DEADLINE_MS / RUN_MS) as usize;
+
+fn at(ms: u64) -> Time {
+    Time::from_micros(ms * 1000)
+}
+
+/// Work that arrives some time after the previous one. Times are in milliseconds.
+#[derive(Debug, Clone)]
+struct Arrival {
+    after: u64,
+    is_lookup: bool,
+    priority: u8,
+    objective: u64,
+    deadline: u64,
+    patient: bool,
+    organisation: u32,
+    admitted: bool,
+}
+
+fn arrivals() -> impl Strategy<Value = Vec<Arrival>> {
+    let arrival = (
+        0_u64..30,
+        any::<bool>(),
+        0_u8..3,
+        100_u64..4000,
+        100_u64..MAX_DEADLINE_MS,
+        any::<bool>(),
+        0_u32..4,
+        prop::bool::weighted(0.2),
+    );
+    let arrival = arrival.prop_map(
+        |(after, is_lookup, priority, objective, deadline, patient, organisation, admitted)| {
+            Arrival {
+                after,
+                is_lookup,
+                priority,
+                objective,
+                deadline,
+                patient,
+                organisation,
+                admitted,
+            }
+        },
+    );
+    prop::collection::vec(arrival, 1..400)
+}
+
+struct Simulation {
+    server: ServerAdmission,
+    now: u64,
+    waiting: BTreeMap<u64, WorkItem>,
+    ends: BTreeMap<u64, Vec<Class>>,
+    running: usize,
+    ended: usize,
+}
+
+impl Simulation {
+    fn new() -> Self {
+        let mut switches = Switches::ALL;
+        switches.adaptive_limit = false;
+        // The level sheds work before it is queued.
+        switches.levels = false;
+        let max_wait = Duration::from_millis(100);
+        let mut simulation = Self {
+            server: ServerAdmission::new(switches, 1, SLOTS as u16, max_wait),
+            now: 0,
+            waiting: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            running: 0,
+            ended: 0,
+        };
+        simulation.learn_run_times();
+        simulation
+    }
+
+    fn learn_run_times(&mut self) {
+        let took = Duration::from_millis(RUN_MS);
+        let completed = WorkOutcome::Completed {
+            elapsed: took,
+            own_time: took,
+        };
+        for class in [Class::Lookup, Class::Order] {
+            for _ in 0..32 {
+                self.server.on_finished(at(0), class, completed);
+                self.server.record_run_time(0, took);
+            }
+        }
+    }
+
+    fn item(&self, id: u64, arrival: &Arrival) -> WorkItem {
+        let end = at(self.now + arrival.objective).as_micros();
+        WorkItem {
+            id,
+            class: match arrival.is_lookup {
+                true => Class::Lookup,
+                false => Class::Order,
+            },
+            priority: arrival.priority,
+            random_value: 100,
+            passed_level: 0,
+            deadline: at(self.now + arrival.deadline),
+            latest_start: Some(Time::from_micros(end - RUN_MS * 1000)),
+            operation: 0,
+            patient: arrival.patient,
+            organisation: arrival.organisation,
+            arrived: at(self.now),
+            admitted: arrival.admitted,
+        }
+    }
+
+    fn advance(&mut self, ms: u64) -> Result<(), TestCaseError> {
+        for _ in 0..ms {
+            self.now += 1;
+            for class in self.ends.remove(&self.now).unwrap_or_default() {
+                let took = Duration::from_millis(RUN_MS);
+                let completed = WorkOutcome::Completed {
+                    elapsed: took,
+                    own_time: took,
+                };
+                self.running -= 1;
+                self.server.on_finished(at(self.now), class, completed);
+            }
+            self.drain()?;
+        }
+        Ok(())
+    }
+
+    fn offer(&mut self, item: WorkItem) -> Result<(), TestCaseError> {
+        match self.server.offer(at(self.now), item) {
+            AdmissionDecision::Start => self.start(item),
+            AdmissionDecision::Queued => {
+                self.waiting.insert(item.id, item);
+            }
+            AdmissionDecision::Refused(_) => self.ended += 1,
+        }
+        self.drain()
+    }
+
+    fn drain(&mut self) -> Result<(), TestCaseError> {
+        while let Some((item, decision)) = self.server.next_decision(at(self.now)) {
+            let waited = self.waiting.remove(&item.id);
+            prop_assert_eq!(waited, Some(item), "each work item leaves the queue once");
+            match decision {
+                AdmissionDecision::Start => {
+                    self.check_order(&item)?;
+                    self.start(item);
+                }
+                AdmissionDecision::Refused(_) => self.ended += 1,
+                AdmissionDecision::Queued => prop_assert!(false, "{item:?}"),
+            }
+        }
+        self.check_queue()
+    }
+
+    fn start(&mut self, item: WorkItem) {
+        self.running += 1;
+        self.ended += 1;
+        let ends = self.ends.entry(self.now + RUN_MS).or_default();
+        ends.push(item.class);
+    }
+
+    /// No work that goes before the started one in rank, by lateness or by latest start is left
+    /// waiting.
+    fn check_order(&self, started: &WorkItem) -> Result<(), TestCaseError> {
+        let now = at(self.now);
+        let order = |item: &WorkItem| {
+            let latest = item.latest_start.unwrap();
+            let is_late = latest < now;
+            let within = if is_late { item.deadline } else { latest };
+            let is_lookup = !item.class.is_protected();
+            (is_lookup, item.priority, is_late, within)
+        };
+        for item in self.waiting.values() {
+            prop_assert!(order(started) <= order(item), "{started:?} before {item:?}");
+        }
+        Ok(())
+    }
+
+    fn check_queue(&self) -> Result<(), TestCaseError> {
+        let (running, queued, _) = self.server.occupancy();
+        prop_assert_eq!(usize::from(running), self.running);
+        prop_assert_eq!(queued, self.waiting.len());
+        prop_assert!(self.running == SLOTS || queued == 0, "a slot is free");
+
+        let begins_here = self.waiting.values().filter(|item| !item.admitted);
+        let mut by_organisation: BTreeMap<u32, usize> = BTreeMap::new();
+        let mut queued = 0;
+        for item in begins_here {
+            queued += 1;
+            if item.organisation != 0 {
+                *by_organisation.entry(item.organisation).or_default() += 1;
+            }
+        }
+        prop_assert!(queued <= MAX_RUNS, "{queued} queued");
+        if by_organisation.len() > 1 {
+            let most = by_organisation.values().max().copied().unwrap_or(0);
+            prop_assert!(most <= MAX_RUNS / 2, "{by_organisation:?}");
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a slot that stays free while work waits, work that starts before more urgent
+    /// work, a queue without a bound, an organisation that fills the queue, and work that is
+    /// decided on twice or never.
+    #[test]
+    fn queue_is_work_conserving_ordered_and_bounded(arrivals in arrivals()) {
+        let mut simulation = Simulation::new();
+        for (id, arrival) in arrivals.iter().enumerate() {
+            simulation.advance(arrival.after)?;
+            let item = simulation.item(id as u64, arrival);
+            simulation.offer(item)?;
+        }
+        simulation.advance(2 * MAX_DEADLINE_MS)?;
+        prop_assert_eq!(simulation.ended, arrivals.len());
+    }
+}
+
+/// One organisation fills the queue, and another one arrives. Its work must find a place, although
+/// the first one has more work waiting than fits.
+#[test]
+fn an_organisation_gets_half_of_the_queue_while_another_one_fills_it() {
+    let mut simulation = Simulation::new();
+    let arrival = |organisation| Arrival {
+        after: 0,
+        is_lookup: false,
+        priority: 0,
+        objective: 4000,
+        deadline: MAX_DEADLINE_MS,
+        patient: true,
+        organisation,
+        admitted: false,
+    };
+    let mut next_id = 0;
+    let mut offer = |simulation: &mut Simulation, organisation| {
+        next_id += 1;
+        let item = simulation.item(next_id, &arrival(organisation));
+        simulation.offer(item).unwrap();
+        simulation.waiting.contains_key(&next_id)
+    };
+    while simulation.waiting.len() < SLOTS || offer(&mut simulation, 1) {
+        offer(&mut simulation, 1);
+    }
+    let alone = simulation.waiting.len();
+    assert!(alone > MAX_RUNS / 2, "{alone}");
+    let second_is_queued = (0..MAX_RUNS / 4)
+        .filter(|_| offer(&mut simulation, 2))
+        .count();
+    assert_eq!(second_is_queued, MAX_RUNS / 4);
+    let is_first = |item: &&WorkItem| item.organisation == 1;
+    let first = simulation.waiting.values().filter(is_first).count();
+    assert!(first <= MAX_RUNS / 2, "{first}");
+    assert!(!offer(&mut simulation, 1));
+}
