Keep slots for urgent work where runs mostly wait for slow services

A run holds its slot while it waits for its child calls. While a service below is slow, runs of a patient action hold all slots of an idle server, and urgent work with an objective of 0.5 s gets none.

Where work is scheduled by slack, the slots that urgent work needs are kept for work that would miss its objective otherwise, if most of the time in slots is spent waiting and such work has been seen within a second.

--- a/crates/engine/src/gauges.rs
+++ b/crates/engine/src/gauges.rs
@@ -51,6 +51,10 @@
             ("server.level", u64::from(load.level)),
             ("server.queued_late", queued_late as u64),
             ("server.queued_patient", queued_patient as u64),
+            (
+                "server.reserved_slots",
+                u64::from(self.server.reserved_slots()),
+            ),
             ("server.rate_limited", u64::from(self.has_rate_limit())),
             (
                 "server.rate_limit_millihertz",
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -253,16 +253,25 @@
         self.pop_front(*rank)
     }
 
-    /// Removes the next work item to start: the first in rank order if `by_rank` is set, otherwise
-    /// the one that arrived first among the fronts of the ranks.
+    /// Removes the next work item to start; see [`Queue::front`].
     pub(crate) fn pop(&mut self, by_rank: bool) -> Option<WorkItem> {
+        self.pop_front(self.first_rank(by_rank)?)
+    }
+
+    /// The next work item to start: the first in rank order if `by_rank` is set, otherwise the one
+    /// that arrived first among the fronts of the ranks.
+    pub(crate) fn front(&self, by_rank: bool) -> Option<&WorkItem> {
+        self.ranks.get(&self.first_rank(by_rank)?)?.front()
+    }
+
+    fn first_rank(&self, by_rank: bool) -> Option<Rank> {
         let mut waiting = self.ranks.iter().filter(|(_, items)| !items.is_empty());
-        let (rank, _) = if by_rank {
+        let first = if by_rank {
             waiting.next()
         } else {
             waiting.min_by_key(|(_, items)| items.front().map(|item| item.arrived))
-        }?;
-        self.pop_front(*rank)
+        };
+        first.map(|(rank, _)| *rank)
     }
 
     /// When the first work item at the front of a rank reaches its longest wait or its deadline.
--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -3,6 +3,7 @@
 
 mod level;
 mod refusal;
+mod reserve;
 mod slack;
 mod waiting;
 
@@ -19,19 +20,18 @@
 use crate::PriorityBands;
 use crate::RequestRate;
 use crate::RunTimes;
-use crate::SlackEvent;
 use crate::Switches;
 use crate::WorkItem;
 use crate::WorkOutcome;
 use proto::Class;
 use proto::LoadReport;
 use proto::Reason;
+use reserve::Reserve;
 use slack::SlackCounts;
 use slack::MAX_OPERATIONS;
 use std::time::Duration;
 use stdx::BoundedMap;
 use stdx::Time;
-use waiting::MAX_QUEUE_LEN;
 
 /// How long an unreachable server is not tried again.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(200);
@@ -75,6 +75,8 @@
     /// The longest time that work scheduled by slack may wait, under the rules in force.
     longest_slack: Duration,
     slack_counts: SlackCounts,
+    /// Slots that are kept for urgent work.
+    reserve: Reserve,
     /// Durations of the runs of each operation, where work is scheduled by slack.
     run_times: BoundedMap<u32, RunTimes>,
     /// As `slot_time_by_class`, in seconds, but it follows a change of the server within a second.
@@ -128,6 +130,7 @@
             lookup_hold: LookupHold::default(),
             longest_slack: Duration::ZERO,
             slack_counts: SlackCounts::default(),
+            reserve: Reserve::default(),
             run_times: BoundedMap::new(MAX_OPERATIONS),
             recent_slot_time: [None; CLASSES],
         };
@@ -202,46 +205,21 @@
         if self.is_too_late(now, &item, Duration::ZERO) {
             return self.refuse(now, Reason::Deadline, item);
         }
-        if self.can_start(now, item.class) && self.queue.is_empty() {
+        self.record_urgent(now, &item);
+        if self.can_start_item(now, &item) && self.queue.is_empty() {
             self.start(now, &item);
             return AdmissionDecision::Start;
         }
         self.enqueue(now, item)
     }
 
-    fn enqueue(&mut self, now: Time, item: WorkItem) -> AdmissionDecision {
-        self.record_slack(now, &item);
-        self.queue.demote_late(now);
-        let ahead = self.queue.ahead_of(now, &item, self.switches.class_order);
-        let ahead = ahead.saturating_sub(self.displaced_by(&item));
-        let token_wait = self.token_wait(now, ahead + 1);
-        let drain_time = match item.latest_start {
-            Some(_) => self.expected_wait(now, &item, ahead),
-            None => self.drain_time(ahead + 1),
-        };
-        let wait = drain_time.max(token_wait);
-        let too_late = self.switches.deadline_queue && self.is_too_late(now, &item, wait)
-            || self.would_become_late(now, &item, wait);
-        let has_own_bound = item.admitted || item.latest_start.is_some();
-        let queue_full = ahead >= self.queue_capacity() && !has_own_bound;
-        let prefers_siblings = self.siblings_have_room && token_wait > self.max_wait;
-        if prefers_siblings || too_late || queue_full || self.queue.len() >= MAX_QUEUE_LEN {
-            return self.refuse_arrival(now, item, SlackEvent::RefusedOnArrival);
-        }
-        if self.is_over_share(&item) {
-            return self.refuse_arrival(now, item, SlackEvent::RefusedOverShare);
-        }
-        self.count_queued(now, &item);
-        self.queue.push(now, item);
-        AdmissionDecision::Queued
-    }
-
     /// Records that started work has ended.
     pub fn on_finished(&mut self, now: Time, class: Class, outcome: WorkOutcome) {
         // While the level sheds load, the limit counts as reached even if `running` is below it,
         // because there is demand for more slots.
         let at_limit = self.running >= self.limit.get() || self.slot_level() > 0;
         self.tick(now);
+        self.record_hold(now, outcome);
         self.running = self.running.saturating_sub(1);
         self.failure_share
             .record(now, self.resolve_abandoned(class, outcome));
@@ -317,7 +295,8 @@
         } else {
             Class::Lookup
         };
-        if !self.can_start(now, next) {
+        let front = self.queue.front(self.switches.class_order)?;
+        if !self.can_start(now, next) || !self.may_use_slot(now, front) {
             return None;
         }
         let item = self.queue.pop(self.switches.class_order)?;
@@ -333,7 +312,8 @@
     pub fn next_timer(&self) -> Option<Time> {
         let max_wait = self.max_wait();
         let queue_timer = self.queue.next_timer(|item| max_wait.of(item));
-        queue_timer.into_iter().chain(self.token_timer()).min()
+        let timers = queue_timer.into_iter().chain(self.token_timer());
+        timers.chain(self.reserve_timer()).min()
     }
 
     /// The load report for other nodes.
--- a/crates/policy/src/server_admission/slack.rs
+++ b/crates/policy/src/server_admission/slack.rs
@@ -6,6 +6,7 @@
 use crate::RunTimes;
 use crate::SlackEvent;
 use crate::WorkItem;
+use crate::WorkOutcome;
 use proto::Class;
 use std::time::Duration;
 use stdx::Time;
@@ -185,17 +186,57 @@
         })
     }
 
+    /// The number of slots that are kept for urgent work.
+    pub fn reserved_slots(&self) -> u16 {
+        self.reserve.slots(self.last_tick, self.limit.get())
+    }
+
+    pub(super) fn record_urgent(&mut self, now: Time, item: &WorkItem) {
+        if let Some(run_time) = self.long_run_time(item.operation) {
+            self.reserve.record_arrival(now, item, run_time);
+        }
+    }
+
+    pub(super) fn record_hold(&mut self, now: Time, outcome: WorkOutcome) {
+        let (WorkOutcome::Completed { elapsed, own_time }
+        | WorkOutcome::Abandoned { elapsed, own_time }) = outcome
+        else {
+            return;
+        };
+        self.reserve.record_run(now, elapsed, own_time);
+    }
+
+    /// Whether work may use a free slot, or all free slots are kept for more urgent work.
+    pub(super) fn may_use_slot(&self, now: Time, item: &WorkItem) -> bool {
+        let limit = self.limit.get();
+        let kept = self.reserve.slots(now, limit);
+        self.running < limit.saturating_sub(kept) || kept == 0 || self.reserve.is_urgent(now, item)
+    }
+
+    pub(super) fn can_start_item(&self, now: Time, item: &WorkItem) -> bool {
+        self.can_start(now, item.class) && self.may_use_slot(now, item)
+    }
+
+    /// When queued work may use the slots that are kept for urgent work.
+    pub(super) fn reserve_timer(&self) -> Option<Time> {
+        let front = self.queue.front(self.switches.class_order)?;
+        if self.may_use_slot(self.last_tick, front) {
+            return None;
+        }
+        let at = self.reserve.released_at(self.last_tick, front);
+        at.filter(|at| *at > self.last_tick)
+    }
+
     /// Counts queued work that has a latest start, by what it waits for.
     pub(super) fn count_queued(&mut self, now: Time, item: &WorkItem) {
         if item.latest_start.is_none() {
             return;
         }
-        let has_slot = self.has_capacity(item.class);
-        self.slack_counts
-            .add(match has_slot && !self.has_token(now) {
-                true => SlackEvent::WaitedForRateLimit,
-                false => SlackEvent::WaitedForSlot,
-            });
+        self.slack_counts.add(match self.has_capacity(item.class) {
+            true if !self.has_token(now) => SlackEvent::WaitedForRateLimit,
+            true if !self.may_use_slot(now, item) => SlackEvent::WaitedForReserve,
+            _ => SlackEvent::WaitedForSlot,
+        });
     }
 
     pub(super) fn count_expired(&mut self, item: &WorkItem) {
--- a/crates/policy/src/server_admission/waiting.rs
+++ b/crates/policy/src/server_admission/waiting.rs
@@ -1,6 +1,8 @@
 //! How long work is expected to wait, and how long it may.
 
 use super::ServerAdmission;
+use crate::AdmissionDecision;
+use crate::SlackEvent;
 use crate::WorkItem;
 use std::time::Duration;
 use stdx::Time;
@@ -14,9 +16,38 @@
 
 /// Maximum length of the queue. It is more than a server can process within any deadline and only
 /// bounds memory.
-pub(super) const MAX_QUEUE_LEN: usize = 10_000;
+const MAX_QUEUE_LEN: usize = 10_000;
 
 impl ServerAdmission {
+    /// Queues work that cannot start now, or refuses it if it would wait too long.
+    pub(super) fn enqueue(&mut self, now: Time, item: WorkItem) -> AdmissionDecision {
+        self.record_slack(now, &item);
+        self.queue.demote_late(now);
+        let ahead = self.queue.ahead_of(now, &item, self.switches.class_order);
+        let ahead = ahead.saturating_sub(self.displaced_by(&item));
+        let token_wait = self.token_wait(now, ahead + 1);
+        let drain_time = match item.latest_start.filter(|_| !item.admitted) {
+            Some(_) if ahead == 0 && self.can_start_item(now, &item) => Duration::ZERO,
+            Some(_) => self.expected_wait(now, &item, ahead),
+            None => self.drain_time(ahead + 1),
+        };
+        let wait = drain_time.max(token_wait);
+        let too_late = self.switches.deadline_queue && self.is_too_late(now, &item, wait)
+            || self.would_become_late(now, &item, wait);
+        let has_own_bound = item.admitted || item.latest_start.is_some();
+        let queue_full = ahead >= self.queue_capacity() && !has_own_bound;
+        let prefers_siblings = self.siblings_have_room && token_wait > self.max_wait;
+        if prefers_siblings || too_late || queue_full || self.queue.len() >= MAX_QUEUE_LEN {
+            return self.refuse_arrival(now, item, SlackEvent::RefusedOnArrival);
+        }
+        if self.is_over_share(&item) {
+            return self.refuse_arrival(now, item, SlackEvent::RefusedOverShare);
+        }
+        self.count_queued(now, &item);
+        self.queue.push(now, item);
+        AdmissionDecision::Queued
+    }
+
     pub(super) fn pop_expired(&mut self, now: Time) -> Option<WorkItem> {
         let (max_wait, slot_time) = (self.max_wait(), self.slot_time_by_class);
         let by_deadline = self.switches.deadline_queue;
--- a/crates/policy/tests/slack.rs
+++ b/crates/policy/tests/slack.rs
@@ -8,6 +8,7 @@
 use load::Outcomes;
 use load::OPERATIONS;
 use load::PATIENT;
+use load::SLOTS;
 use load::URGENT;
 use std::time::Duration;
 
@@ -103,3 +104,35 @@
         assert!(refused >= patient.refused_in_queue, "{seed} {refused}");
     }
 }
+
+/// The outcomes of urgent work while a service below is slow for the second time, and the number of
+/// runs in progress when no urgent work has been seen for a while.
+fn congestion_below(by_slack: bool, seed: u64) -> (Outcomes, u16) {
+    const WAITING: [f64; 2] = [0.2, 0.05];
+    let mut load = Load::new(by_slack, seed);
+    for _ in 0..2 {
+        load.child_wait = 200;
+        load.run(5000, WAITING);
+        load.outcomes = Default::default();
+        load.child_wait = 1200;
+        load.run(4000, WAITING);
+    }
+    let urgent = load.outcomes[URGENT];
+    load.run(3000, [WAITING[PATIENT], 0.0]);
+    let (running, _, _) = load.server.occupancy();
+    (urgent, running)
+}
+
+/// Runs of the patient action wait for a slow service below, for 1.2 s each, and would hold all
+/// slots. Urgent work with an objective of 0.5 s needs half a slot on average, and must get it.
+/// Without urgent work, the patient action may use all slots.
+#[test]
+fn runs_that_wait_for_a_slow_service_leave_slots_to_urgent_work() {
+    for seed in SEEDS {
+        let (urgent, running) = congestion_below(true, seed);
+        let (without, _) = congestion_below(false, seed);
+        assert_eq!(urgent.refused() + urgent.overdue, 0, "{seed} {urgent:?}");
+        assert!(without.refused() > 0, "{seed} {without:?}");
+        assert_eq!(running, SLOTS, "{seed}");
+    }
+}
