Announce when fewer slots are kept for urgent work

The number of kept slots falls while no urgent work arrives. No timer announced it, so a slot could stay free for up to a second while work waited that may use it.

--- a/crates/policy/src/server_admission/reserve.rs
+++ b/crates/policy/src/server_admission/reserve.rs
@@ -84,14 +84,25 @@
             .is_none_or(|latest| now + self.hold(now) > latest)
     }
 
-    /// When [`Reserve::is_urgent`] begins to hold for work at the latest, or no slots are kept any
-    /// more.
-    pub(super) fn released_at(&self, now: Time, item: &WorkItem) -> Option<Time> {
+    /// When [`Reserve::is_urgent`] begins to hold for work at the latest, or fewer slots are kept
+    /// than the `kept` ones, if no urgent work arrives meanwhile.
+    pub(super) fn released_at(&self, now: Time, item: &WorkItem, kept: u16) -> Option<Time> {
         let latest = item.latest_start?.as_micros();
         let hold = self.hold(now).as_micros() as u64;
         let urgent_at = Time::from_micros(latest.saturating_sub(hold) + 1);
         let ends_at = self.last_urgent? + URGENT_MEMORY;
-        Some(urgent_at.min(ends_at))
+        Some(urgent_at.min(ends_at).min(self.falls_below(kept)?))
+    }
+
+    /// When the slots that urgent work needs, with those for its variation, fall below `kept`.
+    fn falls_below(&self, kept: u16) -> Option<Time> {
+        // Where `needed + needed.sqrt()` is one less than `kept`.
+        let root = ((1.0 + 4.0 * (f64::from(kept) - 1.0)).max(1.0).sqrt() - 1.0) / 2.0;
+        let needed = (root * root).max(1e-6);
+        let secs = (self.urgent_slots / needed).ln() * URGENT_MEMORY.as_secs_f64();
+        // Above the rounding of the time to microseconds.
+        let after = Duration::from_secs_f64(secs.clamp(0.0, 3600.0)) + Duration::from_micros(2);
+        Some(self.last_urgent? + after)
     }
 
     fn hold(&self, now: Time) -> Duration {
--- a/crates/policy/src/server_admission/slack.rs
+++ b/crates/policy/src/server_admission/slack.rs
@@ -222,7 +222,8 @@
         if self.may_use_slot(self.last_tick, front) {
             return None;
         }
-        let at = self.reserve.released_at(self.last_tick, front);
+        let kept = self.reserved_slots();
+        let at = self.reserve.released_at(self.last_tick, front, kept);
         at.filter(|at| *at > self.last_tick)
     }
 
