Keep the first in line queued while its deadline can be met

Queued work was refused as hopeless by the wait of new work, which counts a whole run for the next slot however long that run has been going. On a server with one slot and runs of 0.4 s, work that would have ended 0.1 s before its deadline was refused. Only the work ahead counts now.

--- a/crates/policy/src/server_admission/slack.rs
+++ b/crates/policy/src/server_admission/slack.rs
@@ -12,7 +12,8 @@
 use stdx::Time;
 
 /// Queued work is refused as hopeless only if it would miss its deadline even after this share of
-/// the wait on all slots. Refusals are final, and the wait varies with the mean run time.
+/// the expected wait for the work ahead. Refusals are final, and the wait varies with the mean run
+/// time.
 const HOPELESS_WAIT_SHARE: f64 = 0.75;
 
 /// The maximum number of operations whose run times are kept.
@@ -87,20 +88,21 @@
         *mean += (elapsed - *mean) / RECENT_WINDOW;
     }
 
-    /// The time until a work item with `ahead` others before it can start, if `slots` are free for
-    /// them. Those before it are mostly of its own class.
-    fn wait_on(&self, item: &WorkItem, ahead: usize, slots: f64) -> Duration {
+    /// The time that `items` work items take on `slots`. Those before a work item are mostly of its
+    /// own class.
+    fn wait_on(&self, item: &WorkItem, items: usize, slots: f64) -> Duration {
         let mean = self.recent_slot_time[item.class as usize].unwrap_or(0.0);
-        let secs = (ahead + 1) as f64 * mean / slots.max(MIN_FREE_SHARE);
+        let secs = items as f64 * mean / slots.max(MIN_FREE_SHARE);
         Duration::from_secs_f64(secs.clamp(0.0, 3600.0))
     }
 
-    /// The expected time until a work item with `ahead` others before it can start. More urgent work
-    /// that arrives meanwhile goes before it, so it counts only on the slots that such work leaves.
-    pub(super) fn expected_wait(&self, now: Time, item: &WorkItem, ahead: usize) -> Duration {
+    /// The expected time until `items` work items up to this one have left the queue. More urgent
+    /// work that arrives meanwhile goes before it, so it counts only on the slots that such work
+    /// leaves.
+    pub(super) fn expected_wait(&self, now: Time, item: &WorkItem, items: usize) -> Duration {
         let slots = f64::from(self.limit.get());
         let left = slots - self.level.slots_before(now, item);
-        self.wait_on(item, ahead, left.max(slots * MIN_FREE_SHARE))
+        self.wait_on(item, items, left.max(slots * MIN_FREE_SHARE))
     }
 
     /// Whether an action that begins here cannot be queued, because it would wait beyond its latest
@@ -178,9 +180,9 @@
             return None;
         }
         self.queue.find_hopeless(|item, ahead| {
-            let wait = self
-                .expected_wait(now, item, ahead)
-                .mul_f64(HOPELESS_WAIT_SHARE);
+            // A slot may become free at any moment, so only the work ahead counts.
+            let wait = self.expected_wait(now, item, ahead);
+            let wait = wait.mul_f64(HOPELESS_WAIT_SHARE);
             self.is_too_late(now, item, wait) || self.would_end_too_late(now, item, wait)
         })
     }
--- a/crates/policy/src/server_admission/waiting.rs
+++ b/crates/policy/src/server_admission/waiting.rs
@@ -29,7 +29,7 @@
         let token_wait = self.token_wait(now, ahead + 1);
         let drain_time = match item.latest_start.filter(|_| !item.admitted) {
             Some(_) if ahead == 0 && self.can_start_item(now, &item) => Duration::ZERO,
-            Some(_) => self.expected_wait(now, &item, ahead),
+            Some(_) => self.expected_wait(now, &item, ahead + 1),
             None => self.drain_time(ahead + 1),
         };
         let wait = drain_time.max(token_wait);
--- a/crates/policy/tests/slack/queue.rs
+++ b/crates/policy/tests/slack/queue.rs
@@ -21,14 +21,14 @@
 /// The number of runs that the server can end until the longest deadline.
 const MAX_RUNS: usize = SLOTS * (MAX_DEADLINE_MS / RUN_MS) as usize;
 
-/// A server that has learned the run times. The level, which would shed work before it is queued, is
-/// off.
-fn server(waits: u64) -> Server {
+/// A server that has learned how long runs take and how long they wait. The level, which would shed
+/// work before it is queued, is off.
+fn server_of(slots: usize, (held, waits): (u64, u64)) -> Server {
     let mut switches = Switches::ALL;
     switches.levels = false;
-    let mut server = Server::new(switches, SLOTS as u16, [(RUN_MS, waits); 2]);
-    let elapsed = Duration::from_millis(RUN_MS);
-    let own_time = Duration::from_millis(RUN_MS - waits);
+    let mut server = Server::new(switches, slots as u16, [(held, waits); 2]);
+    let elapsed = Duration::from_millis(held);
+    let own_time = Duration::from_millis(held - waits);
     let completed = WorkOutcome::Completed { elapsed, own_time };
     for _ in 0..32 {
         for class in [Class::Lookup, Class::Order] {
@@ -39,6 +39,10 @@
     server
 }
 
+fn server(waits: u64) -> Server {
+    server_of(SLOTS, (RUN_MS, waits))
+}
+
 /// Work that arrives some time after the previous one, with times in milliseconds: the class and the
 /// priority, the time until the end of the objective and until the deadline, whether its latest
 /// start is known, whether it is patient, its organisation, and whether it is a call of an admitted
@@ -208,3 +212,19 @@
     server.drain();
     assert_eq!(server.waiting.len(), 1);
 }
+
+/// The only slot is held for 0.4 s, and work that waits for it can then end 0.1 s before its
+/// deadline. Until the slot is free, it must not be refused for want of the time that the running
+/// work has already spent.
+#[test]
+fn work_next_in_line_is_not_refused_while_its_deadline_can_be_met() {
+    let mut server = server_of(1, (400, 0));
+    for waits in [false, true] {
+        let item = server.item(Class::Order, 0, 900, 900);
+        assert_eq!(server.offer(item), waits);
+    }
+    for _ in 0..900 {
+        server.advance();
+    }
+    assert_eq!(server.outcomes[0].in_time, 2);
+}
