Keep no slots for work that is late already

Work whose objective has passed counted as urgent, so slots were kept free for it, at the head of a rank that it stands behind, while work that could still meet its objective waited.

--- a/crates/policy/src/server_admission/reserve.rs
+++ b/crates/policy/src/server_admission/reserve.rs
@@ -53,9 +53,11 @@
         }
     }
 
-    /// Records work that has arrived and will hold a slot for `run_time`.
+    /// Records work that has arrived and will hold a slot for `run_time`. Work that is late already
+    /// is left out: a slot kept for it would not make it meet its objective.
     pub(super) fn record_arrival(&mut self, now: Time, item: &WorkItem, run_time: Duration) {
-        if item.latest_start.is_some() && self.is_urgent(now, item) {
+        let is_in_time = item.latest_start.is_some_and(|latest| latest >= now);
+        if is_in_time && self.is_urgent(now, item) {
             let needed = run_time.as_secs_f64() / URGENT_MEMORY.as_secs_f64();
             self.urgent_slots = self.decayed_urgent_slots(now) + needed;
             self.last_urgent = Some(now);
--- a/crates/policy/tests/slack/queue.rs
+++ b/crates/policy/tests/slack/queue.rs
@@ -228,3 +228,18 @@
     }
     assert_eq!(server.outcomes[0].in_time, 2);
 }
+
+/// Work whose objective has passed needs no slot soon. If slots were kept for it, they would stay
+/// free while work waits that can still meet its objective.
+#[test]
+fn no_slots_are_kept_for_late_work() {
+    for (objective, keeps_slots) in [(1400, true), (1200, false)] {
+        let mut server = server_of(4, (1300, 1200));
+        server.now = 5000;
+        for _ in 0..8 {
+            let item = server.item(Class::Order, 0, objective, 1500);
+            server.offer(item);
+        }
+        assert_eq!(server.admission.reserved_slots() > 0, keeps_slots);
+    }
+}
