--- a/crates/engine/tests/slack.rs
+++ b/crates/engine/tests/slack.rs
@@ -50,13 +50,11 @@
     }
 }
 
-fn response() -> Response {
-    Response {
-        status: 200,
-        headers: Vec::new(),
-        body: Bytes::new(),
-    }
-}
+const RESPONSE: Response = Response {
+    status: 200,
+    headers: Vec::new(),
+    body: Bytes::new(),
+};
 
 struct Node {
     engine: Engine,
@@ -121,7 +119,7 @@
         });
         let run = run.expect("the server is idle");
         self.advance(ms);
-        let end = RunEnd::Response(response());
+        let end = RunEnd::Response(RESPONSE);
         let outputs = self.feed(Input::RunEnded { run, end });
         let ended = outputs.iter().find_map(|output| match output {
             Output::Diagnostic(Diagnostic::JobEnded { slack_ms, .. }) => Some(*slack_ms),
@@ -137,31 +135,21 @@
             .filter_map(|_| call_of(&self.request(path)))
             .collect();
         assert_eq!(calls.len(), 10, "no level is known yet");
+        let mut answer = Answer {
+            outcome: Outcome::Completed(RESPONSE),
+            unspent_retries: 0,
+            load: LoadReport::default(),
+            downstream: DownstreamSummary::default(),
+        };
+        (answer.load.level, answer.load.limit) = (level, 16);
+        answer.downstream.level = downstream;
         for call in calls {
             self.advance(50);
-            self.answer(call, level, downstream);
+            let from = Incarnation(u64::from(PEER_NODE));
+            let frame = Frame::Answer(call.id, Box::new(answer.clone()));
+            self.feed(Input::Frame { from, frame });
         }
     }
-
-    fn answer(&mut self, call: Call, level: u16, downstream: u16) {
-        let answer = Answer {
-            outcome: Outcome::Completed(response()),
-            unspent_retries: 0,
-            load: LoadReport {
-                level,
-                limit: 16,
-                ..LoadReport::default()
-            },
-            downstream: DownstreamSummary {
-                level: downstream,
-                ..DownstreamSummary::default()
-            },
-        };
-        self.feed(Input::Frame {
-            from: Incarnation(u64::from(PEER_NODE)),
-            frame: Frame::Answer(call.id, Box::new(answer)),
-        });
-    }
 }
 
 fn call_of(outputs: &[Output]) -> Option<Call> {
