--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -185,14 +185,14 @@
         items.filter_map(WorkItem::slack).max().unwrap_or_default()
     }
 
-    /// An action that begins here and for which `is_hopeless` holds, given the number of work items
+    /// An action that begins here and for which `is_infeasible` holds, given the number of work items
     /// ahead of it. Only the last such action of each lane is checked, the least urgent lane first.
     /// Work without a latest start is left out.
-    pub(crate) fn find_hopeless(
+    pub(crate) fn find_infeasible(
         &self,
-        is_hopeless: impl Fn(&WorkItem, usize) -> bool,
+        is_infeasible: impl Fn(&WorkItem, usize) -> bool,
     ) -> Option<Place> {
-        self.find_last(|item| !item.admitted, is_hopeless)
+        self.find_last(|item| !item.admitted, is_infeasible)
     }
 
     /// Of the last work item in each lane that matches `is_candidate`, the least urgent for which
@@ -222,8 +222,8 @@
         self.take(Place { rank, index: 0 })
     }
 
-    /// Removes the first lookup of the least urgent rank among actions that begin here; if there is
-    /// none, among all lookups.
+    /// Removes the first lookup of the least urgent rank, calls of admitted actions without a latest
+    /// start last.
     pub(crate) fn evict_lookup(&mut self) -> Option<WorkItem> {
         self.pop_least_urgent(|rank| rank.is_lookup && rank.lane != Lane::Admitted)
             .or_else(|| self.pop_least_urgent(|rank| rank.is_lookup))
--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -176,7 +176,7 @@
     pub fn set_bounds(&mut self, min: u16, max: u16, max_wait: Duration) {
         self.limit.set_bounds(min, max);
         self.max_wait = max_wait;
-        // From here on, by the rules in force; what is queued keeps its place.
+        // Work that was queued under the former rules keeps its part of the queue.
         self.longest_slack = self.queue.longest_slack();
         self.skip_slow_start();
     }
--- a/crates/policy/src/server_admission/slack.rs
+++ b/crates/policy/src/server_admission/slack.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 use stdx::Time;
 
-/// Queued work is refused as hopeless only if it would miss its deadline even after this share of
+/// Queued work is refused as infeasible only if it would miss its deadline even after this share of
 /// the expected wait for the work ahead. Refusals are final, and the wait varies with the mean run
 /// time.
-const HOPELESS_WAIT_SHARE: f64 = 0.75;
+const INFEASIBLE_WAIT_SHARE: f64 = 0.75;
 
 /// The maximum number of operations whose run times are kept.
 pub(super) const MAX_OPERATIONS: usize = 1024;
@@ -168,21 +168,21 @@
         let over_share = self.queue.find_over_share(self.organisation_share());
         let (place, event) = match over_share {
             Some(place) => (place, SlackEvent::RefusedOverShare),
-            None => (self.find_hopeless(now)?, SlackEvent::RefusedInQueue),
+            None => (self.find_infeasible(now)?, SlackEvent::RefusedInQueue),
         };
         let item = self.queue.take(place)?;
         self.slack_counts.add(event);
         Some(item)
     }
 
-    fn find_hopeless(&self, now: Time) -> Option<Place> {
+    fn find_infeasible(&self, now: Time) -> Option<Place> {
         if !self.switches.deadline_queue || !self.switches.class_order {
             return None;
         }
-        self.queue.find_hopeless(|item, ahead| {
+        self.queue.find_infeasible(|item, ahead| {
             // A slot may become free at any moment, so only the work ahead counts.
             let wait = self.expected_wait(now, item, ahead);
-            let wait = wait.mul_f64(HOPELESS_WAIT_SHARE);
+            let wait = wait.mul_f64(INFEASIBLE_WAIT_SHARE);
             self.is_too_late(now, item, wait) || self.would_end_too_late(now, item, wait)
         })
     }
