--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -3,6 +3,8 @@
 
 mod level;
 mod refusal;
+mod reserve;
+mod slack;
 mod waiting;
 
 use crate::admission_level::AdmissionLevel;
@@ -17,15 +19,19 @@
 use crate::AdmissionDecision;
 use crate::PriorityBands;
 use crate::RequestRate;
+use crate::RunTimes;
 use crate::Switches;
 use crate::WorkItem;
 use crate::WorkOutcome;
 use proto::Class;
 use proto::LoadReport;
 use proto::Reason;
+use reserve::Reserve;
+use slack::SlackCounts;
+use slack::MAX_OPERATIONS;
 use std::time::Duration;
+use stdx::BoundedMap;
 use stdx::Time;
-use waiting::MAX_QUEUE_LEN;
 
 /// How long an unreachable server is not tried again.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(200);
@@ -66,6 +72,15 @@
     /// Set while the server is unreachable; it is not tried again before this time.
     down_until: Option<Time>,
     lookup_hold: LookupHold,
+    /// The longest time that work scheduled by slack may wait, under the rules in force.
+    longest_slack: Duration,
+    slack_counts: SlackCounts,
+    /// Slots that are kept for urgent work.
+    reserve: Reserve,
+    /// Durations of the runs of each operation, where work is scheduled by slack.
+    run_times: BoundedMap<u32, RunTimes>,
+    /// As `slot_time_by_class`, in seconds, but it follows a change of the server within a second.
+    recent_slot_time: [Option<f64>; CLASSES],
 }
 
 impl ServerAdmission {
@@ -87,6 +102,9 @@
     ///     passed_level: 0,
     ///     deadline: Time::from_micros(1_000_000),
     ///     latest_start: None,
+    ///     operation: 0,
+    ///     patient: false,
+    ///     organisation: 0,
     ///     arrived: Time::ZERO,
     ///     admitted: false,
     /// };
@@ -110,6 +128,11 @@
             slowdown: Slowdown::default(),
             down_until: None,
             lookup_hold: LookupHold::default(),
+            longest_slack: Duration::ZERO,
+            slack_counts: SlackCounts::default(),
+            reserve: Reserve::default(),
+            run_times: BoundedMap::new(MAX_OPERATIONS),
+            recent_slot_time: [None; CLASSES],
         };
         server.skip_slow_start();
         server
@@ -153,6 +176,8 @@
     pub fn set_bounds(&mut self, min: u16, max: u16, max_wait: Duration) {
         self.limit.set_bounds(min, max);
         self.max_wait = max_wait;
+        // Work that was queued under the former rules keeps its part of the queue.
+        self.longest_slack = self.queue.longest_slack();
         self.skip_slow_start();
     }
 
@@ -168,7 +193,7 @@
         self.level.record_offered(now, &item, slot_time);
         self.tick(now);
         let value = admission_value(item.class, item.random_value);
-        if !item.admitted && value < self.level_for(now, item.class) {
+        if !item.admitted && value < self.level_for(now, &item) {
             self.hold_lookups(now, item.class);
             return self.refuse(now, Reason::Shed, item);
         }
@@ -181,33 +206,21 @@
         if self.is_too_late(now, &item, Duration::ZERO) {
             return self.refuse(now, Reason::Deadline, item);
         }
-        if self.can_start(now, item.class) && self.queue.is_empty() {
+        self.record_urgent(now, &item);
+        if self.can_start_item(now, &item) && self.queue.is_empty() {
             self.start(now, &item);
             return AdmissionDecision::Start;
         }
         self.enqueue(now, item)
     }
 
-    fn enqueue(&mut self, now: Time, item: WorkItem) -> AdmissionDecision {
-        let ahead = self.queue.ahead_of(&item, self.switches.class_order);
-        let token_wait = self.token_wait(now, ahead + 1);
-        let wait = self.drain_time(ahead + 1).max(token_wait);
-        let too_late = self.switches.deadline_queue && self.is_too_late(now, &item, wait);
-        let queue_full = ahead >= self.queue_capacity() && !item.admitted;
-        let prefers_siblings = self.siblings_have_room && token_wait > self.max_wait;
-        if prefers_siblings || too_late || queue_full || self.queue.len() >= MAX_QUEUE_LEN {
-            return self.refuse_for_load(now, item);
-        }
-        self.queue.push(item);
-        AdmissionDecision::Queued
-    }
-
     /// Records that started work has ended.
     pub fn on_finished(&mut self, now: Time, class: Class, outcome: WorkOutcome) {
         // While the level sheds load, the limit counts as reached even if `running` is below it,
         // because there is demand for more slots.
         let at_limit = self.running >= self.limit.get() || self.slot_level() > 0;
         self.tick(now);
+        self.record_hold(now, outcome);
         self.running = self.running.saturating_sub(1);
         self.failure_share
             .record(now, self.resolve_abandoned(class, outcome));
@@ -215,6 +228,7 @@
             WorkOutcome::Completed { elapsed, own_time } => {
                 self.down_until = None;
                 self.slot_time.record(elapsed);
+                self.record_recent_slot_time(class, elapsed);
                 self.slot_time_by_class[class as usize].record(elapsed);
                 self.slot_time_with_abandoned[class as usize].record(elapsed);
                 self.slowdown.record(now, class, own_time);
@@ -261,7 +275,9 @@
 
     /// The next work item that leaves the queue, either to start or refused. Call until `None`.
     pub fn next_decision(&mut self, now: Time) -> Option<(WorkItem, AdmissionDecision)> {
+        self.queue.demote_late(now);
         if let Some(item) = self.pop_expired(now) {
+            self.count_expired(&item);
             return Some((item, self.refuse_for_load(now, item)));
         }
         if self.lookup_hold.is_active() {
@@ -272,15 +288,23 @@
         if let Some(item) = self.queue.evict_excess(self.queue_capacity()) {
             return Some((item, self.refuse_for_load(now, item)));
         }
+        if let Some(item) = self.evict_by_slack(now) {
+            return Some((item, self.refuse_for_load(now, item)));
+        }
         let next = if self.queue.protected_len() > 0 {
             Class::Order
         } else {
             Class::Lookup
         };
-        if !self.can_start(now, next) {
+        let front = self.queue.front(self.switches.class_order)?;
+        if !self.can_start(now, next) || !self.may_use_slot(now, front) {
             return None;
         }
         let item = self.queue.pop(self.switches.class_order)?;
+        if self.would_end_too_late(now, &item, Duration::ZERO) {
+            self.count_expired(&item);
+            return Some((item, self.refuse_for_load(now, item)));
+        }
         self.start(now, &item);
         Some((item, AdmissionDecision::Start))
     }
@@ -289,7 +313,8 @@
     pub fn next_timer(&self) -> Option<Time> {
         let max_wait = self.max_wait();
         let queue_timer = self.queue.next_timer(|item| max_wait.of(item));
-        queue_timer.into_iter().chain(self.token_timer()).min()
+        let timers = queue_timer.into_iter().chain(self.token_timer());
+        timers.chain(self.reserve_timer()).min()
     }
 
     /// The load report for other nodes.
@@ -338,14 +363,19 @@
             "a lookup that was queued when a protected call was refused for load must not start"
         );
         self.running += 1;
+        self.count_started(now, item);
         if let Some(limiter) = &mut self.rate_limiter {
             limiter.take(now);
         }
     }
 
     fn can_start(&self, now: Time, class: Class) -> bool {
+        self.has_capacity(class) && self.has_token(now)
+    }
+
+    fn has_token(&self, now: Time) -> bool {
         let limiter = self.rate_limiter.as_ref();
-        self.has_capacity(class) && limiter.is_none_or(|limiter| limiter.has_token(now))
+        limiter.is_none_or(|limiter| limiter.has_token(now))
     }
 
     fn has_capacity(&self, class: Class) -> bool {
