Lend quota tokens to urgent work first, and decide on waiting by slack

Which requests of an organisation above its quota got its tokens was left to chance: whoever asked at the right moment, urgent or not, at any node.

Borrowers state how many of the wanted tokens are for urgent work. A lender serves these first and keeps back tokens for as much urgent demand as it has seen lately. TokenQueue orders the requests of an organisation at a node, says which of them cannot get a token in time, and promises tokens to refused callers; Returns recognises them. Without urgent demand lenders and borrowers act as before.

--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -22,6 +22,7 @@
 use proto::QuotaMessage;
 use proto::Reason;
 use proto::Refusal;
+use proto::TokenDemand;
 use proto::PROTOCOL_VERSION;
 use rand::RngExt;
 use rules::Organisations;
@@ -253,7 +254,7 @@
         group: u8,
         from: Incarnation,
         vote_stamp: u64,
-        wanted: &[(OrganisationId, u16)],
+        wanted: &[TokenDemand],
     ) -> (u64, Vec<Loan>) {
         if self.stopping {
             return (0, Vec::new());
@@ -265,10 +266,11 @@
             return (Lender::stamp(now), Vec::new());
         };
         let mut granted = Vec::new();
-        for (id, tokens) in wanted {
-            let quota = organisations.get(*id).and_then(|found| found.quota);
-            if let Some(quota) = quota.filter(|_| group_of(*id) == group) {
-                granted.push(lender.lend(now, *id, quota, *tokens, voters));
+        for demand in wanted {
+            let id = demand.organisation;
+            let quota = organisations.get(id).and_then(|found| found.quota);
+            if let Some(quota) = quota.filter(|_| group_of(id) == group) {
+                granted.push(lender.lend(now, *demand, quota, voters));
             }
         }
         (Lender::stamp(now), granted)
@@ -285,7 +287,7 @@
     ) {
         let borrower = &mut self.quota.borrower;
         let loans = borrower.on_lend(now, from, group, request_id, stamp, granted);
-        for loan in loans {
+        for (_, loan) in loans {
             self.admit_waiting(now, loan.organisation);
         }
     }
--- a/crates/organisation/src/borrower.rs
+++ b/crates/organisation/src/borrower.rs
@@ -3,6 +3,8 @@
 //! Tokens are requested ahead of demand, so that there is usually one at hand. Only requests of an
 //! organisation that is rarely seen on this node wait for the lender's answer.
 
+use crate::group_state::GroupState;
+use crate::group_state::PendingRequest;
 use crate::lender::VOTE_LEASE;
 use crate::pool::Pool;
 use crate::QuotaTolerance;
@@ -11,9 +13,9 @@
 use proto::Incarnation;
 use proto::Loan;
 use proto::OrganisationId;
+use proto::TokenDemand;
 use rules::Quota;
 use std::time::Duration;
-use stdx::BoundedMap;
 use stdx::Time;
 
 /// Interval between votes. It is less than half of [`VOTE_LEASE`], so that a lender keeps the vote
@@ -29,10 +31,6 @@
 /// Number of consecutive timeouts after which a lender is considered lost.
 const MAX_TIMEOUTS: u32 = 3;
 
-/// How long a lost lender is avoided, and how many such lenders are remembered.
-const AVOID_DURATION: Duration = Duration::from_secs(3);
-const MAX_AVOIDED: usize = 64;
-
 /// Limits for the delay between two requests for an organisation whose quota is used up. A lender
 /// that has few votes now may have many a moment later, so the delay is short.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(60);
@@ -48,6 +46,8 @@
     pub organisation: OrganisationId,
     /// When the token expires.
     pub expires: Time,
+    /// When the token was spent.
+    pub spent_at: Time,
 }
 
 /// A request for tokens, which may also give the lender this node's vote.
@@ -60,69 +60,7 @@
     /// The stamp that gives the lender this node's vote; 0 to give none.
     pub vote_stamp: u64,
     /// The number of tokens requested for each organisation.
-    pub wanted: Vec<(OrganisationId, u16)>,
-}
-
-#[derive(Debug)]
-struct PendingRequest {
-    sent_at: Time,
-    /// Whether an answer or a timeout counts for the current lender; `false` once the lender has
-    /// changed.
-    is_to_current_lender: bool,
-    wanted: Vec<(OrganisationId, u16)>,
-}
-
-/// The lender of a group as seen by this node, and the state of requests to it.
-#[derive(Debug)]
-struct GroupState {
-    lender: Option<Incarnation>,
-    /// The last stamp received from the lender; 0 if none.
-    stamp: u64,
-    /// The lender that has this node's vote, and the time until which no other may get it.
-    committed_vote: Option<(Incarnation, Time)>,
-    vote_due: Time,
-    in_flight: IndexMap<u64, PendingRequest>,
-    timeouts: u32,
-    /// Lenders considered lost, with the time until which they are avoided.
-    avoided: BoundedMap<Incarnation, Time>,
-    /// A pool of the group may need tokens at once.
-    urgent: bool,
-    /// When a pool of the group may request tokens again after its lender had too few.
-    retry_at: Option<Time>,
-}
-
-impl GroupState {
-    fn new() -> Self {
-        Self {
-            lender: None,
-            stamp: 0,
-            committed_vote: None,
-            vote_due: Time::ZERO,
-            in_flight: IndexMap::new(),
-            timeouts: 0,
-            avoided: BoundedMap::new(MAX_AVOIDED),
-            urgent: false,
-            retry_at: None,
-        }
-    }
-
-    fn avoid(&mut self, now: Time, lender: Incarnation) {
-        self.avoided.insert(lender, now + AVOID_DURATION);
-        self.vote_due = now;
-    }
-
-    fn set_lender(&mut self, lender: Option<Incarnation>) {
-        if self.lender != lender {
-            // Timeouts of requests to the previous lender must not count against this one.
-            for request in self.in_flight.values_mut() {
-                request.is_to_current_lender = false;
-            }
-            self.lender = lender;
-            self.stamp = 0;
-            self.timeouts = 0;
-            self.vote_due = Time::ZERO;
-        }
-    }
+    pub wanted: Vec<TokenDemand>,
 }
 
 /// The borrowing side of a node.
@@ -134,6 +72,8 @@
     started_at: Option<Time>,
     /// Whether any organisation has a quota, so that this node must vote.
     has_quotas: bool,
+    /// Whether urgent and other work is told apart.
+    by_urgency: bool,
     pools: IndexMap<OrganisationId, Pool>,
     groups: Vec<GroupState>,
     last_request_id: u64,
@@ -146,6 +86,7 @@
             tolerance,
             started_at: None,
             has_quotas: false,
+            by_urgency: false,
             pools: IndexMap::new(),
             groups: (0..GROUP_COUNT).map(|_| GroupState::new()).collect(),
             last_request_id: 0,
@@ -166,9 +107,44 @@
         expires.map(|expires| QuotaToken {
             organisation,
             expires,
+            spent_at: now,
         })
     }
 
+    /// Records a newly arrived request that may have to wait although there is a token.
+    pub fn record_demand(&mut self, now: Time, organisation: OrganisationId, quota: Quota) {
+        self.pool(organisation, quota).demand.record(now);
+    }
+
+    /// The number of tokens at hand.
+    pub fn available(&mut self, now: Time, organisation: OrganisationId) -> u32 {
+        let Some(pool) = self.pools.get_mut(&organisation) else {
+            return 0;
+        };
+        pool.drop_expired(now);
+        pool.available()
+    }
+
+    /// Sets how many tokens requests wait for, and how many of those are for urgent work.
+    pub fn set_waiting(
+        &mut self,
+        now: Time,
+        organisation: OrganisationId,
+        waiting: u32,
+        urgent: u32,
+    ) {
+        if let Some(pool) = self.pools.get_mut(&organisation) {
+            pool.waiting = waiting;
+            pool.waiting_urgent = urgent;
+            self.update_urgency(now, organisation);
+        }
+    }
+
+    /// Sets whether urgent and other work is told apart.
+    pub fn set_by_urgency(&mut self, by_urgency: bool) {
+        self.by_urgency = by_urgency;
+    }
+
     /// Spends a token on a waiting request.
     pub fn try_spend_waiting(
         &mut self,
@@ -181,6 +157,7 @@
         Some(QuotaToken {
             organisation,
             expires,
+            spent_at: now,
         })
     }
 
@@ -303,7 +280,7 @@
     }
 
     /// Handles a lender's answer to the request `request_id` and returns the loans that were
-    /// accepted. A `stamp` of 0 means that the node no longer lends and holds no votes.
+    /// accepted, with what was requested. A `stamp` of 0 means that the node no longer lends and holds no votes.
     pub fn on_lend(
         &mut self,
         now: Time,
@@ -312,7 +289,7 @@
         request_id: u64,
         stamp: u64,
         loans: &[Loan],
-    ) -> Vec<Loan> {
+    ) -> Vec<(TokenDemand, Loan)> {
         let Some(state) = self.groups.get_mut(usize::from(group)) else {
             return Vec::new();
         };
@@ -333,14 +310,20 @@
         }
         self.clear_requested(&request.wanted);
         let mut received = Vec::new();
-        for (organisation, wanted) in &request.wanted {
-            let Some(loan) = loans.iter().find(|loan| loan.organisation == *organisation) else {
+        for demand in &request.wanted {
+            let is_answer = |loan: &&Loan| loan.organisation == demand.organisation;
+            let Some(loan) = loans.iter().find(is_answer) else {
                 continue;
             };
             // A lender must not lend more than was requested.
-            let tokens = loan.tokens.min(*wanted);
-            self.apply_loan(now, request.sent_at, Loan { tokens, ..*loan });
-            received.push(*loan);
+            let tokens = loan.tokens.min(demand.tokens);
+            self.apply_loan(
+                now,
+                request.sent_at,
+                Loan { tokens, ..*loan },
+                demand.urgent,
+            );
+            received.push((*demand, Loan { tokens, ..*loan }));
         }
         received
     }
@@ -362,6 +345,7 @@
                 }
                 if quota != pool.quota {
                     pool.backoff_until = None;
+                    pool.urgent_backoff_until = None;
                 }
                 pool.quota = quota;
             }
@@ -369,7 +353,7 @@
         });
     }
 
-    fn apply_loan(&mut self, now: Time, sent_at: Time, loan: Loan) {
+    fn apply_loan(&mut self, now: Time, sent_at: Time, loan: Loan, urgent: u16) {
         let tolerance = self.tolerance;
         let Some(pool) = self.pools.get_mut(&loan.organisation) else {
             return;
@@ -381,7 +365,17 @@
         pool.has_surplus = loan.has_surplus;
         let wait =
             Duration::from_millis(loan.wait_ms.into()).clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-        pool.backoff_until = (loan.wait_ms > 0).then(|| now + wait);
+        let backoff_until = (loan.wait_ms > 0).then(|| now + wait);
+        // An answer to a request for urgent work alone, or for the few requests that have arrived
+        // since the last shortage, does not end the shortage.
+        let is_partial = loan.tokens <= urgent || pool.waiting > loan.tokens.into();
+        let keeps_backoff = self.by_urgency && pool.is_backing_off(now) && is_partial;
+        if loan.wait_ms > 0 || !keeps_backoff {
+            pool.backoff_until = backoff_until;
+        }
+        if urgent > 0 {
+            pool.urgent_backoff_until = backoff_until.filter(|_| loan.tokens < urgent);
+        }
         if pool.waiting > u32::from(loan.tokens) {
             let state = &mut self.groups[usize::from(crate::group_of(loan.organisation))];
             let due = pool.backoff_until.unwrap_or(now);
@@ -398,22 +392,29 @@
         if self
             .pools
             .get(&organisation)
-            .is_some_and(|pool| pool.is_urgent(now))
+            .is_some_and(|pool| pool.is_urgent(now, self.by_urgency))
         {
             self.groups[usize::from(crate::group_of(organisation))].urgent = true;
         }
     }
 
-    fn collect_requests(&mut self, now: Time, group: u8) -> Vec<(OrganisationId, u16)> {
+    fn collect_requests(&mut self, now: Time, group: u8) -> Vec<TokenDemand> {
         let mut wanted = Vec::new();
         for (organisation, pool) in &mut self.pools {
             if crate::group_of(*organisation) != group {
                 continue;
             }
-            let tokens = pool.tokens_to_request(now).min(u16::MAX.into()) as u16;
+            let (tokens, urgent) = pool.tokens_to_request(now, self.by_urgency);
+            let tokens = tokens.min(u16::MAX.into()) as u16;
+            let urgent = urgent.min(tokens.into()) as u16;
             if tokens > 0 {
                 pool.requested += u32::from(tokens);
-                wanted.push((*organisation, tokens));
+                pool.requested_urgent += u32::from(urgent);
+                wanted.push(TokenDemand {
+                    organisation: *organisation,
+                    tokens,
+                    urgent,
+                });
             }
         }
         wanted
@@ -449,10 +450,12 @@
         }
     }
 
-    fn clear_requested(&mut self, wanted: &[(OrganisationId, u16)]) {
-        for (organisation, tokens) in wanted {
-            if let Some(pool) = self.pools.get_mut(organisation) {
-                pool.requested = pool.requested.saturating_sub((*tokens).into());
+    fn clear_requested(&mut self, wanted: &[TokenDemand]) {
+        for demand in wanted {
+            if let Some(pool) = self.pools.get_mut(&demand.organisation) {
+                let (tokens, urgent) = (demand.tokens.into(), demand.urgent.into());
+                pool.requested = pool.requested.saturating_sub(tokens);
+                pool.requested_urgent = pool.requested_urgent.saturating_sub(urgent);
             }
         }
     }
--- a/crates/organisation/src/lender.rs
+++ b/crates/organisation/src/lender.rs
@@ -9,12 +9,14 @@
 //! that answer. The vote is valid for [`VOTE_LEASE`] from that time, so a delayed vote is never
 //! valid for longer than its owner is committed to it.
 
+use crate::decay::DecayingCount;
 use crate::LendingTerms;
 use crate::QuotaTolerance;
 use indexmap::IndexMap;
 use proto::Incarnation;
 use proto::Loan;
 use proto::OrganisationId;
+use proto::TokenDemand;
 use rules::Quota;
 use std::time::Duration;
 use stdx::Time;
@@ -30,14 +32,55 @@
 /// reserve.
 const SURPLUS_FRACTION: f64 = 0.5;
 
+/// How long urgent demand is remembered. Tokens for as much urgent demand are not lent to the rest.
+/// It is longer than the time after which a borrower without tokens asks again, so that a lender
+/// which is short keeps tokens back for it.
+const URGENT_MEMORY: Duration = Duration::from_millis(300);
+
 /// Token bucket of an organisation.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Bucket {
     tokens: f64,
     /// Value of [`Group::share_seconds`] at the last refill.
     share_seconds: f64,
     /// Value of [`Group::share_lost`] at the last refill.
     share_lost: f64,
+    /// Tokens that borrowers have requested for urgent work.
+    urgent_demand: DecayingCount,
+}
+
+impl Default for Bucket {
+    fn default() -> Self {
+        Self {
+            tokens: 0.0,
+            share_seconds: 0.0,
+            share_lost: 0.0,
+            urgent_demand: DecayingCount::new(URGENT_MEMORY),
+        }
+    }
+}
+
+impl Bucket {
+    /// Takes tokens for a borrower: first for its urgent work, then for the rest as far as they
+    /// need not be kept back for the urgent work of all borrowers. `capacity` is the highest number
+    /// of tokens that the bucket can hold. The bucket can always hold one token more than is kept
+    /// back, so that the rest is not starved while urgent demand is below the rate.
+    fn take(&mut self, now: Time, demand: TokenDemand, capacity: f64) -> u16 {
+        let urgent = demand.urgent.min(demand.tokens);
+        if urgent > 0 {
+            self.urgent_demand.add(now, urgent.into());
+        }
+        let to_urgent = self.tokens.floor().min(urgent.into());
+        self.tokens -= to_urgent;
+        let spare = self.tokens - self.kept_back(now, capacity);
+        let to_rest = spare.floor().clamp(0.0, f64::from(demand.tokens - urgent));
+        self.tokens -= to_rest;
+        (to_urgent + to_rest) as u16
+    }
+
+    fn kept_back(&self, now: Time, capacity: f64) -> f64 {
+        self.urgent_demand.get(now).min((capacity - 1.0).max(0.0))
+    }
 }
 
 /// The votes that this node holds in one group, and the token buckets of the group.
@@ -161,15 +204,13 @@
         }
     }
 
-    /// Lends up to `wanted` tokens.
-    pub fn lend(
-        &mut self,
-        now: Time,
-        organisation: OrganisationId,
-        quota: Quota,
-        wanted: u16,
-        voters: usize,
-    ) -> Loan {
+    /// Lends up to as many tokens as are requested.
+    pub fn lend(&mut self, now: Time, demand: TokenDemand, quota: Quota, voters: usize) -> Loan {
+        let TokenDemand {
+            organisation,
+            tokens: wanted,
+            ..
+        } = demand;
         let terms = self.tolerance.lending_terms(quota);
         let group = self
             .groups
@@ -178,18 +219,23 @@
         group.integrate_until(now, voters);
         let share = group.share;
         let bucket = group.refill(organisation, terms);
-        let tokens = bucket.tokens.floor().min(f64::from(wanted)) as u16;
-        bucket.tokens -= f64::from(tokens);
+        let capacity = terms.depth * share;
+        let tokens = bucket.take(now, demand, capacity);
         let wait = match tokens < wanted {
-            true => estimate_wait(1.0 - bucket.tokens, share * terms.rate),
+            true => {
+                let kept_back = match tokens < demand.urgent {
+                    true => 0.0,
+                    false => bucket.kept_back(now, capacity),
+                };
+                estimate_wait(1.0 + kept_back - bucket.tokens, share * terms.rate)
+            }
             false => Duration::ZERO,
         };
         Loan {
             organisation,
             tokens,
             wait_ms: wait.as_millis() as u16,
-            has_surplus: bucket.tokens >= terms.depth * share * SURPLUS_FRACTION
-                && tokens == wanted,
+            has_surplus: bucket.tokens >= capacity * SURPLUS_FRACTION && tokens == wanted,
         }
     }
 
--- a/crates/organisation/src/lib.rs
+++ b/crates/organisation/src/lib.rs
@@ -5,9 +5,16 @@
 //! requests, routes or the transport of messages.
 
 mod borrower;
+mod decay;
 mod freshness;
+mod group_state;
 mod lender;
 mod pool;
+mod promises;
+mod returns;
+mod supply;
+mod token_queue;
+mod wait_queue;
 
 pub use borrower::Borrower;
 pub use borrower::LoanRequest;
@@ -15,6 +22,17 @@
 pub use freshness::Freshness;
 pub use freshness::FreshnessAction;
 pub use lender::Lender;
+pub use promises::PromiseId;
+pub use returns::Refused;
+pub use returns::Returned;
+pub use returns::Returns;
+pub use returns::MAX_RETURNS;
+pub use token_queue::Bid;
+pub use token_queue::Quote;
+pub use token_queue::TokenQueue;
+pub use token_queue::TokenRank;
+pub use token_queue::MAX_WAITING_PER_ORGANISATION;
+pub use wait_queue::WaitKey;
 
 use proto::OrganisationId;
 use rules::Quota;
--- a/crates/organisation/src/pool.rs
+++ b/crates/organisation/src/pool.rs
@@ -16,6 +16,9 @@
 /// If the tokens held fall below this fraction of the reserve, more are requested at once.
 const LOW_RESERVE_FRACTION: f64 = 0.3;
 
+/// How long after the back-off a lender still counts as short.
+const SHORTAGE_TTL: Duration = Duration::from_secs(1);
+
 /// Moving average of the request rate.
 #[derive(Debug, Default)]
 pub(crate) struct Demand {
@@ -44,12 +47,18 @@
     pub(crate) demand: Demand,
     /// Number of requests that wait for a token.
     pub(crate) waiting: u32,
+    /// How many of them are urgent.
+    pub(crate) waiting_urgent: u32,
     /// Tokens requested from the lender but not answered yet.
     pub(crate) requested: u32,
+    /// How many of them are for urgent work.
+    pub(crate) requested_urgent: u32,
     /// Whether the lender had a surplus when it last answered.
     pub(crate) has_surplus: bool,
     /// No tokens are requested until this time, because the lender had too few.
     pub(crate) backoff_until: Option<Time>,
+    /// The same for tokens for urgent work, which a lender that is short still lends.
+    pub(crate) urgent_backoff_until: Option<Time>,
 }
 
 impl Pool {
@@ -59,9 +68,12 @@
             batches: VecDeque::new(),
             demand: Demand::default(),
             waiting: 0,
+            waiting_urgent: 0,
             requested: 0,
+            requested_urgent: 0,
             has_surplus: false,
             backoff_until: None,
+            urgent_backoff_until: None,
         }
     }
 
@@ -102,8 +114,12 @@
         self.backoff_until.is_some_and(|until| now < until)
     }
 
-    /// The number of tokens to hold in reserve.
-    pub(crate) fn reserve(&self, now: Time) -> u32 {
+    /// The number of tokens to hold in reserve. None while urgent and other work is told apart and
+    /// the lender is short: the reserve would take tokens from requests that wait at other nodes.
+    pub(crate) fn reserve(&self, now: Time, by_urgency: bool) -> u32 {
+        if by_urgency && self.is_short(now) {
+            return 0;
+        }
         let rate = self.demand.rate(now);
         let duration = match self.has_surplus {
             true => RESERVE,
@@ -112,23 +128,41 @@
         (rate * duration.as_secs_f64()) as u32
     }
 
-    /// Returns the number of tokens to request.
-    pub(crate) fn tokens_to_request(&mut self, now: Time) -> u32 {
+    fn is_short(&self, now: Time) -> bool {
+        self.backoff_until
+            .is_some_and(|until| now < until + SHORTAGE_TTL)
+    }
+
+    /// Returns the number of tokens to request: all, and those for urgent work.
+    pub(crate) fn tokens_to_request(&mut self, now: Time, by_urgency: bool) -> (u32, u32) {
+        self.drop_expired(now);
+        let urgent = self.urgent_tokens_to_request(now);
         if self.is_backing_off(now) {
+            return (urgent, urgent);
+        }
+        let needed = self.waiting + self.reserve(now, by_urgency);
+        let tokens = needed.saturating_sub(self.available() + self.requested);
+        (tokens.max(urgent), urgent)
+    }
+
+    fn urgent_tokens_to_request(&self, now: Time) -> u32 {
+        if self.urgent_backoff_until.is_some_and(|until| now < until) {
             return 0;
         }
-        self.drop_expired(now);
-        let needed = self.waiting + self.reserve(now);
-        needed.saturating_sub(self.available() + self.requested)
+        let held = self.available() + self.requested_urgent;
+        self.waiting_urgent.saturating_sub(held)
     }
 
     /// Whether tokens must be requested at once rather than with the next vote.
-    pub(crate) fn is_urgent(&self, now: Time) -> bool {
+    pub(crate) fn is_urgent(&self, now: Time, by_urgency: bool) -> bool {
+        if self.urgent_tokens_to_request(now) > 0 {
+            return true;
+        }
         if self.is_backing_off(now) {
             return false;
         }
         let available = self.available() + self.requested;
-        let reserve = self.reserve(now);
+        let reserve = self.reserve(now, by_urgency);
         available < self.waiting
             || (reserve > 1 && f64::from(available) < f64::from(reserve) * LOW_RESERVE_FRACTION)
     }
--- /dev/null
+++ b/crates/organisation/src/wait_queue.rs
@@ -0,0 +1,79 @@
+//! Requests that wait for a token, in the order in which they get one.
+
+use crate::Bid;
+use crate::TokenRank;
+use std::collections::BTreeMap;
+use stdx::Time;
+
+/// Position of a request in the queue: rank, whether it is without a promise, latest start, and
+/// order of arrival.
+pub type WaitKey = (TokenRank, bool, Time, u64);
+
+/// Waiting requests of one organisation.
+#[derive(Debug)]
+pub(crate) struct WaitQueue<T> {
+    entries: BTreeMap<WaitKey, (Bid, T)>,
+    urgent: usize,
+    last_number: u64,
+}
+
+impl<T> WaitQueue<T> {
+    pub(crate) fn new() -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            urgent: 0,
+            last_number: 0,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(crate) fn urgent_len(&self) -> usize {
+        self.urgent
+    }
+
+    pub(crate) fn insert(&mut self, bid: Bid, value: T) -> WaitKey {
+        self.last_number += 1;
+        let key = (
+            bid.rank,
+            !bid.was_promised,
+            bid.latest_start,
+            self.last_number,
+        );
+        self.urgent += usize::from(bid.is_urgent);
+        self.entries.insert(key, (bid, value));
+        key
+    }
+
+    pub(crate) fn remove(&mut self, key: &WaitKey) -> Option<(Bid, T)> {
+        let (bid, value) = self.entries.remove(key)?;
+        self.urgent -= usize::from(bid.is_urgent);
+        Some((bid, value))
+    }
+
+    pub(crate) fn last_key(&self) -> Option<WaitKey> {
+        self.entries.last_key_value().map(|(key, _)| *key)
+    }
+
+    /// The first request, or the first urgent one.
+    pub(crate) fn first_key(&self, only_urgent: bool) -> Option<WaitKey> {
+        let mut entries = self.entries.iter();
+        let first = entries.find(|(_, (bid, _))| bid.is_urgent || !only_urgent);
+        first.map(|(key, _)| *key)
+    }
+
+    /// The number of requests that a new one would be behind, of those whose tokens come from the
+    /// same supply.
+    pub(crate) fn ahead_of(&self, bid: &Bid) -> usize {
+        let end = (bid.rank, !bid.was_promised, bid.latest_start, u64::MAX);
+        let ahead = self.entries.range(..=end);
+        let ahead = ahead.filter(|(_, (other, _))| other.is_urgent == bid.is_urgent);
+        ahead.count()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&WaitKey, &Bid)> {
+        self.entries.iter().map(|(key, (bid, _))| (key, bid))
+    }
+}
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -147,8 +147,8 @@
             /// The stamp of the lender's last answer if the sender gives it its vote, else 0. The
             /// lender dates the vote from the time at which it issued the stamp.
             vote_stamp: u64,
-            /// The number of tokens requested for each organisation.
-            wanted: Vec<(OrganisationId, u16)>,
+            /// The tokens requested, by organisation.
+            wanted: Vec<TokenDemand>,
         },
         /// Answers a borrower.
         Lend {
@@ -168,6 +168,19 @@
     }
 }
 
+plain! {
+    /// The tokens of an organisation's quota that a node requests.
+    pub struct TokenDemand {
+        /// The organisation.
+        pub organisation: OrganisationId,
+        /// The number of tokens.
+        pub tokens: u16,
+        /// How many of the tokens are for urgent work, which a lender that is short serves first.
+        /// 0 unless the rules schedule by slack.
+        pub urgent: u16,
+    }
+}
+
 plain! {
     /// Tokens of an organisation's quota. Each admits one request.
     pub struct Loan {
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -29,6 +29,7 @@
 pub use datagram::Loan;
 pub use datagram::QuotaMessage;
 pub use datagram::SyncProgress;
+pub use datagram::TokenDemand;
 pub use frame::Call;
 pub use frame::CallRole;
 pub use frame::Frame;
