Allocate an organisation's tokens by rank and slack at each node

A request waited 0.3 s for a token, whatever its objective, and a refused caller was told 0.5 to 1 s without regard to when there would be a token.

A refused caller is told when there will be one, and counts from its first arrival when it returns. Each refusal is logged with its inputs, and counted by cause. Otherwise waits, delays and timers are unchanged.

--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -72,6 +72,38 @@
     }
 }
 
+plain! {
+    /// An event in the allocation of an organisation's tokens by slack.
+    #[derive(Hash)]
+    pub enum QuotaEvent {
+        /// A request was refused because no token was expected for it in time.
+        NoTokenInTime,
+        /// A request was refused because it had waited until it could no longer be in time.
+        WaitEnded,
+        /// A request was refused because the queue was full of more urgent ones.
+        Displaced,
+        /// A refused caller was promised a token.
+        Promised,
+        /// A refused caller returned at the time that it was told, or later.
+        ReturnedOnTime,
+        /// A refused caller returned before the time that it was told.
+        ReturnedEarly,
+    }
+}
+
+impl QuotaEvent {
+    fn name(self) -> &'static str {
+        match self {
+            QuotaEvent::NoTokenInTime => "no-token-in-time",
+            QuotaEvent::WaitEnded => "wait-ended",
+            QuotaEvent::Displaced => "displaced",
+            QuotaEvent::Promised => "promised",
+            QuotaEvent::ReturnedOnTime => "returned-on-time",
+            QuotaEvent::ReturnedEarly => "returned-early",
+        }
+    }
+}
+
 plain! {
     /// An event to count. The node adds it to the metrics.
     #[derive(Hash)]
@@ -141,6 +173,8 @@
         PeerQuiet,
         /// An event on a connection between nodes.
         Link(LinkEvent),
+        /// An event in the allocation of an organisation's tokens.
+        Quota(QuotaEvent),
         /// A peer's state changed.
         PeerChanged,
         /// This node queued an append that evicts a dead peer.
@@ -204,6 +238,7 @@
             Counter::UnexpectedMessage => "unexpected".to_owned(),
             Counter::PeerQuiet => "peer_quiet".to_owned(),
             Counter::Link(event) => format!("link.{}", event.name()),
+            Counter::Quota(event) => format!("quota.{}", event.name()),
             Counter::PeerChanged => "peer_changed".to_owned(),
             Counter::EvictionRequested => "eviction_asked".to_owned(),
             Counter::PeerTableFull => "peer_table_full".to_owned(),
--- a/crates/engine/src/diagnostic.rs
+++ b/crates/engine/src/diagnostic.rs
@@ -70,6 +70,64 @@
     }
 }
 
+/// The inputs of a refusal for lack of a quota token, and what the caller was told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuotaRefusal {
+    /// The id of the request.
+    pub request: Arc<str>,
+    /// The organisation that sent it.
+    pub organisation: Arc<str>,
+    /// Whether the operation is a lookup.
+    pub is_lookup: bool,
+    /// The priority of the request.
+    pub priority: u8,
+    /// Whether lenders count the request as urgent.
+    pub is_urgent: bool,
+    /// The time left until the end of the objective.
+    pub objective_left: Duration,
+    /// How long the request has waited for a token.
+    pub waited: Duration,
+    /// The tokens at this node, which are held for other callers.
+    pub tokens: u32,
+    /// The requests that were ahead.
+    pub ahead: u32,
+    /// The tokens promised to other callers that were ahead.
+    pub promised: u32,
+    /// The estimated rate of tokens at this node, in thousandths per second, if it was known.
+    pub rate_millihertz: Option<u64>,
+    /// The retry delay.
+    pub retry_after: Duration,
+    /// Whether the caller was promised a token.
+    pub has_promise: bool,
+}
+
+impl fmt::Display for QuotaRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "event=quota_refused request={} organisation={} lookup={} priority={} urgent={} \
+             objective_left_ms={} waited_ms={} tokens={} ahead={} promised={} retry_after_ms={} \
+             promise={}",
+            self.request,
+            self.organisation,
+            self.is_lookup,
+            self.priority,
+            self.is_urgent,
+            self.objective_left.as_millis(),
+            self.waited.as_millis(),
+            self.tokens,
+            self.ahead,
+            self.promised,
+            self.retry_after.as_millis(),
+            self.has_promise,
+        )?;
+        match self.rate_millihertz {
+            Some(rate) => write!(f, " rate_millihertz={rate}"),
+            None => write!(f, " rate_millihertz=unknown"),
+        }
+    }
+}
+
 /// A diagnostic event. Its `Display` implementation writes a line of `key=value` pairs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Diagnostic {
@@ -107,6 +165,8 @@
         /// The version of the rules that applied.
         rules: u64,
     },
+    /// A request was refused for lack of a quota token while the rules schedule by slack.
+    QuotaRefused(QuotaRefusal),
     /// This node began or ceased to trust the API keys of organisations.
     Keys {
         /// Whether keys are trusted now.
@@ -245,6 +305,7 @@
                     organisation => write!(f, " organisation={organisation}"),
                 }
             }
+            Diagnostic::QuotaRefused(refusal) => refusal.fmt(f),
             Diagnostic::Keys {
                 trusted,
                 rules,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -231,6 +231,7 @@
                 let arrival = Arrival {
                     token,
                     at: now,
+                    first_at: now,
                     caller,
                     parents: ParentInfo {
                         context,
--- a/crates/engine/src/gauges.rs
+++ b/crates/engine/src/gauges.rs
@@ -29,6 +29,7 @@
     pub fn gauges(&self, now: Time) -> Vec<Gauge> {
         let sizes = self.table_sizes();
         let load = self.load_report();
+        let (waiting, promised, remembered) = self.quota.slack.sizes();
         vec![
             ("requests", sizes.requests as u64),
             ("calls", sizes.calls as u64),
@@ -53,6 +54,9 @@
                 "server.rate_limit_millihertz",
                 self.rate_limit().map_or(0, RequestRate::millihertz),
             ),
+            ("quota.waiting", waiting as u64),
+            ("quota.promised", promised as u64),
+            ("quota.refused_callers", remembered as u64),
             ("server.leaving", u64::from(self.server_is_leaving())),
         ]
     }
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -41,6 +41,13 @@
             .and_then(|operation| self.filter_identity(now, &mut arrival, operation));
         match admitted {
             Ok((operation, None)) => self.process_arrival(now, arrival, operation, random, None),
+            Ok((operation, Some((organisation, quota)))) if self.schedules_by_slack => {
+                let admitted =
+                    self.request_token_by_slack(now, arrival, &operation, organisation, quota);
+                if let Some((arrival, quota_token)) = admitted {
+                    self.process_arrival(now, arrival, operation, random, Some(quota_token));
+                }
+            }
             Ok((operation, Some((organisation, quota)))) => {
                 match self.quota.borrower.try_spend(now, organisation, quota) {
                     Some(quota_token) => {
@@ -88,6 +95,7 @@
         let Arrival {
             token,
             at,
+            first_at,
             caller,
             parents,
             key,
@@ -100,7 +108,7 @@
         let latest_deadline = at + operation.deadline;
         let objective = self
             .schedules_by_slack
-            .then_some(at + operation.latency_objective);
+            .then_some(first_at + operation.latency_objective);
         let caller_timeout =
             caller_timeout.map(|caller_timeout| caller_timeout.saturating_sub(now.since(at)));
         let draft = self
@@ -417,6 +425,11 @@
         if matches!(outcome, Outcome::NotRun(_)) {
             self.return_quota_token(now, open.quota_token);
         }
+        let completed = matches!(outcome, Outcome::Completed(_)) && self.schedules_by_slack;
+        if let Some(quota_token) = open.quota_token.filter(|_| completed) {
+            let elapsed = now.since(quota_token.spent_at);
+            self.quota.slack.times.record(&open.operation, elapsed);
+        }
         if let Some(hash) = open.request_hash {
             self.resends.record_end(now, hash, &outcome);
         }
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -1,32 +1,29 @@
 //! The quota controller: elects the nodes that lend tokens, and holds requests that wait for one.
 
+mod loans;
+mod run_time;
+mod slack;
+mod token_request;
+
+use crate::quota::slack::SlackQueues;
 use crate::request::Arrival;
 use crate::request::RefusedRequest;
 use crate::Engine;
-use crate::Output;
 use crate::RequestToken;
 use indexmap::IndexMap;
-use organisation::group_of;
 use organisation::Borrower;
 use organisation::Lender;
-use organisation::LoanRequest;
 use organisation::QuotaToken;
 use organisation::QuotaTolerance;
 use organisation::GROUP_COUNT;
 use proto::hash64;
-use proto::Datagram;
 use proto::Incarnation;
-use proto::Loan;
 use proto::OrganisationId;
 use proto::PeerState;
-use proto::QuotaMessage;
 use proto::Reason;
 use proto::Refusal;
-use proto::TokenDemand;
-use proto::PROTOCOL_VERSION;
 use rand::RngExt;
 use rules::Organisations;
-use std::net::SocketAddr;
 use std::time::Duration;
 use stdx::Time;
 
@@ -54,6 +51,8 @@
     lender: Lender,
     /// Requests that wait for a token, the oldest first.
     waiting: IndexMap<RequestToken, (OrganisationId, Arrival)>,
+    /// Requests that wait while the rules schedule by slack.
+    pub(crate) slack: SlackQueues,
     /// Organisations whose tokens were returned, so that waiting requests may be admitted.
     returned: Vec<OrganisationId>,
     /// The lender of each group.
@@ -69,6 +68,7 @@
             borrower: Borrower::new(tolerance),
             lender: Lender::new(tolerance),
             waiting: IndexMap::new(),
+            slack: SlackQueues::new(),
             returned: Vec::new(),
             elected: [None; GROUP_COUNT as usize],
             voters: 1,
@@ -78,7 +78,7 @@
 
     /// Whether any request waits for a token.
     pub(crate) fn has_waiting(&self) -> bool {
-        !self.waiting.is_empty()
+        !self.waiting.is_empty() || self.slack.has_waiting()
     }
 
     /// Discards the last election because the peers have changed.
@@ -101,6 +101,7 @@
         let mut all = organisations.into_iter().flat_map(Organisations::iter);
         let active = all.any(|(_, organisation)| organisation.quota.is_some());
         self.quota.borrower.set_quotas(active, quota_of);
+        self.quota.borrower.set_by_urgency(self.schedules_by_slack);
         self.quota.lender.retain(|id| quota_of(id).is_some());
     }
 
@@ -113,7 +114,8 @@
         }
         let oldest = self.quota.waiting.first();
         let expiry = oldest.map(|(_, (_, arrival))| arrival.at + MAX_WAIT);
-        let timers = [self.quota.borrower.next_timer(), expiry];
+        let slack = self.quota.slack.next_timer();
+        let timers = [self.quota.borrower.next_timer(), expiry, slack];
         timers.into_iter().flatten().min()
     }
 
@@ -123,8 +125,10 @@
         }
         for organisation in std::mem::take(&mut self.quota.returned) {
             self.admit_waiting(now, organisation);
+            self.admit_by_slack(now, organisation);
         }
         self.refuse_expired_requests(now);
+        self.tick_slack(now);
         if !self.quota.borrower.is_due(now) {
             return;
         }
@@ -140,7 +144,7 @@
         }
     }
 
-    fn refresh_election(&mut self, now: Time) {
+    pub(crate) fn refresh_election(&mut self, now: Time) {
         let elected_at = self.quota.elected_at;
         if elected_at.is_some_and(|at| now.since(at) < ELECTION_TTL) {
             return;
@@ -165,135 +169,8 @@
         nodes.max_by_key(|node| (hash64(&(group, node)), *node))
     }
 
-    fn request_loans(&mut self, now: Time, group: u8, loans: LoanRequest) {
-        let LoanRequest {
-            lender,
-            request_id,
-            vote_stamp,
-            wanted,
-        } = loans;
-        let own_incarnation = self.own_instance.incarnation;
-        if lender == own_incarnation {
-            let (stamp, granted) = self.lend(now, group, own_incarnation, vote_stamp, &wanted);
-            return self.on_loans_granted(now, own_incarnation, group, request_id, stamp, &granted);
-        }
-        let Some(peer) = self.members.get(lender) else {
-            return;
-        };
-        let to = peer.instance.addr;
-        let message = QuotaMessage::Borrow {
-            from: own_incarnation,
-            to: lender,
-            group,
-            request_id,
-            vote_stamp,
-            wanted,
-        };
-        self.send_quota(to, message);
-    }
-
-    pub(crate) fn on_quota_message(&mut self, now: Time, addr: SocketAddr, message: QuotaMessage) {
-        let own_incarnation = self.own_instance.incarnation;
-        match message {
-            QuotaMessage::Borrow {
-                from,
-                to,
-                group,
-                request_id,
-                vote_stamp,
-                wanted,
-            } if to == own_incarnation && group < GROUP_COUNT => {
-                self.refresh_election(now);
-                let (stamp, granted) = self.lend(now, group, from, vote_stamp, &wanted);
-                let message = QuotaMessage::Lend {
-                    from: own_incarnation,
-                    to: from,
-                    group,
-                    request_id,
-                    stamp,
-                    loans: granted,
-                };
-                self.send_quota(addr, message);
-            }
-            QuotaMessage::Lend {
-                from,
-                to,
-                group,
-                request_id,
-                stamp,
-                loans: granted,
-            } if to == own_incarnation && group < GROUP_COUNT => {
-                self.on_loans_granted(now, from, group, request_id, stamp, &granted);
-            }
-            // Meant for an earlier incarnation at this address, which no longer lends and holds no
-            // votes.
-            QuotaMessage::Borrow {
-                from,
-                to,
-                group,
-                request_id,
-                ..
-            } => {
-                let message = QuotaMessage::Lend {
-                    from: to,
-                    to: from,
-                    group,
-                    request_id,
-                    stamp: 0,
-                    loans: Vec::new(),
-                };
-                self.send_quota(addr, message);
-            }
-            QuotaMessage::Lend { .. } => {}
-        }
-    }
-
-    fn lend(
-        &mut self,
-        now: Time,
-        group: u8,
-        from: Incarnation,
-        vote_stamp: u64,
-        wanted: &[TokenDemand],
-    ) -> (u64, Vec<Loan>) {
-        if self.stopping {
-            return (0, Vec::new());
-        }
-        let voters = self.quota.voters;
-        let lender = &mut self.quota.lender;
-        lender.on_vote(now, group, from, vote_stamp, voters);
-        let Some(organisations) = &self.journal.rules.organisations else {
-            return (Lender::stamp(now), Vec::new());
-        };
-        let mut granted = Vec::new();
-        for demand in wanted {
-            let id = demand.organisation;
-            let quota = organisations.get(id).and_then(|found| found.quota);
-            if let Some(quota) = quota.filter(|_| group_of(id) == group) {
-                granted.push(lender.lend(now, *demand, quota, voters));
-            }
-        }
-        (Lender::stamp(now), granted)
-    }
-
-    fn on_loans_granted(
-        &mut self,
-        now: Time,
-        from: Incarnation,
-        group: u8,
-        request_id: u64,
-        stamp: u64,
-        granted: &[Loan],
-    ) {
-        let borrower = &mut self.quota.borrower;
-        let loans = borrower.on_lend(now, from, group, request_id, stamp, granted);
-        for (_, loan) in loans {
-            self.admit_waiting(now, loan.organisation);
-        }
-    }
-
     /// Admits waiting requests as long as there are tokens.
-    fn admit_waiting(&mut self, now: Time, id: OrganisationId) {
+    pub(crate) fn admit_waiting(&mut self, now: Time, id: OrganisationId) {
         let waiting = self.quota.waiting.iter();
         let waiting = waiting.filter(|(_, (organisation, _))| *organisation == id);
         let tokens: Vec<RequestToken> = waiting.map(|(token, _)| *token).collect();
@@ -339,7 +216,7 @@
     /// one.
     pub(crate) fn cancel_quota_wait(&mut self, token: RequestToken) -> bool {
         let Some((organisation, _)) = self.quota.waiting.shift_remove(&token) else {
-            return false;
+            return self.cancel_wait_by_slack(token);
         };
         self.quota.borrower.stop_waiting(organisation);
         true
@@ -384,12 +261,4 @@
         self.quota.lender.release_votes(now, voters);
         self.quota.invalidate_election();
     }
-
-    fn send_quota(&mut self, to: SocketAddr, message: QuotaMessage) {
-        let datagram = Datagram::Quota {
-            version: PROTOCOL_VERSION,
-            message,
-        };
-        self.outputs.push(Output::Datagram { to, datagram });
-    }
 }
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -44,6 +44,9 @@
 pub(crate) struct Arrival {
     pub(crate) token: RequestToken,
     pub(crate) at: Time,
+    /// When the caller's first attempt arrived; earlier than `at` if the caller was refused and has
+    /// returned.
+    pub(crate) first_at: Time,
     pub(crate) caller: Arc<str>,
     pub(crate) parents: ParentInfo,
     pub(crate) key: Option<Arc<str>>,
