Give a free token to a returned caller before holding it for another

A caller that had returned for its promised token got none while other promises were due and there were no more tokens than those promises: the token stayed unused until another caller returned or its promise expired. A returned caller now leaves only the tokens held for urgent work.

token_queue.rs failed before the change in may_take, and passes now.

--- a/crates/organisation/src/borrower.rs
+++ b/crates/organisation/src/borrower.rs
@@ -280,7 +280,8 @@
     }
 
     /// Handles a lender's answer to the request `request_id` and returns the loans that were
-    /// accepted, with what was requested. A `stamp` of 0 means that the node no longer lends and holds no votes.
+    /// accepted, with what was requested. A `stamp` of 0 means that the node no longer lends and
+    /// holds no votes.
     pub fn on_lend(
         &mut self,
         now: Time,
--- a/crates/organisation/src/token_queue.rs
+++ b/crates/organisation/src/token_queue.rs
@@ -160,8 +160,7 @@
     /// Whether a newly arrived request may take one of `available` tokens ahead of those that wait
     /// and of the promises that are due.
     pub fn may_take(&self, now: Time, bid: &Bid, available: u32) -> bool {
-        let held = self.promises.held(now, bid.is_urgent) as u32;
-        self.is_empty() && available > held
+        self.is_empty() && available as usize > self.held(now)(bid)
     }
 
     /// Whether a new request should wait: a token is expected for it in time, or the rate of tokens
@@ -181,8 +180,13 @@
         self.used_at = now;
         let key = self.waiting.insert(bid, value);
         let is_full = self.len() > MAX_WAITING_PER_ORGANISATION;
-        let displaced = self.waiting.last_key().filter(|_| is_full);
-        (key, displaced.and_then(|last| self.waiting.remove(&last)))
+        (key, is_full.then(|| self.pop_last()).flatten())
+    }
+
+    /// Removes the request that would be the last to get a token.
+    pub fn pop_last(&mut self) -> Option<(Bid, T)> {
+        let last = self.waiting.last_key()?;
+        self.waiting.remove(&last)
     }
 
     /// Removes a request, for example one whose caller has disconnected.
@@ -196,13 +200,27 @@
         if available == 0 {
             return None;
         }
-        let has_free = |urgent| available as usize > self.promises.held(now, urgent);
-        let first = self.waiting.first_key(false).filter(|_| has_free(false));
-        let key = first.or_else(|| self.waiting.first_key(true).filter(|_| has_free(true)))?;
+        let held_from = self.held(now);
+        let may_take = |(_, bid): &(&WaitKey, &Bid)| available as usize > held_from(bid);
+        let next = self.waiting.iter().find(may_take);
+        let key = next.map(|(key, _)| *key)?;
         self.used_at = now;
         self.waiting.remove(&key)
     }
 
+    /// Computes the number of tokens that are held for other callers and that a request must leave.
+    /// A caller that has returned for its token precedes those that have yet to return, but does
+    /// not take tokens that are held for urgent work.
+    fn held(&self, now: Time) -> impl Fn(&Bid) -> usize + use<T> {
+        let all = self.promises.held(now, false);
+        let urgent = self.promises.held(now, true);
+        move |bid| match (bid.is_urgent, bid.was_promised) {
+            (true, true) => 0,
+            (false, false) => all,
+            _ => urgent,
+        }
+    }
+
     /// Records a lender's answer: the tokens requested for urgent work and altogether, and those
     /// lent. A shortage has not ended while more requests wait than tokens were lent: the answer
     /// may be to a request for the few that arrived last.
--- a/crates/organisation/src/wait_queue.rs
+++ b/crates/organisation/src/wait_queue.rs
@@ -57,13 +57,6 @@
         self.entries.last_key_value().map(|(key, _)| *key)
     }
 
-    /// The first request, or the first urgent one.
-    pub(crate) fn first_key(&self, only_urgent: bool) -> Option<WaitKey> {
-        let mut entries = self.entries.iter();
-        let first = entries.find(|(_, (bid, _))| bid.is_urgent || !only_urgent);
-        first.map(|(key, _)| *key)
-    }
-
     /// The number of requests that a new one would be behind, of those whose tokens come from the
     /// same supply.
     pub(crate) fn ahead_of(&self, bid: &Bid) -> usize {
--- a/crates/organisation/tests/token_queue.rs
+++ b/crates/organisation/tests/token_queue.rs
@@ -92,3 +92,33 @@
     let is_last = |(_, number): &(Bid, u64)| *number >= 30;
     assert!(hopeless.iter().all(is_last), "{hopeless:?}");
 }
+
+/// Guards against a token that stays unused, because it is held for a caller that has yet to return,
+/// while one that has returned waits.
+#[test]
+fn a_returned_caller_takes_a_token_ahead_of_promises_to_others() {
+    let mut queue = TokenQueue::new(START);
+    let mut now = START;
+    for _ in 0..20 {
+        now = now + ms(100);
+        queue.record_loan(now, demand(10, 0), 2);
+    }
+    let patient = bid(2, now + ms(3000));
+    let first = queue.quote(now, &patient, true);
+    let second = queue.quote(now, &patient, true);
+    assert!(second.promise.is_some() && second.retry_after > first.retry_after);
+    now = now + first.retry_after;
+    assert!(queue.redeem(first.promise.expect("a token is promised")));
+    let returned = Bid {
+        was_promised: true,
+        ..patient
+    };
+    assert!(queue.may_take(now, &returned, 1));
+    assert!(!queue.may_take(now, &patient, 1));
+    queue.push(now, patient, "other");
+    queue.push(now, returned, "returned");
+    let next = queue.pop(now, 1).map(|(_, value)| value);
+    assert_eq!(next, Some("returned"));
+    // The second promise is still held.
+    assert_eq!(queue.pop(now, 1).map(|(_, value)| value), None);
+}
