Stop requests from waiting for a token in vain

- Requests of an organisation that was removed waited until their time had passed and were then refused as if no lender had answered; those of an organisation that has no quota any more waited as well.
If it was the last one, the promises stayed for ever.
- At a stopping node, requests waited for a token, only to be refused with it because the node accepts no more, and delayed its exit.
They are refused when the grace period ends.
- A full table refused an urgent request of one organisation because patient ones of others filled it.
It now displaces the last request of the longest queue.
- Two requests with different idempotency keys were taken for attempts of one caller.
- A request for which there was no token although one had been counted would have been dropped without an answer.
It is refused.
No input that causes this is known.
- The demand of a caller that has disconnected was stated to the lender for up to 25 ms more.

quota_by_slack.rs has six new tests, which failed before and pass now. The queues move into a module of their own.

--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -41,6 +41,10 @@
             .and_then(|operation| self.filter_identity(now, &mut arrival, operation));
         match admitted {
             Ok((operation, None)) => self.process_arrival(now, arrival, operation, random, None),
+            // The request would wait for a token and be refused then.
+            Ok((_, Some(_))) if self.schedules_by_slack && self.accepts_no_more(now) => {
+                self.refuse_arrival(&arrival, Reason::Draining);
+            }
             Ok((operation, Some((organisation, quota)))) if self.schedules_by_slack => {
                 let admitted =
                     self.request_token_by_slack(now, arrival, &operation, organisation, quota);
@@ -240,6 +244,11 @@
         })
     }
 
+    /// Whether this node is stopping and no longer accepts new requests from its callers.
+    fn accepts_no_more(&self, now: Time) -> bool {
+        self.stopping && now >= self.accepts_until
+    }
+
     /// Drafts the first call of a new action.
     fn root_draft(
         &mut self,
@@ -250,7 +259,7 @@
         request: Request,
     ) -> Result<RequestDraft, Reason> {
         // A stopping node still finishes its runs, whose child calls carry a context.
-        if self.stopping && now >= self.accepts_until {
+        if self.accepts_no_more(now) {
             return Err(Reason::Draining);
         }
         Ok(RequestDraft {
@@ -466,7 +475,7 @@
 
     /// Stops the work for a request whose caller has disconnected.
     pub(crate) fn on_caller_gone(&mut self, now: Time, token: RequestToken) {
-        if self.detach_caller(token) || self.cancel_quota_wait(token) {
+        if self.detach_caller(token) || self.cancel_quota_wait(now, token) {
             return;
         }
         if let Some(open) = self.open_requests.get(&token) {
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -3,9 +3,10 @@
 mod loans;
 mod run_time;
 mod slack;
+mod slack_queues;
 mod token_request;
 
-use crate::quota::slack::SlackQueues;
+use crate::quota::slack_queues::SlackQueues;
 use crate::request::Arrival;
 use crate::request::RefusedRequest;
 use crate::Engine;
@@ -53,7 +54,8 @@
     waiting: IndexMap<RequestToken, (OrganisationId, Arrival)>,
     /// Requests that wait while the rules schedule by slack.
     pub(crate) slack: SlackQueues,
-    /// Organisations whose tokens were returned, so that waiting requests may be admitted.
+    /// Organisations whose tokens were returned or whose quotas were removed, so that waiting
+    /// requests may be admitted.
     returned: Vec<OrganisationId>,
     /// The lender of each group.
     elected: [Option<Incarnation>; GROUP_COUNT as usize],
@@ -103,6 +105,8 @@
         self.quota.borrower.set_quotas(active, quota_of);
         self.quota.borrower.set_by_urgency(self.schedules_by_slack);
         self.quota.lender.retain(|id| quota_of(id).is_some());
+        let released = self.quota.slack.retain(|id| quota_of(id).is_some());
+        self.quota.returned.extend(released);
     }
 
     pub(crate) fn next_quota_timer(&self) -> Option<Time> {
@@ -126,6 +130,7 @@
         for organisation in std::mem::take(&mut self.quota.returned) {
             self.admit_waiting(now, organisation);
             self.admit_by_slack(now, organisation);
+            self.release_by_slack(now, organisation);
         }
         self.refuse_expired_requests(now);
         self.tick_slack(now);
@@ -214,9 +219,9 @@
 
     /// Removes the waiting request of a caller that has disconnected. Returns whether there was
     /// one.
-    pub(crate) fn cancel_quota_wait(&mut self, token: RequestToken) -> bool {
+    pub(crate) fn cancel_quota_wait(&mut self, now: Time, token: RequestToken) -> bool {
         let Some((organisation, _)) = self.quota.waiting.shift_remove(&token) else {
-            return self.cancel_wait_by_slack(token);
+            return self.cancel_wait_by_slack(now, token);
         };
         self.quota.borrower.stop_waiting(organisation);
         true
--- a/crates/engine/src/quota/slack.rs
+++ b/crates/engine/src/quota/slack.rs
@@ -3,7 +3,8 @@
 
 use crate::counter::QuotaEvent;
 use crate::diagnostic::QuotaRefusal;
-use crate::quota::run_time::RequestTimes;
+use crate::quota::slack_queues::Waiting;
+use crate::quota::slack_queues::CHECK_INTERVAL;
 use crate::quota::token_request::hash_of;
 use crate::quota::token_request::TokenRequest;
 use crate::request::Arrival;
@@ -13,14 +14,10 @@
 use crate::Engine;
 use crate::Output;
 use crate::RequestToken;
-use indexmap::IndexMap;
 use organisation::Bid;
 use organisation::QuotaToken;
 use organisation::Refused;
 use organisation::Returned;
-use organisation::Returns;
-use organisation::TokenQueue;
-use organisation::WaitKey;
 use proto::Loan;
 use proto::OrganisationId;
 use proto::Reason;
@@ -28,25 +25,8 @@
 use proto::TokenDemand;
 use rules::Operation;
 use rules::Quota;
-use std::collections::BTreeSet;
-use std::time::Duration;
 use stdx::Time;
 
-/// Maximum number of requests that wait at this node.
-const MAX_WAITING: usize = 1024;
-
-/// How often promises and idle queues are checked.
-const CHECK_INTERVAL: Duration = Duration::from_millis(25);
-
-/// A request that waits for a token.
-#[derive(Debug)]
-struct Waiting {
-    organisation: OrganisationId,
-    key: WaitKey,
-    wait_until: Time,
-    request: TokenRequest,
-}
-
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Cause {
@@ -55,61 +35,6 @@
     Displaced,
 }
 
-/// Queues, refused callers and learned durations.
-#[derive(Debug)]
-pub(crate) struct SlackQueues {
-    queues: IndexMap<OrganisationId, TokenQueue<RequestToken>>,
-    waiting: IndexMap<RequestToken, Waiting>,
-    /// When each waiting request stops waiting.
-    expiries: BTreeSet<(Time, RequestToken)>,
-    returns: Returns,
-    pub(crate) times: RequestTimes,
-    check_at: Option<Time>,
-}
-
-impl SlackQueues {
-    pub(crate) fn new() -> Self {
-        Self {
-            queues: IndexMap::new(),
-            waiting: IndexMap::new(),
-            expiries: BTreeSet::new(),
-            returns: Returns::default(),
-            times: RequestTimes::new(),
-            check_at: None,
-        }
-    }
-
-    pub(crate) fn has_waiting(&self) -> bool {
-        !self.waiting.is_empty()
-    }
-
-    pub(crate) fn next_timer(&self) -> Option<Time> {
-        let expiry = self.expiries.first().map(|(at, _)| *at);
-        [expiry, self.check_at].into_iter().flatten().min()
-    }
-
-    /// The numbers of waiting requests, promised tokens and remembered callers.
-    pub(crate) fn sizes(&self) -> (usize, usize, usize) {
-        let promised = self.queues.values().map(TokenQueue::promised).sum();
-        (self.waiting.len(), promised, self.returns.len())
-    }
-
-    fn queue(&mut self, now: Time, organisation: OrganisationId) -> &mut TokenQueue<RequestToken> {
-        self.check_at.get_or_insert(now + CHECK_INTERVAL);
-        let queue = self.queues.entry(organisation);
-        queue.or_insert_with(|| TokenQueue::new(now))
-    }
-
-    fn remove_waiting(&mut self, token: RequestToken) -> Option<Waiting> {
-        let waiting = self.waiting.swap_remove(&token)?;
-        self.expiries.remove(&(waiting.wait_until, token));
-        if let Some(queue) = self.queues.get_mut(&waiting.organisation) {
-            queue.remove(&waiting.key);
-        }
-        Some(waiting)
-    }
-}
-
 impl Engine {
     /// Spends a token on a new request, or lets it wait, or refuses it. Returns the request and the
     /// token if there was one.
@@ -135,12 +60,9 @@
             }
         }
         let queue = self.quota.slack.queue(now, organisation);
-        if !queue.should_wait(now, &request.bid) {
-            self.refuse_by_slack(now, organisation, request, Cause::NoTokenInTime);
-        } else if self.quota.slack.waiting.len() >= MAX_WAITING {
-            self.refuse_by_slack(now, organisation, request, Cause::Displaced);
-        } else {
-            self.wait_by_slack(now, organisation, request);
+        match queue.should_wait(now, &request.bid) {
+            true => self.wait_by_slack(now, organisation, request),
+            false => self.refuse_by_slack(now, organisation, request, Cause::NoTokenInTime),
         }
         self.update_token_demand(now, organisation);
         None
@@ -158,7 +80,7 @@
         if !self.quota.slack.returns.is_expecting(now) {
             return (None, false);
         }
-        let hash = hash_of(&arrival.caller, &arrival.request);
+        let hash = hash_of(arrival);
         let refused = match self.quota.slack.returns.on_request(now, hash) {
             Returned::Unknown => return (Some(hash), false),
             Returned::Early(_) => {
@@ -187,6 +109,7 @@
             request,
         };
         slack.waiting.insert(token, waiting);
+        let displaced = displaced.or_else(|| slack.displace_last());
         if let Some((_, token)) = displaced {
             self.refuse_waiting_by_slack(now, token, Cause::Displaced);
         }
@@ -243,12 +166,13 @@
             let Some(waiting) = self.quota.slack.remove_waiting(token) else {
                 continue;
             };
-            let quota_token = self.quota.borrower.try_spend_waiting(now, organisation);
+            let Some(quota_token) = self.quota.borrower.try_spend_waiting(now, organisation) else {
+                self.count(Counter::InvariantViolated);
+                self.refuse_by_slack(now, organisation, waiting.request, Cause::NoTokenInTime);
+                break;
+            };
             let arrival = self.on_token_spent(organisation, waiting.request);
-            match quota_token {
-                Some(quota_token) => self.on_quota_granted(now, arrival, quota_token),
-                None => self.count(Counter::InvariantViolated),
-            }
+            self.on_quota_granted(now, arrival, quota_token);
         }
     }
 
@@ -286,8 +210,36 @@
 
     /// Removes the waiting request of a caller that has disconnected. Returns whether there was
     /// one.
-    pub(crate) fn cancel_wait_by_slack(&mut self, token: RequestToken) -> bool {
-        self.quota.slack.remove_waiting(token).is_some()
+    pub(crate) fn cancel_wait_by_slack(&mut self, now: Time, token: RequestToken) -> bool {
+        let Some(waiting) = self.quota.slack.remove_waiting(token) else {
+            return false;
+        };
+        self.update_token_demand(now, waiting.organisation);
+        true
+    }
+
+    /// Passes the waiting requests of an organisation that no longer has a quota through the filters
+    /// again: they need no token any more, or the organisation was removed.
+    pub(crate) fn release_by_slack(&mut self, now: Time, organisation: OrganisationId) {
+        let organisations = self.journal.rules.organisations.as_ref();
+        let found = organisations.and_then(|all| all.get(organisation));
+        if found.is_some_and(|found| found.quota.is_some()) {
+            return;
+        }
+        let slack = &mut self.quota.slack;
+        let released = slack.remove_all_waiting(|waiting| waiting.organisation == organisation);
+        slack.queues.swap_remove(&organisation);
+        for waiting in released {
+            self.on_request(now, waiting.request.arrival);
+        }
+    }
+
+    /// Refuses all waiting requests, because this node is stopping and accepts no more.
+    pub(crate) fn refuse_all_by_slack(&mut self) {
+        for waiting in self.quota.slack.remove_all_waiting(|_| true) {
+            let refusal = self.refusal(Reason::Draining);
+            self.refuse_unopened(RefusedRequest::from(&waiting.request.arrival), refusal);
+        }
     }
 
     fn refuse_waiting_by_slack(&mut self, now: Time, token: RequestToken, cause: Cause) {
@@ -318,7 +270,7 @@
             hash,
         } = request;
         let bid = Bid { retry_limit, ..bid };
-        let hash = hash.unwrap_or_else(|| hash_of(&arrival.caller, &arrival.request));
+        let hash = hash.unwrap_or_else(|| hash_of(&arrival));
         let slack = &mut self.quota.slack;
         // A caller that was told a time and comes before it is told the same time again.
         let told = match slack.returns.on_request(now, hash) {
--- a/crates/engine/src/quota/token_request.rs
+++ b/crates/engine/src/quota/token_request.rs
@@ -7,7 +7,6 @@
 use proto::hash64;
 use proto::Request;
 use rules::Operation;
-use std::sync::Arc;
 use std::time::Duration;
 use stdx::Time;
 
@@ -30,7 +29,13 @@
 
 /// A hash of a caller and its request that is the same for each of its attempts: without the
 /// attempt's id, and without the service if a route has chosen it.
-pub(crate) fn hash_of(caller: &Arc<str>, request: &Request) -> u64 {
+pub(crate) fn hash_of(arrival: &Arrival) -> u64 {
+    let Arrival {
+        caller,
+        key,
+        request,
+        ..
+    } = arrival;
     let service = match request.host.is_empty() {
         true => &*request.service,
         false => "",
@@ -45,7 +50,8 @@
         ..
     } = request;
     hash64(&(
-        &**caller,
+        caller,
+        key,
         organisation,
         host,
         service,
--- a/crates/engine/tests/quota_by_slack.rs
+++ b/crates/engine/tests/quota_by_slack.rs
@@ -43,6 +43,11 @@
     engine: Engine,
     now: u64,
     token: u64,
+    /// The operations, as in the rules file.
+    operations: String,
+    rules_version: u64,
+    /// The API key that comes with requests.
+    api_key: String,
 }
 
 impl Driver {
@@ -66,17 +71,14 @@
             engine: Engine::new(cfg, me),
             now: 0,
             token: 0,
+            operations: format!(
+                "operation press POST {URGENT} class=booking deadline=500ms priority=0 # asked by Ugo\n\
+                 operation press POST {PATIENT} class=booking deadline=1500ms {objective} priority=2 # asked by Ugo\n"
+            ),
+            rules_version: 0,
+            api_key: "k1".to_owned(),
         };
-        let digest = KeyDigest::of("k1");
-        let file = format!(
-            "operation press POST {URGENT} class=booking deadline=500ms priority=0 # asked by Ugo\n\
-             operation press POST {PATIENT} class=booking deadline=1500ms {objective} priority=2 # asked by Ugo\n\
-             organisation anna keys={digest} rate=10 burst=0 # asked by Ugo\n"
-        );
-        driver.feed(Input::RulesPublished {
-            version: 1,
-            file: file.into(),
-        });
+        driver.publish(&organisation("anna", "k1", "rate=10 burst=0"));
         driver.feed(Input::Server(Announcement::Alive(Heartbeat {
             id: "a".into(),
             started_ms: 1,
@@ -89,6 +91,17 @@
         driver
     }
 
+    /// Publishes new rules with the same operations.
+    fn publish(&mut self, organisations: &str) -> Vec<Event> {
+        self.rules_version += 1;
+        let file = format!("{}{organisations}", self.operations);
+        let version = self.rules_version;
+        self.feed(Input::RulesPublished {
+            version,
+            file: file.into(),
+        })
+    }
+
     fn at(&self) -> Time {
         Time::from_micros(self.now * 1000)
     }
@@ -131,7 +144,7 @@
             self.now += 5;
             events.extend(self.feed(Input::Tick));
             if self.now % 1000 == 0 {
-                let (asked, version) = (self.at(), 1);
+                let (asked, version) = (self.at(), self.rules_version);
                 events.extend(self.feed(Input::RulesChecked { asked, version }));
             }
         }
@@ -152,7 +165,7 @@
             context: None,
             parent: None,
             key: None,
-            credential: Some(KeyDigest::of("k1")),
+            credential: Some(KeyDigest::of(&self.api_key)),
             caller_timeout: Some(timeout),
             request,
         })
@@ -177,6 +190,11 @@
     }
 }
 
+fn organisation(name: &str, api_key: &str, quota: &str) -> String {
+    let digest = KeyDigest::of(api_key);
+    format!("organisation {name} keys={digest} {quota} # asked by Ugo\n")
+}
+
 fn refusal(events: &[Event]) -> Option<Refusal> {
     events.iter().find_map(|event| match event {
         Event::Refused(_, refusal) => Some(*refusal),
@@ -326,3 +344,130 @@
     assert_eq!(driver.gauge("quota.waiting"), 0);
     assert_eq!(driver.gauge("quota.promised"), 0);
 }
+
+/// Sends patient requests until one waits. Returns its token.
+fn waiting_request(driver: &mut Driver) -> RequestToken {
+    for caller in 0..60 {
+        driver.request(PATIENT, caller, CALLER_TIMEOUT);
+    }
+    driver.advance(50);
+    assert!(driver.gauge("quota.waiting") > 0);
+    RequestToken(driver.token)
+}
+
+fn refusal_of(events: &[Event], token: RequestToken) -> Option<Refusal> {
+    events.iter().find_map(|event| match event {
+        Event::Refused(other, refusal) if *other == token => Some(*refusal),
+        _ => None,
+    })
+}
+
+/// Guards against requests that wait for a token of an organisation that no longer exists.
+#[test]
+fn requests_of_a_removed_organisation_stop_waiting() {
+    let mut driver = Driver::new("objective=4s");
+    let token = waiting_request(&mut driver);
+    let mut events = driver.publish(&organisation("marco", "k2", "rate=10 burst=0"));
+    let (asked, version) = (driver.at(), driver.rules_version);
+    events.extend(driver.feed(Input::RulesChecked { asked, version }));
+    events.extend(driver.advance(5));
+    let refusal = refusal_of(&events, token).expect("the request should be refused at once");
+    assert_eq!(refusal.reason, Reason::UnknownOrganisation);
+    assert_eq!(driver.gauge("quota.waiting"), 0);
+}
+
+/// Guards against requests that wait for a token although their organisation no longer has a quota.
+#[test]
+fn requests_of_an_organisation_without_a_quota_stop_waiting() {
+    let mut driver = Driver::new("objective=4s");
+    waiting_request(&mut driver);
+    let waiting = driver.gauge("quota.waiting") as usize;
+    let mut events = driver.publish(&organisation("anna", "k1", ""));
+    events.extend(driver.advance(5));
+    let ran = |event: &&Event| matches!(event, Event::Ran(_));
+    assert_eq!(events.iter().filter(ran).count(), waiting);
+    assert_eq!(driver.gauge("quota.waiting"), 0);
+}
+
+/// Guards against promises that are kept for an organisation after it was removed.
+#[test]
+fn promises_to_a_removed_organisation_are_dropped() {
+    let mut driver = Driver::new("objective=4s");
+    promised_caller(&mut driver);
+    driver.publish("");
+    driver.advance(1000);
+    assert_eq!(driver.gauge("quota.promised"), 0);
+}
+
+/// Guards against requests that wait at a stopping node, which would not admit them, and delay its
+/// exit.
+#[test]
+fn requests_stop_waiting_when_a_stopping_node_accepts_no_more() {
+    let mut driver = Driver::new("objective=4s");
+    let token = waiting_request(&mut driver);
+    let grace = Config::default().stop_grace_period.as_millis() as u64;
+    assert!(
+        grace < 1000,
+        "the requests wait for longer than the grace period"
+    );
+    let mut events = driver.feed(Input::Stop);
+    events.extend(driver.advance((grace + 5).next_multiple_of(5)));
+    let refusal = refusal_of(&events, token).expect("the request should be refused");
+    assert_eq!(refusal.reason, Reason::Draining);
+    let events = driver.request(PATIENT, 100, CALLER_TIMEOUT);
+    let refusal = self::refusal(&events).expect("a new request should be refused at once");
+    assert_eq!(refusal.reason, Reason::Draining);
+    assert_eq!(driver.gauge("quota.waiting"), 0);
+}
+
+/// Guards against an urgent request that is refused because the requests of other organisations fill
+/// the node's table.
+#[test]
+fn urgent_request_displaces_one_of_the_longest_queue_if_the_node_is_full() {
+    let mut driver = Driver::new("objective=4s");
+    let names = ["anna", "marco", "elena", "paolo", "giulia"];
+    let organisations = names.map(|name| organisation(name, name, "rate=1 burst=0"));
+    driver.publish(&organisations.concat());
+    driver.advance(1000);
+    for name in &names[..4] {
+        driver.api_key = name.to_string();
+        for caller in 0..280 {
+            driver.request(PATIENT, caller, CALLER_TIMEOUT);
+        }
+    }
+    assert_eq!(driver.gauge("quota.waiting"), 1024);
+    driver.api_key = names[4].to_owned();
+    let mut events = driver.request(URGENT, 1, Duration::from_millis(500));
+    let token = RequestToken(driver.token);
+    assert!(driver.gauge("quota.waiting") <= 1024);
+    assert!(events.contains(&Event::Counted(QuotaEvent::Displaced)));
+    events.extend(driver.advance(50));
+    assert_eq!(refusal_of(&events, token), None);
+    assert!(has_run(&events, URGENT));
+}
+
+/// Guards against a request that is taken for the next attempt of another one with the same bytes
+/// but another idempotency key.
+#[test]
+fn requests_with_different_keys_are_different_callers() {
+    let mut driver = Driver::new("objective=4s");
+    driver.overload(2000);
+    let request = |driver: &mut Driver, key: &str| {
+        driver.token += 1;
+        let request = Request::new("press", "POST", PATIENT, Bytes::from("same"));
+        driver.feed(Input::Request {
+            token: RequestToken(driver.token),
+            caller: "shop".into(),
+            context: None,
+            parent: None,
+            key: Some(key.into()),
+            credential: Some(KeyDigest::of("k1")),
+            caller_timeout: Some(CALLER_TIMEOUT),
+            request,
+        })
+    };
+    let early = Event::Counted(QuotaEvent::ReturnedEarly);
+    assert!(refusal(&request(&mut driver, "one")).is_some());
+    assert!(!request(&mut driver, "two").contains(&early));
+    assert!(request(&mut driver, "one").contains(&early));
+}
