Check only queues of tokens that are in use

Each check, every 25 ms, computed the demand of every queue, also of those that are kept for 2 s only for their estimates. Requests that a stopping node refuses no longer count as demand.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -365,7 +365,7 @@
                 Timer::CrashReports => self.resend_crash_reports(now),
                 Timer::RunDeadline(run) => self.on_run_deadline(now, run),
                 Timer::HeldCallTimeout(call) => self.on_hold_timeout(call),
-                Timer::StopGracePeriod => self.refuse_all_by_slack(),
+                Timer::StopGracePeriod => self.refuse_all_by_slack(now),
                 Timer::HandoverTimeout => {}
                 Timer::Reattach(call) => self.on_reattach_timer(now, call),
             }
--- a/crates/engine/src/quota/slack.rs
+++ b/crates/engine/src/quota/slack.rs
@@ -198,7 +198,11 @@
             return;
         }
         slack.check_at = Some(now + CHECK_INTERVAL);
-        let organisations: Vec<OrganisationId> = slack.queues.keys().copied().collect();
+        let active = slack
+            .queues
+            .iter()
+            .filter(|(_, queue)| queue.is_active(now));
+        let organisations: Vec<OrganisationId> = active.map(|(id, _)| *id).collect();
         for organisation in organisations {
             if let Some(queue) = self.quota.slack.queues.get_mut(&organisation) {
                 queue.drop_expired_promises(now);
@@ -235,8 +239,9 @@
     }
 
     /// Refuses all waiting requests, because this node is stopping and accepts no more.
-    pub(crate) fn refuse_all_by_slack(&mut self) {
+    pub(crate) fn refuse_all_by_slack(&mut self, now: Time) {
         for waiting in self.quota.slack.remove_all_waiting(|_| true) {
+            self.update_token_demand(now, waiting.organisation);
             let refusal = self.refusal(Reason::Draining);
             self.refuse_unopened(RefusedRequest::from(&waiting.request.arrival), refusal);
         }
--- a/crates/organisation/src/token_queue.rs
+++ b/crates/organisation/src/token_queue.rs
@@ -29,6 +29,11 @@
 /// How long an idle queue is kept, so that its estimates survive short gaps between requests.
 const IDLE_TTL: Duration = Duration::from_secs(2);
 
+/// How long the demand of an empty queue is still checked after its last use; a few intervals
+/// between checks. An idle queue costs nothing, so that a node can keep one for each of 1,000
+/// organisations.
+const ACTIVE_TTL: Duration = Duration::from_millis(100);
+
 /// The retry delay while the rate of tokens is unknown.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -149,6 +154,11 @@
         self.is_empty() && self.promises.len() == 0 && now.since(self.used_at) >= IDLE_TTL
     }
 
+    /// Whether the demand may have changed: the queue holds something, or was used recently.
+    pub fn is_active(&self, now: Time) -> bool {
+        !self.is_empty() || self.promises.len() > 0 || now.since(self.used_at) < ACTIVE_TTL
+    }
+
     /// The tokens needed now for waiting requests and for promises that are due: all, and those for
     /// urgent work.
     pub fn demand(&self, now: Time) -> (u32, u32) {
