--- a/crates/engine/src/quota/slack.rs
+++ b/crates/engine/src/quota/slack.rs
@@ -14,10 +14,10 @@
 use crate::Engine;
 use crate::Output;
 use crate::RequestToken;
-use organisation::Bid;
 use organisation::QuotaToken;
 use organisation::Refused;
 use organisation::Returned;
+use organisation::TokenClaim;
 use proto::Loan;
 use proto::OrganisationId;
 use proto::Reason;
@@ -51,7 +51,7 @@
         let request = self.token_request(now, arrival, operation, hash, was_promised);
         let available = self.quota.borrower.available(now, organisation);
         let queue = self.quota.slack.queues.get(&organisation);
-        let may_take = queue.is_none_or(|queue| queue.may_take(now, &request.bid, available));
+        let may_take = queue.is_none_or(|queue| queue.may_take(now, &request.claim, available));
         if may_take {
             if let Some(token) = self.quota.borrower.try_spend_waiting(now, organisation) {
                 let arrival = self.on_token_spent(organisation, request);
@@ -60,7 +60,7 @@
             }
         }
         let queue = self.quota.slack.queue(now, organisation);
-        match queue.should_wait(now, &request.bid) {
+        match queue.should_wait(now, &request.claim) {
             true => self.wait_by_slack(now, organisation, request),
             false => self.refuse_by_slack(now, organisation, request, Cause::NoTokenInTime),
         }
@@ -98,14 +98,14 @@
     }
 
     fn wait_by_slack(&mut self, now: Time, organisation: OrganisationId, request: TokenRequest) {
-        let (token, bid) = (request.arrival.token, request.bid);
+        let (token, claim) = (request.arrival.token, request.claim);
         let slack = &mut self.quota.slack;
-        let (key, displaced) = slack.queue(now, organisation).push(now, bid, token);
-        slack.expiries.insert((bid.wait_until, token));
+        let (key, displaced) = slack.queue(now, organisation).push(now, claim, token);
+        slack.expiries.insert((claim.wait_until, token));
         let waiting = Waiting {
             organisation,
             key,
-            wait_until: bid.wait_until,
+            wait_until: claim.wait_until,
             request,
         };
         slack.waiting.insert(token, waiting);
@@ -148,8 +148,8 @@
         queue.record_loan(now, demand, loan.tokens);
         self.admit_by_slack(now, loan.organisation);
         let queue = self.quota.slack.queues.get_mut(&loan.organisation);
-        let hopeless = queue.map_or_else(Vec::new, |queue| queue.take_hopeless(now));
-        for (_, token) in hopeless {
+        let infeasible = queue.map_or_else(Vec::new, |queue| queue.take_infeasible(now));
+        for (_, token) in infeasible {
             self.refuse_waiting_by_slack(now, token, Cause::NoTokenInTime);
         }
         self.update_token_demand(now, loan.organisation);
@@ -270,11 +270,14 @@
         let retry_limit = Self::longest_retry_delay(now, &request);
         let TokenRequest {
             arrival,
-            bid,
+            claim,
             objective,
             hash,
         } = request;
-        let bid = Bid { retry_limit, ..bid };
+        let claim = TokenClaim {
+            retry_limit,
+            ..claim
+        };
         let hash = hash.unwrap_or_else(|| hash_of(&arrival));
         let slack = &mut self.quota.slack;
         // A caller that was told a time and comes before it is told the same time again.
@@ -287,41 +290,41 @@
             true => Reason::QuotaExceeded,
             false => Reason::QuotaUnknown,
         };
-        let mut quote = queue.quote(now, &bid, told.is_none());
+        let mut advice = queue.advise_retry(now, &claim, told.is_none());
         match told {
-            Some(refused) => quote.retry_after = now.until(refused.return_at),
+            Some(refused) => advice.retry_after = now.until(refused.return_at),
             None => slack.returns.insert(
                 hash,
                 Refused {
                     first_at: arrival.first_at,
-                    return_at: now + quote.retry_after.min(bid.retry_limit),
+                    return_at: now + advice.retry_after.min(claim.retry_limit),
                     objective,
-                    promise: quote.promise,
+                    promise: advice.promise,
                 },
             ),
         }
-        if quote.promise.is_some() {
+        if advice.promise.is_some() {
             self.count(Counter::Quota(QuotaEvent::Promised));
         }
         self.outputs
             .push(Output::Diagnostic(Diagnostic::QuotaRefused(QuotaRefusal {
                 request: arrival.request.id.clone(),
                 organisation: arrival.request.organisation.clone(),
-                is_lookup: bid.rank.is_lookup,
-                priority: bid.rank.priority,
-                is_urgent: bid.is_urgent,
+                is_lookup: claim.rank.is_lookup,
+                priority: claim.rank.priority,
+                is_urgent: claim.is_urgent,
                 objective_left: now.until(objective),
                 waited: now.since(arrival.at),
                 tokens,
-                ahead: quote.ahead,
-                promised: quote.promised,
-                rate_millihertz: quote.rate_millihertz,
-                retry_after: quote.retry_after,
-                has_promise: quote.promise.is_some(),
+                ahead: advice.ahead,
+                promised: advice.promised,
+                rate_millihertz: advice.rate_millihertz,
+                retry_after: advice.retry_after,
+                has_promise: advice.promise.is_some(),
             })));
         self.refuse_unopened(
             RefusedRequest::from(&arrival),
-            Refusal::new(reason, quote.retry_after),
+            Refusal::new(reason, advice.retry_after),
         );
     }
 }
--- a/crates/engine/src/quota/slack_queues.rs
+++ b/crates/engine/src/quota/slack_queues.rs
@@ -4,8 +4,8 @@
 use crate::quota::token_request::TokenRequest;
 use crate::RequestToken;
 use indexmap::IndexMap;
-use organisation::Bid;
 use organisation::Returns;
+use organisation::TokenClaim;
 use organisation::TokenQueue;
 use organisation::WaitKey;
 use proto::OrganisationId;
@@ -79,7 +79,7 @@
 
     /// Removes the last request of the longest queue if too many wait at this node, so that one
     /// organisation does not keep out the others.
-    pub(crate) fn displace_last(&mut self) -> Option<(Bid, RequestToken)> {
+    pub(crate) fn displace_last(&mut self) -> Option<(TokenClaim, RequestToken)> {
         if self.waiting.len() <= MAX_WAITING {
             return None;
         }
--- a/crates/engine/src/quota/token_request.rs
+++ b/crates/engine/src/quota/token_request.rs
@@ -2,7 +2,7 @@
 
 use crate::request::Arrival;
 use crate::Engine;
-use organisation::Bid;
+use organisation::TokenClaim;
 use organisation::TokenRank;
 use proto::hash64;
 use proto::Request;
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub(crate) struct TokenRequest {
     pub(crate) arrival: Arrival,
-    pub(crate) bid: Bid,
+    pub(crate) claim: TokenClaim,
     pub(crate) objective: Time,
     /// The hash of the caller and the request, if it was computed.
     pub(crate) hash: Option<u64>,
@@ -84,7 +84,7 @@
         let deadline = arrival.at + operation.deadline.min(timeout);
         let latest_start = earlier(objective, allowance);
         let wait_until = latest_start.min(earlier(deadline, allowance));
-        let bid = Bid {
+        let claim = TokenClaim {
             rank: TokenRank {
                 is_lookup: !operation.class.is_protected(),
                 priority: operation.priority,
@@ -98,7 +98,7 @@
         };
         TokenRequest {
             arrival,
-            bid,
+            claim,
             objective,
             hash,
         }
--- a/crates/organisation/src/token_queue.rs
+++ b/crates/organisation/src/token_queue.rs
@@ -20,7 +20,7 @@
 
 /// Factor by which the expected wait of a request that already waits must exceed the time that it
 /// has. The estimated rate varies from answer to answer.
-const HOPELESS_MARGIN: f64 = 1.5;
+const INFEASIBLE_MARGIN: f64 = 1.5;
 
 /// Part of the estimated rate that is promised to callers. The rate varies with the demand of other
 /// nodes, and a caller that finds no token has come twice for nothing.
@@ -54,7 +54,7 @@
 
 plain! {
     /// What a request for a token is judged by.
-    pub struct Bid {
+    pub struct TokenClaim {
         /// The rank of the request.
         pub rank: TokenRank,
         /// Whether lenders count it as urgent.
@@ -74,7 +74,7 @@
 
 plain! {
     /// The inputs of a refusal, and what the caller is told.
-    pub struct Quote {
+    pub struct RetryAdvice {
         /// The retry delay.
         pub retry_after: Duration,
         /// The promise of a token at that time, if one was made.
@@ -93,12 +93,12 @@
 /// # Examples
 ///
 /// ```
-/// use bilberry_organisation::{Bid, TokenQueue, TokenRank};
+/// use bilberry_organisation::{TokenClaim, TokenQueue, TokenRank};
 /// use std::time::Duration;
 /// use stdx::Time;
 ///
 /// let now = Time::from_micros(1_000_000);
-/// let bid = |priority| Bid {
+/// let claim = |priority| TokenClaim {
 ///     rank: TokenRank { is_lookup: false, priority },
 ///     is_urgent: priority == 0,
 ///     latest_start: now + Duration::from_millis(400),
@@ -108,8 +108,8 @@
 ///     was_promised: false,
 /// };
 /// let mut queue = TokenQueue::new(now);
-/// queue.push(now, bid(2), "patient");
-/// queue.push(now, bid(0), "urgent");
+/// queue.push(now, claim(2), "patient");
+/// queue.push(now, claim(0), "urgent");
 /// assert_eq!(queue.pop(now, 1).unwrap().1, "urgent");
 /// ```
 #[derive(Debug)]
@@ -169,49 +169,54 @@
 
     /// Whether a newly arrived request may take one of `available` tokens ahead of those that wait
     /// and of the promises that are due.
-    pub fn may_take(&self, now: Time, bid: &Bid, available: u32) -> bool {
-        self.is_empty() && available as usize > self.held(now)(bid)
+    pub fn may_take(&self, now: Time, claim: &TokenClaim, available: u32) -> bool {
+        self.is_empty() && available as usize > self.held(now)(claim)
     }
 
     /// Whether a new request should wait: a token is expected for it in time, or the rate of tokens
     /// is not known.
-    pub fn should_wait(&self, now: Time, bid: &Bid) -> bool {
-        if now >= bid.wait_until {
+    pub fn should_wait(&self, now: Time, claim: &TokenClaim) -> bool {
+        if now >= claim.wait_until {
             return false;
         }
-        let ahead = self.waiting.ahead_of(bid);
-        let expected = self.expected_wait(now, bid, ahead);
-        bid.was_promised || expected.is_none_or(|wait| now + wait <= bid.wait_until)
+        let ahead = self.waiting.ahead_of(claim);
+        let expected = self.expected_wait(now, claim, ahead);
+        claim.was_promised || expected.is_none_or(|wait| now + wait <= claim.wait_until)
     }
 
     /// Adds a request. If the queue is full, the last request is removed and returned; it may be
     /// the new one.
-    pub fn push(&mut self, now: Time, bid: Bid, value: T) -> (WaitKey, Option<(Bid, T)>) {
+    pub fn push(
+        &mut self,
+        now: Time,
+        claim: TokenClaim,
+        value: T,
+    ) -> (WaitKey, Option<(TokenClaim, T)>) {
         self.used_at = now;
-        let key = self.waiting.insert(bid, value);
+        let key = self.waiting.insert(claim, value);
         let is_full = self.len() > MAX_WAITING_PER_ORGANISATION;
         (key, is_full.then(|| self.pop_last()).flatten())
     }
 
     /// Removes the request that would be the last to get a token.
-    pub fn pop_last(&mut self) -> Option<(Bid, T)> {
+    pub fn pop_last(&mut self) -> Option<(TokenClaim, T)> {
         let last = self.waiting.last_key()?;
         self.waiting.remove(&last)
     }
 
     /// Removes a request, for example one whose caller has disconnected.
-    pub fn remove(&mut self, key: &WaitKey) -> Option<(Bid, T)> {
+    pub fn remove(&mut self, key: &WaitKey) -> Option<(TokenClaim, T)> {
         self.waiting.remove(key)
     }
 
     /// Removes the next request that may take one of `available` tokens. Tokens that are promised
     /// for now go to urgent work and to callers that return for them.
-    pub fn pop(&mut self, now: Time, available: u32) -> Option<(Bid, T)> {
+    pub fn pop(&mut self, now: Time, available: u32) -> Option<(TokenClaim, T)> {
         if available == 0 {
             return None;
         }
         let held_from = self.held(now);
-        let may_take = |(_, bid): &(&WaitKey, &Bid)| available as usize > held_from(bid);
+        let may_take = |(_, claim): &(&WaitKey, &TokenClaim)| available as usize > held_from(claim);
         let next = self.waiting.iter().find(may_take);
         let key = next.map(|(key, _)| *key)?;
         self.used_at = now;
@@ -221,10 +226,10 @@
     /// Computes the number of tokens that are held for other callers and that a request must leave.
     /// A caller that has returned for its token precedes those that have yet to return, but does
     /// not take tokens that are held for urgent work.
-    fn held(&self, now: Time) -> impl Fn(&Bid) -> usize + use<T> {
+    fn held(&self, now: Time) -> impl Fn(&TokenClaim) -> usize + use<T> {
         let all = self.promises.held(now, false);
         let urgent = self.promises.held(now, true);
-        move |bid| match (bid.is_urgent, bid.was_promised) {
+        move |claim| match (claim.is_urgent, claim.was_promised) {
             (true, true) => 0,
             (false, false) => all,
             _ => urgent,
@@ -252,9 +257,9 @@
     }
 
     /// Removes the requests that can no longer be in time.
-    pub fn take_expired(&mut self, now: Time) -> Vec<(Bid, T)> {
+    pub fn take_expired(&mut self, now: Time) -> Vec<(TokenClaim, T)> {
         let expired = self.waiting.iter();
-        let expired = expired.filter(|(_, bid)| bid.wait_until <= now);
+        let expired = expired.filter(|(_, claim)| claim.wait_until <= now);
         let expired: Vec<WaitKey> = expired.map(|(key, _)| *key).collect();
         let expired = expired.iter();
         expired.filter_map(|key| self.waiting.remove(key)).collect()
@@ -262,21 +267,21 @@
 
     /// Removes the requests that are not expected to get a token in time. Each request behind one
     /// that is removed moves up.
-    pub fn take_hopeless(&mut self, now: Time) -> Vec<(Bid, T)> {
+    pub fn take_infeasible(&mut self, now: Time) -> Vec<(TokenClaim, T)> {
         let mut ahead = [0; 2];
-        let mut hopeless = Vec::new();
-        for (key, bid) in self.waiting.iter() {
-            let ahead = &mut ahead[usize::from(bid.is_urgent)];
-            let expected = self.expected_wait(now, bid, *ahead).unwrap_or_default();
-            let left = now.until(bid.wait_until).mul_f64(HOPELESS_MARGIN);
-            if bid.was_promised || expected <= left {
+        let mut infeasible = Vec::new();
+        for (key, claim) in self.waiting.iter() {
+            let ahead = &mut ahead[usize::from(claim.is_urgent)];
+            let expected = self.expected_wait(now, claim, *ahead).unwrap_or_default();
+            let left = now.until(claim.wait_until).mul_f64(INFEASIBLE_MARGIN);
+            if claim.was_promised || expected <= left {
                 *ahead += 1;
             } else {
-                hopeless.push(*key);
+                infeasible.push(*key);
             }
         }
-        let hopeless = hopeless.iter();
-        hopeless
+        let infeasible = infeasible.iter();
+        infeasible
             .filter_map(|key| self.waiting.remove(key))
             .collect()
     }
@@ -296,35 +301,41 @@
     ///
     /// A caller that honours no retry delay as long as the time until its token is told the longest
     /// that it honours: its next attempt waits here for the rest.
-    pub fn quote(&mut self, now: Time, bid: &Bid, may_promise: bool) -> Quote {
+    pub fn advise_retry(
+        &mut self,
+        now: Time,
+        claim: &TokenClaim,
+        may_promise: bool,
+    ) -> RetryAdvice {
         self.used_at = now;
-        let ahead = self.waiting.ahead_of(bid);
+        let ahead = self.waiting.ahead_of(claim);
         let promised = self
             .promises
-            .due_by(Time::from_micros(u64::MAX), bid.is_urgent);
-        let rate = self.supply_of(bid).rate(now);
-        let mut quote = Quote {
+            .due_by(Time::from_micros(u64::MAX), claim.is_urgent);
+        let rate = self.supply_of(claim).rate(now);
+        let mut advice = RetryAdvice {
             retry_after: MIN_RETRY_AFTER,
             promise: None,
             ahead: ahead as u32,
             promised: promised as u32,
             rate_millihertz: rate.map(|rate| (rate * 1000.0) as u64),
         };
-        let is_reachable =
-            |delay| delay <= bid.retry_limit + bid.max_wait / 2 && now + delay <= bid.latest_start;
-        let proven = self.supply_of(bid).proven_rate(now);
+        let is_reachable = |delay| {
+            delay <= claim.retry_limit + claim.max_wait / 2 && now + delay <= claim.latest_start
+        };
+        let proven = self.supply_of(claim).proven_rate(now);
         let proven = proven.filter(|_| may_promise).unwrap_or(0.0);
         let delay = wait_for(ahead + promised, proven * PROMISED_FRACTION);
         if is_reachable(delay) {
-            quote.promise = self.promises.add(now + delay, bid.is_urgent);
+            advice.promise = self.promises.add(now + delay, claim.is_urgent);
         }
-        quote.retry_after = match (quote.promise, rate) {
-            (Some(_), _) => delay.min(bid.retry_limit),
+        advice.retry_after = match (advice.promise, rate) {
+            (Some(_), _) => delay.min(claim.retry_limit),
             (None, Some(rate)) => wait_for(ahead + promised, rate),
-            (None, None) => UNKNOWN_RETRY_AFTER.min(bid.retry_limit),
+            (None, None) => UNKNOWN_RETRY_AFTER.min(claim.retry_limit),
         };
-        quote.retry_after = quote.retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        quote
+        advice.retry_after = advice.retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        advice
     }
 
     /// Whether the lender is known to be short of tokens.
@@ -332,18 +343,18 @@
         self.supply.is_short(now) || self.urgent_supply.is_short(now)
     }
 
-    fn supply_of(&self, bid: &Bid) -> &Supply {
-        match bid.is_urgent {
+    fn supply_of(&self, claim: &TokenClaim) -> &Supply {
+        match claim.is_urgent {
             true => &self.urgent_supply,
             false => &self.supply,
         }
     }
 
-    fn expected_wait(&self, now: Time, bid: &Bid, ahead: usize) -> Option<Duration> {
-        let rate = self.supply_of(bid).rate(now)?;
+    fn expected_wait(&self, now: Time, claim: &TokenClaim, ahead: usize) -> Option<Duration> {
+        let rate = self.supply_of(claim).rate(now)?;
         let promised = self
             .promises
-            .due_by(now + wait_for(ahead, rate), bid.is_urgent);
+            .due_by(now + wait_for(ahead, rate), claim.is_urgent);
         Some(wait_for(ahead + promised, rate))
     }
 }
--- a/crates/organisation/src/wait_queue.rs
+++ b/crates/organisation/src/wait_queue.rs
@@ -1,6 +1,6 @@
 //! Requests that wait for a token, in the order in which they get one.
 
-use crate::Bid;
+use crate::TokenClaim;
 use crate::TokenRank;
 use std::collections::BTreeMap;
 use stdx::Time;
@@ -12,7 +12,7 @@
 /// Waiting requests of one organisation.
 #[derive(Debug)]
 pub(crate) struct WaitQueue<T> {
-    entries: BTreeMap<WaitKey, (Bid, T)>,
+    entries: BTreeMap<WaitKey, (TokenClaim, T)>,
     urgent: usize,
     last_number: u64,
 }
@@ -34,23 +34,23 @@
         self.urgent
     }
 
-    pub(crate) fn insert(&mut self, bid: Bid, value: T) -> WaitKey {
+    pub(crate) fn insert(&mut self, claim: TokenClaim, value: T) -> WaitKey {
         self.last_number += 1;
         let key = (
-            bid.rank,
-            !bid.was_promised,
-            bid.latest_start,
+            claim.rank,
+            !claim.was_promised,
+            claim.latest_start,
             self.last_number,
         );
-        self.urgent += usize::from(bid.is_urgent);
-        self.entries.insert(key, (bid, value));
+        self.urgent += usize::from(claim.is_urgent);
+        self.entries.insert(key, (claim, value));
         key
     }
 
-    pub(crate) fn remove(&mut self, key: &WaitKey) -> Option<(Bid, T)> {
-        let (bid, value) = self.entries.remove(key)?;
-        self.urgent -= usize::from(bid.is_urgent);
-        Some((bid, value))
+    pub(crate) fn remove(&mut self, key: &WaitKey) -> Option<(TokenClaim, T)> {
+        let (claim, value) = self.entries.remove(key)?;
+        self.urgent -= usize::from(claim.is_urgent);
+        Some((claim, value))
     }
 
     pub(crate) fn last_key(&self) -> Option<WaitKey> {
@@ -59,14 +59,19 @@
 
     /// The number of requests that a new one would be behind, of those whose tokens come from the
     /// same supply.
-    pub(crate) fn ahead_of(&self, bid: &Bid) -> usize {
-        let end = (bid.rank, !bid.was_promised, bid.latest_start, u64::MAX);
+    pub(crate) fn ahead_of(&self, claim: &TokenClaim) -> usize {
+        let end = (
+            claim.rank,
+            !claim.was_promised,
+            claim.latest_start,
+            u64::MAX,
+        );
         let ahead = self.entries.range(..=end);
-        let ahead = ahead.filter(|(_, (other, _))| other.is_urgent == bid.is_urgent);
+        let ahead = ahead.filter(|(_, (other, _))| other.is_urgent == claim.is_urgent);
         ahead.count()
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&WaitKey, &Bid)> {
-        self.entries.iter().map(|(key, (bid, _))| (key, bid))
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&WaitKey, &TokenClaim)> {
+        self.entries.iter().map(|(key, (claim, _))| (key, claim))
     }
 }
--- a/crates/organisation/tests/quotas/work.rs
+++ b/crates/organisation/tests/quotas/work.rs
@@ -4,9 +4,9 @@
 use crate::fleet::Fleet;
 use crate::fleet::MAX_WAIT;
 use crate::fleet::ORGANISATION;
-use bilberry_organisation::Bid;
 use bilberry_organisation::Refused;
 use bilberry_organisation::Returned;
+use bilberry_organisation::TokenClaim;
 use bilberry_organisation::TokenRank;
 use proto::Loan;
 use proto::TokenDemand;
@@ -70,10 +70,10 @@
         }
     }
 
-    fn bid(&self, now: Time) -> Bid {
+    fn claim(&self, now: Time) -> TokenClaim {
         let latest_start = self.first_at + (self.objective() - RUN_TIME);
         let timeout = ATTEMPT_TIMEOUT.min(self.objective());
-        Bid {
+        TokenClaim {
             rank: TokenRank {
                 is_lookup: false,
                 priority: if self.is_urgent { 0 } else { 2 },
@@ -188,14 +188,14 @@
             node.counts.promised += u64::from(work.was_promised);
         }
         node.borrower.record_demand(now, ORGANISATION, quota);
-        let bid = work.bid(now);
+        let claim = work.claim(now);
         let available = node.borrower.available(now, ORGANISATION);
-        if node.queue.may_take(now, &bid, available)
+        if node.queue.may_take(now, &claim, available)
             && node.borrower.try_spend_waiting(now, ORGANISATION).is_some()
         {
             self.admit(index, work);
-        } else if node.queue.should_wait(now, &bid) {
-            if let (_, Some((_, displaced))) = node.queue.push(now, bid, work) {
+        } else if node.queue.should_wait(now, &claim) {
+            if let (_, Some((_, displaced))) = node.queue.push(now, claim, work) {
                 self.refuse(index, displaced);
             }
         } else {
@@ -230,15 +230,15 @@
             false => ms(self.rng.random_range(500..1000)),
             true => {
                 let node = &mut self.nodes[index];
-                let quote = node.queue.quote(now, &work.bid(now), true);
+                let advice = node.queue.advise_retry(now, &work.claim(now), true);
                 let refused = Refused {
                     first_at: work.first_at,
-                    return_at: now + quote.retry_after.min(limit),
+                    return_at: now + advice.retry_after.min(limit),
                     objective: work.first_at + work.objective(),
-                    promise: quote.promise,
+                    promise: advice.promise,
                 };
                 node.returns.insert(work.caller, refused);
-                quote.retry_after
+                advice.retry_after
             }
         };
         if self.callers_return && work.attempts == 1 && !limit.is_zero() {
@@ -290,7 +290,7 @@
             node.queue.record_loan(now, *demand, loan.tokens);
         }
         self.admit_waiting(index);
-        for (_, work) in self.nodes[index].queue.take_hopeless(now) {
+        for (_, work) in self.nodes[index].queue.take_infeasible(now) {
             self.refuse(index, work);
         }
         self.update_demand(index);
--- a/crates/organisation/tests/token_queue.rs
+++ b/crates/organisation/tests/token_queue.rs
@@ -1,6 +1,6 @@
 //! The queue of one organisation at one node: its bound, and its expectations.
 
-use bilberry_organisation::Bid;
+use bilberry_organisation::TokenClaim;
 use bilberry_organisation::TokenQueue;
 use bilberry_organisation::TokenRank;
 use bilberry_organisation::MAX_WAITING_PER_ORGANISATION;
@@ -15,8 +15,8 @@
     Duration::from_millis(ms)
 }
 
-fn bid(priority: u8, latest_start: Time) -> Bid {
-    Bid {
+fn claim(priority: u8, latest_start: Time) -> TokenClaim {
+    TokenClaim {
         rank: TokenRank {
             is_lookup: false,
             priority,
@@ -43,13 +43,13 @@
 fn urgent_request_displaces_the_least_urgent_of_a_full_queue() {
     let mut queue = TokenQueue::new(START);
     for number in 0..MAX_WAITING_PER_ORGANISATION as u64 {
-        let (_, displaced) = queue.push(START, bid(2, START + ms(1000 + number)), number);
+        let (_, displaced) = queue.push(START, claim(2, START + ms(1000 + number)), number);
         assert_eq!(displaced, None);
     }
-    let (_, displaced) = queue.push(START, bid(0, START + ms(400)), 1000);
+    let (_, displaced) = queue.push(START, claim(0, START + ms(400)), 1000);
     let last = MAX_WAITING_PER_ORGANISATION as u64 - 1;
     assert_eq!(displaced.map(|(_, number)| number), Some(last));
-    let (_, displaced) = queue.push(START, bid(3, START + ms(400)), 1001);
+    let (_, displaced) = queue.push(START, claim(3, START + ms(400)), 1001);
     assert_eq!(displaced.map(|(_, number)| number), Some(1001));
     assert_eq!(queue.pop(START, 1).map(|(_, number)| number), Some(1000));
     assert_eq!(queue.len(), MAX_WAITING_PER_ORGANISATION - 1);
@@ -67,8 +67,8 @@
         queue.record_loan(now, demand(12, 2), 2);
     }
     assert!(queue.is_short(now));
-    assert!(!queue.should_wait(now, &bid(2, now + ms(400))));
-    assert!(queue.should_wait(now, &bid(0, now + ms(400))));
+    assert!(!queue.should_wait(now, &claim(2, now + ms(400))));
+    assert!(queue.should_wait(now, &claim(0, now + ms(400))));
 }
 
 /// Guards against requests that keep waiting after the lender has shown that they wait in vain.
@@ -76,7 +76,7 @@
 fn requests_that_wait_in_vain_are_refused_before_their_time() {
     let mut queue = TokenQueue::new(START);
     for number in 0..60 {
-        queue.push(START, bid(2, START + ms(3000)), number);
+        queue.push(START, claim(2, START + ms(3000)), number);
     }
     let mut now = START;
     for _ in 0..10 {
@@ -85,12 +85,16 @@
         queue.record_loan(now, demand(60, 0), 1);
         queue.pop(now, 1);
     }
-    let hopeless = queue.take_hopeless(now);
+    let infeasible = queue.take_infeasible(now);
     // In the two seconds that remain there are tokens for twenty of the fifty that wait. Those that
     // would need up to one and a half times as long are kept in doubt.
-    assert!((15..=30).contains(&hopeless.len()), "{}", hopeless.len());
-    let is_last = |(_, number): &(Bid, u64)| *number >= 30;
-    assert!(hopeless.iter().all(is_last), "{hopeless:?}");
+    assert!(
+        (15..=30).contains(&infeasible.len()),
+        "{}",
+        infeasible.len()
+    );
+    let is_last = |(_, number): &(TokenClaim, u64)| *number >= 30;
+    assert!(infeasible.iter().all(is_last), "{infeasible:?}");
 }
 
 /// Guards against a token that stays unused, because it is held for a caller that has yet to return,
@@ -103,13 +107,13 @@
         now = now + ms(100);
         queue.record_loan(now, demand(10, 0), 2);
     }
-    let patient = bid(2, now + ms(3000));
-    let first = queue.quote(now, &patient, true);
-    let second = queue.quote(now, &patient, true);
+    let patient = claim(2, now + ms(3000));
+    let first = queue.advise_retry(now, &patient, true);
+    let second = queue.advise_retry(now, &patient, true);
     assert!(second.promise.is_some() && second.retry_after > first.retry_after);
     now = now + first.retry_after;
     assert!(queue.redeem(first.promise.expect("a token is promised")));
-    let returned = Bid {
+    let returned = TokenClaim {
         was_promised: true,
         ..patient
     };
