Keep a refusal of a key true while it is delivered

Cause: a home answers an attempt of a key "not run", which is true when it is said. Until the caller reads it, the home may start another attempt of the caller that was on its way.

Change: a home that refuses an attempt of a key which its caller may have sent before starts no run of the key for 200 ms and states in the refusal for how long after the arrival of the call this holds. Other attempts wait meanwhile, the slot is not transferred, and a home without a lease states nothing. The ingress node passes the refusal on as valid for the key if that time has not passed since it sent the attempt, otherwise for the attempt only. A retry by the ingress node, which has not passed the refusal on, does not wait. Considered as well: an acknowledgement of each refusal by the ingress node (one more message per refusal, and a key whose acknowledgement is lost stays closed until the deadline), and limiting every refusal of a key to its attempt (callers would be told "unknown" of every order that is shed). The time for which a held call waited is now measured: before, a held call with less than 2 s left lost up to 2 s. Calls without keys: one byte (0) more in refusals between nodes; nothing is held and no decision changes.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -32,6 +32,7 @@
         let call = OutgoingCall {
             token: draft.token,
             target: self.own_instance.clone(),
+            sent_at: now,
             action_id: draft.action_id,
             admission_sample: draft.admission_sample,
             class: draft.class,
@@ -43,6 +44,7 @@
             idempotent: draft.operation.idempotent,
             key: draft.key,
             first_attempt: draft.first_attempt,
+            refused_attempt: None,
             operation: operation_key(&draft.operation),
             retry_allowance: draft.retry_allowance,
             delegated_retries: 0,
@@ -95,6 +97,7 @@
     /// Sends an attempt to this target and delegates to it the retries that the call has left.
     pub(crate) fn send_to_target(&mut self, now: Time, mut call: OutgoingCall, target: Instance) {
         call.target = target;
+        call.sent_at = now;
         call.delegated_retries = if self.reserves_retry(&call) {
             call.retry_allowance.delegate_all_but_one()
         } else {
@@ -132,10 +135,10 @@
 
     /// Sends the frame of an attempt.
     pub(crate) fn send_attempt(&mut self, now: Time, id: CallId, call: &OutgoingCall) {
-        let role = if call.key.is_some() {
-            CallRole::Home
-        } else {
-            CallRole::Serve
+        let role = match (call.key, call.refused_attempt) {
+            (None, _) => CallRole::Serve,
+            (Some(_), None) => CallRole::Home,
+            (Some(_), Some(refused)) => CallRole::HomeRetry(refused),
         };
         let frame = Frame::Call(Box::new(Call {
             id,
@@ -199,6 +202,7 @@
         }
         match answer.outcome {
             Outcome::NotRun(refusal) => {
+                call.refused_attempt = call.key.map(|_| id);
                 call.possible_repeat |=
                     answer.downstream.calls > 0 && self.cfg.policy.hop_retries == 0;
                 self.on_not_run(now, call, refusal);
--- a/crates/engine/src/keyed_calls.rs
+++ b/crates/engine/src/keyed_calls.rs
@@ -1,6 +1,7 @@
 //! Calls with an idempotency key, at the key's home node.
 
 use crate::job::JobOwner;
+use crate::key_refusals::WaitingCall;
 use crate::serve::InboundCall;
 use crate::serve::InboundWork;
 use crate::timers::Timer;
@@ -38,50 +39,63 @@
     /// `None` if the run is at an earlier home node.
     run: Option<RunId>,
     /// The calls that are answered when the run ends.
-    waiting_calls: Vec<CallId>,
+    waiting_calls: Vec<WaitingCall>,
 }
 
-/// A call that waits for the transfer of its slot.
+/// A call that waits for the transfer of its slot, or for the end of the hold of its key.
 #[derive(Debug)]
 pub(crate) struct HeldCall {
     call: Call,
     key: KeyHash,
+    arrived: Time,
+    since: Time,
     until: Time,
 }
 
-/// Calls that wait for the transfers of their slots, by id.
+/// Calls that are held, by id.
 pub(crate) type HeldCalls = IndexMap<CallId, HeldCall>;
 
 impl Engine {
     /// Starts a run for a call, attaches the call to one, holds it, or answers it from the record.
     pub(crate) fn on_keyed_call(&mut self, now: Time, call: Call) {
+        self.begin_keyed_call(now, now, call);
+    }
+
+    fn begin_keyed_call(&mut self, now: Time, arrived: Time, call: Call) {
         let (id, allowance) = (call.id, call.retry_allowance);
         let Some((key, fingerprint)) = call.key else {
             return self.answer_call(id, allowance, self.not_run(Reason::BadKey));
         };
+        let waiting = WaitingCall {
+            id,
+            arrived,
+            first_attempt: call.first_attempt,
+        };
         match self.home.begin(now, key, fingerprint, call.first_attempt) {
-            BeginResult::Start => self.start_keyed_run(now, key, call),
-            BeginResult::Attach => self.attach_to_run(key, id),
+            BeginResult::Start => self.start_keyed_run(now, key, waiting, call),
+            BeginResult::Attach => self.attach_to_run(key, waiting),
             BeginResult::Done(response) => {
                 self.count(Counter::ResponseReplayed);
                 self.answer_call(id, allowance, Outcome::Completed(response));
             }
-            BeginResult::NotRun(reason) => self.answer_call(id, allowance, self.not_run(reason)),
+            BeginResult::NotRun(reason) => {
+                self.answer_keyed_call(now, key, &waiting, allowance, self.not_run(reason))
+            }
             BeginResult::Unknown => {
                 self.answer_call(id, allowance, Outcome::Unknown(Reason::RecordLost));
             }
-            BeginResult::Wait => self.hold_call(now, key, call),
+            BeginResult::Wait => self.hold_call(now, arrived, key, call),
         }
     }
 
-    fn start_keyed_run(&mut self, now: Time, key: KeyHash, call: Call) {
+    fn start_keyed_run(&mut self, now: Time, key: KeyHash, waiting: WaitingCall, call: Call) {
         let id = call.id;
         let run = self.new_job(now, JobOwner::Key(key), call);
         self.key_runs.insert(
             key,
             KeyRun {
                 run: Some(run),
-                waiting_calls: vec![id],
+                waiting_calls: vec![waiting],
             },
         );
         self.add_waiting_call(key, id);
@@ -91,12 +105,13 @@
     /// Attaches a repeated call to the run in progress. The retries delegated with the call count
     /// as spent and are not returned: too few retries do no harm, whereas too many would exceed the
     /// allowance of the action.
-    fn attach_to_run(&mut self, key: KeyHash, id: CallId) {
+    fn attach_to_run(&mut self, key: KeyHash, waiting: WaitingCall) {
+        let id = waiting.id;
         let key_run = self.key_runs.entry(key).or_insert_with(|| KeyRun {
             run: None,
             waiting_calls: Vec::new(),
         });
-        key_run.waiting_calls.push(id);
+        key_run.waiting_calls.push(waiting);
         self.add_waiting_call(key, id);
         self.count(Counter::ResendAttached);
     }
@@ -107,10 +122,11 @@
         self.inbound.insert(id, InboundCall { work });
     }
 
-    /// Holds a call until its slot has been transferred to this node. A refusal would send the call
+    /// Holds a call until its slot has been transferred to this node, or the hold of its key has
+    /// ended. A refusal would send the call
     /// from node to node during the few milliseconds of the transfer. Both the time and the number
     /// of held calls are bounded.
-    fn hold_call(&mut self, now: Time, key: KeyHash, call: Call) {
+    fn hold_call(&mut self, now: Time, arrived: Time, key: KeyHash, call: Call) {
         let (id, allowance) = (call.id, call.retry_allowance);
         if self.held_calls.len() >= MAX_HELD_CALLS {
             return self.answer_call(id, allowance, self.not_run(Reason::Moving));
@@ -123,7 +139,14 @@
                 work: InboundWork::SlotTransfer,
             },
         );
-        self.held_calls.insert(id, HeldCall { call, key, until });
+        let held = HeldCall {
+            call,
+            key,
+            arrived,
+            since: now,
+            until,
+        };
+        self.held_calls.insert(id, held);
     }
 
     fn take_held(&mut self, id: CallId) -> Option<HeldCall> {
@@ -162,10 +185,9 @@
             let Some(mut held) = self.take_held(id) else {
                 continue;
             };
-            let waited = MAX_HOLD_TIME.saturating_sub(now.until(held.until));
-            let waited = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
+            let waited = u32::try_from(now.since(held.since).as_millis()).unwrap_or(u32::MAX);
             held.call.remaining_ms = held.call.remaining_ms.saturating_sub(waited);
-            self.on_keyed_call(now, held.call);
+            self.begin_keyed_call(now, held.arrived, held.call);
         }
     }
 
@@ -186,9 +208,9 @@
         let Some(key_run) = self.key_runs.swap_remove(&key) else {
             return self.apply_home(now, effects);
         };
-        for (id, first) in key_run.waiting_calls.into_iter().zip((0..).map(|n| n == 0)) {
+        for (waiting, first) in key_run.waiting_calls.into_iter().zip((0..).map(|n| n == 0)) {
             let unspent = if first { unspent } else { 0 };
-            self.answer_call(id, unspent, outcome.clone());
+            self.answer_keyed_call(now, key, &waiting, unspent, outcome.clone());
         }
         self.apply_home(now, effects);
     }
@@ -200,7 +222,7 @@
         let Some(key_run) = self.key_runs.get_mut(&key) else {
             return;
         };
-        key_run.waiting_calls.retain(|waiting| *waiting != id);
+        key_run.waiting_calls.retain(|waiting| waiting.id != id);
         if !key_run.waiting_calls.is_empty() {
             return;
         }
@@ -327,8 +349,9 @@
             }
             Effect::AckRunFinished { to, key } => self.send(&to, Frame::RunFinishedAck(key)),
             Effect::MoveEnded(slot) => self.release_held_calls(now, |key| key.slot() == slot),
+            Effect::RefusalHoldEnded(ended) => self.release_held_calls(now, |key| key == ended),
             Effect::LeaseAcquired => self.release_held_calls(now, |_| true),
-            Effect::RemoteRunEnded(key) => self.on_run_ended_elsewhere(key),
+            Effect::RemoteRunEnded(key) => self.on_run_ended_elsewhere(now, key),
             Effect::CancelQueued(key) => self.withdraw_queued_run(now, key),
             Effect::ViewOutdated => self.outputs.push(Output::ReadLog),
             Effect::Expelled => self.expel(now),
@@ -340,7 +363,7 @@
     }
 
     /// Answers the calls that wait here for a run at an earlier home node, which has ended.
-    fn on_run_ended_elsewhere(&mut self, key: KeyHash) {
+    fn on_run_ended_elsewhere(&mut self, now: Time, key: KeyHash) {
         if self
             .key_runs
             .get(&key)
@@ -356,8 +379,8 @@
             BeginResult::NotRun(reason) => self.not_run(reason),
             _ => Outcome::Unknown(Reason::RecordLost),
         };
-        for id in key_run.waiting_calls {
-            self.answer_call(id, 0, outcome.clone());
+        for waiting in key_run.waiting_calls {
+            self.answer_keyed_call(now, key, &waiting, 0, outcome.clone());
         }
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -28,6 +28,7 @@
 mod ingress;
 mod io;
 mod job;
+mod key_refusals;
 mod keyed_calls;
 mod log;
 mod members;
--- a/crates/engine/src/outgoing.rs
+++ b/crates/engine/src/outgoing.rs
@@ -12,6 +12,7 @@
 use proto::KeyHash;
 use proto::Refusal;
 use proto::Request;
+use std::time::Duration;
 use stdx::Time;
 
 /// A call in flight.
@@ -19,6 +20,8 @@
 pub(crate) struct OutgoingCall {
     pub(crate) token: RequestToken,
     pub(crate) target: Instance,
+    /// When the current attempt was first sent.
+    pub(crate) sent_at: Time,
     pub(crate) action_id: ActionId,
     pub(crate) admission_sample: u16,
     pub(crate) class: Class,
@@ -31,6 +34,8 @@
     pub(crate) idempotent: bool,
     pub(crate) key: Option<(KeyHash, Fingerprint)>,
     pub(crate) first_attempt: bool,
+    /// The last attempt that the home of the key refused.
+    pub(crate) refused_attempt: Option<CallId>,
     pub(crate) operation: OperationKey,
     pub(crate) retry_allowance: RetryAllowance,
     /// The retries delegated to the current attempt.
@@ -75,6 +80,13 @@
         self.soonest_refusal = refusals.min_by_key(|refusal| refusal.retry_after_ms);
     }
 
+    /// Whether a refusal by the key's home is true of all attempts with the key. Once the home may
+    /// start runs with the key again, an attempt that was on its way may have run.
+    pub(crate) fn refusal_holds(&self, now: Time, refusal: &Refusal) -> bool {
+        let promised = Duration::from_millis(u64::from(refusal.no_run_within_ms));
+        refusal.reason.is_client_error() || now.since(self.sent_at) <= promised
+    }
+
     /// Limits a refusal to the current attempt if an earlier one may have run. The refusal comes
     /// from a node that has not seen the record of the key, and a key sent by the caller may have
     /// been sent before. If the caller were told that nothing ran, it might order again with
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -47,7 +47,8 @@
             Reason::Moving | Reason::NoLease | Reason::Draining | Reason::PeerLost => {
                 call.scope_refusal(refusal)
             }
-            _ => refusal,
+            _ if call.refusal_holds(now, &refusal) => refusal,
+            _ => call.scope_refusal(refusal),
         };
         self.finish_call(now, call, Outcome::NotRun(refusal));
     }
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -50,7 +50,8 @@
     Run(RunId),
     /// The run of an idempotency key, which other calls may wait for too.
     Key(KeyHash),
-    /// The transfer of the key's slot to this node; the call is held until then.
+    /// The transfer of the key's slot to this node, or the end of the hold of its key; the call is
+    /// held until then.
     SlotTransfer,
 }
 
@@ -74,6 +75,12 @@
         match call.role {
             CallRole::Serve => self.on_serve_call(now, call),
             CallRole::Home => self.on_keyed_call(now, call),
+            CallRole::HomeRetry(refused) => {
+                if let Some((key, _)) = call.key {
+                    self.home.release_refused(key, refused);
+                }
+                self.on_keyed_call(now, call);
+            }
         }
     }
 
--- a/crates/engine/tests/refusals.rs
+++ b/crates/engine/tests/refusals.rs
@@ -179,3 +179,44 @@
     assert_eq!(answer, Outcome::Unknown(Reason::PeerLost));
     assert!(ids.iter().all(|id| *id == ids[0]), "{ids:?}");
 }
+
+/// Has a call with this key refused for load after `elapsed`, by a home that promised to start no
+/// run with the key for this long. Returns the outcome that the caller is told.
+fn late_refusal(key: Option<&str>, elapsed: Duration, promised: Duration) -> &'static str {
+    let mut engine = ingress_node();
+    let outputs = engine.handle(Time::ZERO, booking(key));
+    let sent = outputs.into_iter().find_map(|output| match output {
+        Output::Send {
+            frame: Frame::Call(call),
+            ..
+        } => Some(call.id),
+        _ => None,
+    });
+    let refusal = Refusal::new(Reason::Shed, Duration::from_secs(1)).with_no_run_within(promised);
+    let answer = Answer {
+        outcome: Outcome::NotRun(refusal),
+        unspent_retries: 0,
+        downstream: DownstreamSummary::default(),
+        load: LoadReport::default(),
+    };
+    let frame = Frame::Answer(sent.expect("a call is sent"), Box::new(answer));
+    let from = Incarnation(2);
+    let outputs = engine.handle(Time::ZERO + elapsed, Input::Frame { from, frame });
+    let answered = outputs.into_iter().find_map(|output| match output {
+        Output::Answer { outcome, .. } => Some(outcome.name()),
+        _ => None,
+    });
+    answered.expect("the refusal ends the request")
+}
+
+/// A refusal is delayed for longer than the home of the key starts no run with it. Another attempt
+/// of the caller may have run meanwhile, so the caller must not be told that nothing has run.
+/// Without a key there is no other attempt, and the refusal stays valid.
+#[test]
+fn a_refusal_of_a_key_that_arrives_late_is_valid_for_its_attempt_only() {
+    let ms = Duration::from_millis;
+    assert_eq!(late_refusal(Some("k"), ms(180), ms(180)), "not-run");
+    assert_eq!(late_refusal(Some("k"), ms(181), ms(180)), "unknown");
+    assert_eq!(late_refusal(Some("k"), ms(1), ms(0)), "unknown");
+    assert_eq!(late_refusal(None, ms(3000), ms(0)), "not-run");
+}
--- a/crates/once/src/config.rs
+++ b/crates/once/src/config.rs
@@ -32,6 +32,10 @@
     pub transfer_timeout: Duration,
     /// How long calls are held while their slot is being transferred here.
     pub max_hold: Duration,
+    /// How long no run of a key starts after a call with it was refused. Long enough for a call to
+    /// reach a node in another region over a new connection and for its refusal to return (120 ms
+    /// in the trials), and shorter than the retry delays that callers are told.
+    pub refusal_hold: Duration,
     /// Interval after which an unacknowledged transfer is sent again.
     pub resend_interval: Duration,
     /// Maximum size of the records in one transfer frame.
@@ -50,6 +54,7 @@
             max_log_read_duration: Duration::from_secs(30),
             transfer_timeout: Duration::from_secs(10),
             max_hold: Duration::from_secs(1),
+            refusal_hold: Duration::from_millis(200),
             resend_interval: Duration::from_millis(200),
             max_part_bytes: 1 << 20,
         }
--- a/crates/once/src/effect.rs
+++ b/crates/once/src/effect.rs
@@ -53,6 +53,9 @@
     MoveEnded(u16),
     /// The lease was acquired. All calls that were held must begin again.
     LeaseAcquired,
+    /// The time during which this key starts no run after a refusal is over. Calls with this key
+    /// that were held must begin again.
+    RefusalHoldEnded(KeyHash),
     /// A run on another node has ended. Calls that wait for it must begin again.
     RemoteRunEnded(KeyHash),
     /// Remove this queued run from the queue, because its slot moves away. It did not run.
@@ -89,8 +92,9 @@
     Attach,
     /// The run has ended with this response.
     Done(Response),
-    /// The slot or the lease is expected shortly. Begin again on [`Effect::MoveEnded`] or
-    /// [`Effect::LeaseAcquired`], or answer that the call did not run.
+    /// The slot or the lease is expected shortly, or another call with the key was just refused.
+    /// Begin again on [`Effect::MoveEnded`], [`Effect::LeaseAcquired`] or
+    /// [`Effect::RefusalHoldEnded`], or answer that the call did not run.
     Wait,
     /// The call did not run, for this reason.
     NotRun(Reason),
--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -5,6 +5,7 @@
 use crate::moved_run::MovedRun;
 use crate::quorum::is_member;
 use crate::records::Records;
+use crate::refused_keys::RefusedKeys;
 use crate::slot::Holding;
 use crate::slot::IncomingMove;
 use crate::slot::Move;
@@ -60,6 +61,7 @@
     /// Slots with pending moves.
     pub(crate) moving_slots: BTreeSet<u16>,
     pub(crate) records: Records,
+    pub(crate) refused_keys: RefusedKeys,
     /// Runs on this node whose slot has since moved to another home.
     pub(crate) moved_runs: IndexMap<KeyHash, MovedRun>,
     pub(crate) known_instances: BoundedMap<Incarnation, Instance>,
@@ -96,6 +98,7 @@
             slots: (0..SLOT_COUNT).map(|_| Slot::default()).collect(),
             moving_slots: BTreeSet::new(),
             records: Records::new(cfg.reserve_bytes),
+            refused_keys: RefusedKeys::default(),
             moved_runs: IndexMap::new(),
             known_instances: BoundedMap::new(MAX_KNOWN_INSTANCES),
             service: "".into(),
@@ -228,6 +231,7 @@
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
         self.send_due_round(now);
         self.expire_records(now);
+        self.end_refusal_holds(now);
         self.advance(now);
         std::mem::take(&mut self.effects)
     }
@@ -246,6 +250,7 @@
             self.next_lease_round_at,
             fence,
             self.records.next_expiry(),
+            self.refused_keys.next_due(),
             expulsion,
         ]
         .into_iter()
@@ -318,12 +323,13 @@
                 self.cancel_queued(slot);
                 self.moving_slots.insert(slot);
                 let entry = &mut self.slots[usize::from(slot)];
+                let send_at = now.max(entry.refusals_held_until);
                 entry.moves.extend(new_home.map(|to| {
                     Move::Outgoing(OutgoingMove {
                         view: view.number,
                         to: to.clone(),
                         parts: Vec::new(),
-                        send_at: now,
+                        send_at,
                         peer_lost_at: None,
                     })
                 }));
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -19,6 +19,7 @@
 mod moved_run;
 mod quorum;
 mod records;
+mod refused_keys;
 mod runs;
 mod slot;
 mod slot_home;
--- a/crates/once/src/runs.rs
+++ b/crates/once/src/runs.rs
@@ -12,6 +12,7 @@
 use crate::Home;
 use crate::InvariantViolation;
 use crate::RunOutcome;
+use proto::CallId;
 use proto::Fingerprint;
 use proto::Incarnation;
 use proto::KeyHash;
@@ -20,6 +21,10 @@
 use std::time::Duration;
 use stdx::Time;
 
+/// The share of a hold that other nodes do not rely on, because clocks run at different rates, as
+/// for the margin of a lease.
+const HOLD_MARGIN_DIVISOR: u32 = 10;
+
 impl Home {
     /// Begins a call with a key. `first_attempt` means that no earlier attempt with this key can
     /// have been made.
@@ -47,6 +52,9 @@
         {
             return BeginResult::NotRun(Reason::TableFull);
         }
+        if self.refused_keys.must_wait(now, key) {
+            return BeginResult::Wait;
+        }
         let record = Record {
             fingerprint,
             state: RunState::Queued,
@@ -116,6 +124,38 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Holds a key of which this call is refused now. Returns for how long no node starts a run with
+    /// the key, so that the refusal stays true for all its attempts meanwhile; zero if this node
+    /// cannot tell.
+    pub fn hold_refused(&mut self, now: Time, key: KeyHash, call: CallId) -> Duration {
+        let hold = self.cfg.refusal_hold;
+        let slot = usize::from(key.slot());
+        // Without a lease, another node may be the key's home by now.
+        if !self.slots[slot].is_ready() || self.lease_left(now) < hold {
+            return Duration::ZERO;
+        }
+        let Some(end) = self.refused_keys.hold(now, key, call, hold) else {
+            return Duration::ZERO;
+        };
+        let entry = &mut self.slots[slot];
+        entry.refusals_held_until = entry.refusals_held_until.max(end);
+        // The node that relies on it measures the time with its own clock.
+        hold - hold / HOLD_MARGIN_DIVISOR
+    }
+
+    /// Ends the hold of a key whose refused call is retried by its sender, unless another call of
+    /// the key was refused as well.
+    pub fn release_refused(&mut self, key: KeyHash, call: CallId) {
+        self.refused_keys.release(key, call);
+    }
+
+    /// Lets the calls continue that wait for the end of a hold.
+    pub(crate) fn end_refusal_holds(&mut self, now: Time) {
+        while let Some(key) = self.refused_keys.take_due(now) {
+            self.effects.push(Effect::RefusalHoldEnded(key));
+        }
+    }
+
     /// Handles the outcome of a run at an earlier home. It may arrive more than once.
     pub fn on_run_finished(
         &mut self,
--- a/crates/once/src/slot.rs
+++ b/crates/once/src/slot.rs
@@ -15,6 +15,9 @@
     pub(crate) held: Option<Holding>,
     /// Pending moves of the slot to or from this node, in the order of their views.
     pub(crate) moves: VecDeque<Move>,
+    /// The end of the last hold of a refused key. The slot is not transferred before, because its
+    /// next home does not know the refused keys.
+    pub(crate) refusals_held_until: Time,
 }
 
 /// How complete the records of a held slot are.
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
+use bilberry_once::slot_home;
 use bilberry_once::BeginResult;
+use bilberry_once::Effect;
 use bilberry_once::RunOutcome;
 use common::ms;
 use common::response;
@@ -10,6 +12,8 @@
 use common::Packet;
 use common::FINGERPRINT;
 use journal::Departure;
+use proto::CallId;
+use proto::Incarnation;
 use proto::KeyHash;
 use proto::LeaseMessage;
 use proto::Reason;
@@ -25,6 +29,10 @@
     }
 }
 
+const CALL: CallId = CallId {
+    from: Incarnation(1),
+    number: 1,
+};
 const NO_LEASE: BeginResult = BeginResult::NotRun(Reason::NoLease);
 const MOVING: BeginResult = BeginResult::NotRun(Reason::Moving);
 
@@ -65,7 +73,7 @@
     cluster.nodes[&3].paused = true;
     cluster.depart(3, Departure::Evicted);
     cluster.advance(ms(10_000));
-    let new_home = bilberry_once::slot_home(&cluster.members(), key.slot())
+    let new_home = slot_home(&cluster.members(), key.slot())
         .unwrap()
         .incarnation
         .0;
@@ -82,7 +90,7 @@
     let key = cluster.key_of(3, 0);
     cluster.nodes[&3].reads_log = false;
     cluster.depart(3, Departure::Evicted);
-    let new_home = bilberry_once::slot_home(&cluster.members(), key.slot())
+    let new_home = slot_home(&cluster.members(), key.slot())
         .unwrap()
         .incarnation
         .0;
@@ -114,7 +122,7 @@
     cluster.advance(ms(20_000));
     let now = cluster.now;
     assert!(!cluster.home(3).lease_left(now).is_zero());
-    let new_home = bilberry_once::slot_home(&cluster.members(), key.slot())
+    let new_home = slot_home(&cluster.members(), key.slot())
         .unwrap()
         .incarnation
         .0;
@@ -180,12 +188,7 @@
     cluster.advance(ms(5_000));
     assert!(cluster.all_ready(), "{:?}", cluster.ready());
     let members = cluster.members();
-    let home = |key: &KeyHash| {
-        bilberry_once::slot_home(&members, key.slot())
-            .unwrap()
-            .incarnation
-            .0
-    };
+    let home = |key: &KeyHash| slot_home(&members, key.slot()).unwrap().incarnation.0;
     for key in &keys {
         check(&mut cluster, &[(home(key), *key, BeginResult::Unknown)]);
     }
@@ -222,10 +225,7 @@
     assert!(cluster.all_ready(), "{:?}", cluster.ready());
     let members = cluster.members();
     for key in &keys {
-        let home = bilberry_once::slot_home(&members, key.slot())
-            .unwrap()
-            .incarnation
-            .0;
+        let home = slot_home(&members, key.slot()).unwrap().incarnation.0;
         check(
             &mut cluster,
             &[
@@ -245,7 +245,7 @@
     let key = cluster.key_of(4, 0);
     check(&mut cluster, &[(4, key, BeginResult::Start)]);
     cluster.leave(4);
-    let new_home = bilberry_once::slot_home(&cluster.members(), key.slot())
+    let new_home = slot_home(&cluster.members(), key.slot())
         .unwrap()
         .incarnation
         .0;
@@ -281,7 +281,7 @@
     cluster.advance(ms(100));
     cluster.nodes[&3].reads_log = false;
     let mut joined = 4;
-    while bilberry_once::slot_home(&cluster.members(), key.slot())
+    while slot_home(&cluster.members(), key.slot())
         .unwrap()
         .incarnation
         .0
@@ -290,7 +290,7 @@
         cluster.join(joined, joined as u16);
         joined += 1;
     }
-    let intermediate = bilberry_once::slot_home(&cluster.members(), key.slot())
+    let intermediate = slot_home(&cluster.members(), key.slot())
         .unwrap()
         .incarnation
         .0;
@@ -299,7 +299,7 @@
     cluster.nodes[&3].reads_log = true;
     cluster.read_log();
     cluster.advance(ms(2_000));
-    let new_home = bilberry_once::slot_home(&cluster.members(), key.slot())
+    let new_home = slot_home(&cluster.members(), key.slot())
         .unwrap()
         .incarnation
         .0;
@@ -378,7 +378,7 @@
     cluster.advance(ms(100));
     cluster.depart(3, Departure::Evicted);
     cluster.advance(ms(1_000));
-    let new_home = bilberry_once::slot_home(&cluster.members(), key.slot())
+    let new_home = slot_home(&cluster.members(), key.slot())
         .unwrap()
         .incarnation
         .0;
@@ -457,3 +457,106 @@
     check(&mut cluster, &[(1, key, BeginResult::Unknown)]);
     assert!(cluster.home(1).record_usage().1 <= max);
 }
+
+/// A home refuses an attempt of a key. Another attempt that was already on its way runs before the
+/// refusal is delivered, and a caller that was told "not run" has an order.
+#[test]
+fn refused_key_starts_no_run_while_its_refusal_is_delivered() {
+    let mut cluster = Cluster::new(6);
+    let key = cluster.key_of(3, 0);
+    let other = cluster.key_of(3, 1);
+    let now = cluster.now;
+    let promised = cluster.home(3).hold_refused(now, key, CALL);
+    assert!(promised > ms(100), "{promised:?}");
+    check(
+        &mut cluster,
+        &[(3, other, BeginResult::Start), (3, key, BeginResult::Wait)],
+    );
+    cluster.advance(promised);
+    check(&mut cluster, &[(3, key, BeginResult::Wait)]);
+    cluster.advance(cluster.cfg.refusal_hold - promised);
+    let ended = Effect::RefusalHoldEnded(key);
+    assert!(cluster.node(3).driver_effects.contains(&ended));
+    check(&mut cluster, &[(3, key, BeginResult::Start)]);
+}
+
+/// The slot of a refused key moves while the refusal is on its way. The new home does not know of
+/// the refusal and could start another attempt at once.
+#[test]
+fn slot_is_transferred_after_the_refusals_of_its_keys_are_delivered() {
+    let mut cluster = Cluster::new(3);
+    let key = cluster.key_of(3, 0);
+    let now = cluster.now;
+    let promised = cluster.home(3).hold_refused(now, key, CALL);
+    cluster.leave(3);
+    let new_home = slot_home(&cluster.members(), key.slot())
+        .unwrap()
+        .incarnation
+        .0;
+    cluster.advance(promised);
+    assert_ne!(cluster.call(new_home, key, false), BeginResult::Start);
+    cluster.advance(ms(2_000));
+    check(&mut cluster, &[(new_home, key, BeginResult::Start)]);
+}
+
+/// A home is paused, evicted, and resumes with a refusal to send. Its successor may have started the
+/// key, so the refusal must not be taken as valid for all attempts.
+#[test]
+fn home_without_lease_gives_no_promise_about_a_refused_key() {
+    let mut cluster = Cluster::new(6);
+    let key = cluster.key_of(3, 0);
+    cluster.nodes[&3].paused = true;
+    cluster.depart(3, Departure::Evicted);
+    cluster.advance(ms(20_000));
+    let now = cluster.now;
+    assert_eq!(cluster.home(3).hold_refused(now, key, CALL), ms(0));
+    let mut cluster = Cluster::new(3);
+    let key = cluster.key_of(3, 0);
+    cluster.leave(3);
+    let now = cluster.now;
+    assert_eq!(cluster.home(3).hold_refused(now, key, CALL), ms(0));
+}
+
+/// The table of holds is bounded. A refusal that finds it full is valid for its attempt only.
+#[test]
+fn holds_of_refused_keys_are_bounded() {
+    let mut cluster = Cluster::new(1);
+    let now = cluster.now;
+    let mut held = 0_usize;
+    while !cluster
+        .home(1)
+        .hold_refused(now, KeyHash(held as u128), CALL)
+        .is_zero()
+    {
+        held += 1;
+        assert!(held < 100_000, "no bound");
+    }
+    cluster.advance(cluster.cfg.refusal_hold);
+    let now = cluster.now;
+    assert!(!cluster
+        .home(1)
+        .hold_refused(now, KeyHash(0), CALL)
+        .is_zero());
+}
+
+/// The sender of a refused call retries it without passing the refusal on, so there is nothing to
+/// wait for. If another call of the key was refused too, its refusal may still be on its way, and a
+/// run would make it false.
+#[test]
+fn retry_of_a_refused_call_waits_only_for_refusals_of_other_calls() {
+    let mut cluster = Cluster::new(6);
+    let other = CallId { number: 2, ..CALL };
+    for (nth, calls, expected) in [
+        (0, vec![CALL], BeginResult::Start),
+        (1, vec![CALL, other], BeginResult::Wait),
+        (2, vec![other], BeginResult::Wait),
+    ] {
+        let key = cluster.key_of(3, nth);
+        let now = cluster.now;
+        for call in calls {
+            cluster.home(3).hold_refused(now, key, call);
+        }
+        cluster.home(3).release_refused(key, CALL);
+        check(&mut cluster, &[(3, key, expected)]);
+    }
+}
--- a/crates/proto/src/answer.rs
+++ b/crates/proto/src/answer.rs
@@ -52,6 +52,10 @@
         /// Only this attempt is known not to have run. An earlier attempt with the same key may
         /// have been executed, because no node holding the key's record was consulted.
         pub attempt_only: bool,
+        /// For a key that a caller sent: for how many milliseconds after the arrival of the call at
+        /// the key's home no node starts a run with the key. An answer that is delivered later is
+        /// valid for this attempt only. 0 if the home cannot tell.
+        pub no_run_within_ms: u32,
     }
 }
 
@@ -62,6 +66,26 @@
             reason,
             retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
             attempt_only: false,
+            no_run_within_ms: 0,
+        }
+    }
+
+    /// Adds for how long after the arrival of the call no node starts a run with its key.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_proto::{Reason, Refusal};
+    /// use std::time::Duration;
+    ///
+    /// let refusal = Refusal::new(Reason::Shed, Duration::from_secs(1));
+    /// let refusal = refusal.with_no_run_within(Duration::from_millis(90));
+    /// assert_eq!(refusal.no_run_within_ms, 90);
+    /// ```
+    pub fn with_no_run_within(self, duration: Duration) -> Self {
+        Self {
+            no_run_within_ms: u32::try_from(duration.as_millis()).unwrap_or(u32::MAX),
+            ..self
         }
     }
 
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -90,6 +90,9 @@
         Serve,
         /// Act as the home node of the call's key: check the key's record first, then run the call.
         Home,
+        /// As `Home`, for a retry after the receiver refused this earlier attempt. The sender has
+        /// not passed that refusal on to its caller and will not do so.
+        HomeRetry(CallId),
     }
 }
 
