--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,8 +3,8 @@
 use crate::admission::AdmissionLevels;
 use crate::answer_cache::AnswerCache;
 use crate::fetch::FetchSchedule;
+use crate::held_calls::HeldCalls;
 use crate::job::Job;
-use crate::keyed_calls::HeldCalls;
 use crate::keyed_calls::KeyRun;
 use crate::log::LogController;
 use crate::outgoing::OutgoingCall;
--- a/crates/engine/src/keyed_calls.rs
+++ b/crates/engine/src/keyed_calls.rs
@@ -8,7 +8,6 @@
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
-use indexmap::IndexMap;
 use once::BeginResult;
 use once::Effect;
 use once::RunOutcome;
@@ -27,12 +26,6 @@
 use std::time::Duration;
 use stdx::Time;
 
-/// The maximum number of calls that wait for the transfer of their slots.
-const MAX_HELD_CALLS: usize = 1024;
-
-/// How long a call waits for the transfer of its slot.
-const MAX_HOLD_TIME: Duration = Duration::from_secs(2);
-
 /// The run of a key that is in progress.
 #[derive(Debug)]
 pub(crate) struct KeyRun {
@@ -42,26 +35,14 @@
     waiting_calls: Vec<WaitingCall>,
 }
 
-/// A call that waits for the transfer of its slot, or for the end of the hold of its key.
-#[derive(Debug)]
-pub(crate) struct HeldCall {
-    call: Call,
-    key: KeyHash,
-    arrived: Time,
-    since: Time,
-    until: Time,
-}
-
-/// Calls that are held, by id.
-pub(crate) type HeldCalls = IndexMap<CallId, HeldCall>;
-
 impl Engine {
     /// Starts a run for a call, attaches the call to one, holds it, or answers it from the record.
     pub(crate) fn on_keyed_call(&mut self, now: Time, call: Call) {
         self.begin_keyed_call(now, now, call);
     }
 
-    fn begin_keyed_call(&mut self, now: Time, arrived: Time, call: Call) {
+    /// Handles a call that has just arrived, or that was held since it arrived.
+    pub(crate) fn begin_keyed_call(&mut self, now: Time, arrived: Time, call: Call) {
         let (id, allowance) = (call.id, call.retry_allowance);
         let Some((key, fingerprint)) = call.key else {
             return self.answer_call(id, allowance, self.not_run(Reason::BadKey));
@@ -122,75 +103,6 @@
         self.inbound.insert(id, InboundCall { work });
     }
 
-    /// Holds a call until its slot has been transferred to this node, or the hold of its key has
-    /// ended. A refusal would send the call
-    /// from node to node during the few milliseconds of the transfer. Both the time and the number
-    /// of held calls are bounded.
-    fn hold_call(&mut self, now: Time, arrived: Time, key: KeyHash, call: Call) {
-        let (id, allowance) = (call.id, call.retry_allowance);
-        if self.held_calls.len() >= MAX_HELD_CALLS {
-            return self.answer_call(id, allowance, self.not_run(Reason::Moving));
-        }
-        let until = now + MAX_HOLD_TIME.min(Duration::from_millis(u64::from(call.remaining_ms)));
-        self.timers.set(until, Timer::HeldCallTimeout(id));
-        self.inbound.insert(
-            id,
-            InboundCall {
-                work: InboundWork::SlotTransfer,
-            },
-        );
-        let held = HeldCall {
-            call,
-            key,
-            arrived,
-            since: now,
-            until,
-        };
-        self.held_calls.insert(id, held);
-    }
-
-    fn take_held(&mut self, id: CallId) -> Option<HeldCall> {
-        let held = self.held_calls.swap_remove(&id)?;
-        self.timers.clear(held.until, Timer::HeldCallTimeout(id));
-        self.inbound.swap_remove(&id);
-        Some(held)
-    }
-
-    /// Refuses a call whose slot did not arrive in time.
-    pub(crate) fn on_hold_timeout(&mut self, id: CallId) {
-        if let Some(held) = self.take_held(id) {
-            self.answer_call(id, held.call.retry_allowance, self.not_run(Reason::Moving));
-        }
-    }
-
-    /// Drops a held call whose caller has disconnected.
-    pub(crate) fn cancel_held(&mut self, id: CallId) {
-        if let Some(held) = self.take_held(id) {
-            self.answer_call(
-                id,
-                held.call.retry_allowance,
-                self.not_run(Reason::CallerGone),
-            );
-        }
-    }
-
-    /// Handles the held calls whose keys pass the filter as if they had just arrived.
-    fn release_held_calls(&mut self, now: Time, may_continue: impl Fn(KeyHash) -> bool) {
-        let waiting = self.held_calls.iter();
-        let waiting: Vec<CallId> = waiting
-            .filter(|(_, held)| may_continue(held.key))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in waiting {
-            let Some(mut held) = self.take_held(id) else {
-                continue;
-            };
-            let waited = u32::try_from(now.since(held.since).as_millis()).unwrap_or(u32::MAX);
-            held.call.remaining_ms = held.call.remaining_ms.saturating_sub(waited);
-            self.begin_keyed_call(now, held.arrived, held.call);
-        }
-    }
-
     /// Ends the run of a key: first updates its record, then answers all calls that wait for it.
     pub(crate) fn finish_keyed_run(
         &mut self,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -24,6 +24,7 @@
 mod freshness;
 mod gauges;
 mod hedge;
+mod held_calls;
 mod identity;
 mod ingress;
 mod io;
