--- a/crates/node/src/platform_mode.rs
+++ b/crates/node/src/platform_mode.rs
@@ -258,7 +258,11 @@
                 log::info!("event=directory nodes={}", addrs.len());
                 return addrs;
             }
-            Err(e) => backoff.wait_after_failure("directory", e).await,
+            Err(e) => {
+                backoff
+                    .wait_after_failure("directory", Duration::ZERO, e)
+                    .await
+            }
         }
     }
 }
@@ -275,7 +279,11 @@
             .await
         {
             Ok(before) => return before,
-            Err(e) => backoff.wait_after_failure("announce", e).await,
+            Err(e) => {
+                backoff
+                    .wait_after_failure("announce", Duration::ZERO, e)
+                    .await
+            }
         }
     }
 }
--- a/crates/node/src/store_reader.rs
+++ b/crates/node/src/store_reader.rs
@@ -13,6 +13,9 @@
 use stdx::Time;
 use tokio::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// How long one read of the log waits for new records. A home node may rely on its lease only if it
 /// has read the log to the end recently.
 const LOG_POLL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -43,15 +46,46 @@
         }
     }
 
-    /// Waits before the next call. Logs the first failure after a successful call.
-    pub(crate) async fn wait_after_failure(&mut self, call: &str, e: StoreError) {
-        if self.down_since.is_none() {
-            self.down_since = Some(Instant::now());
+    /// Waits before the next call after one that failed and took `call_time`. Logs the first failure
+    /// after a successful call.
+    pub(crate) async fn wait_after_failure(
+        &mut self,
+        call: &str,
+        call_time: Duration,
+        e: StoreError,
+    ) {
+        if self.record_failure() {
             log::warn!("event=store_lost call={call} error=\"{e}\"");
         }
         let fraction = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(self.next_delay.mul_f64(fraction)).await;
+        tokio::time::sleep(self.next_delay(call_time, fraction)).await;
+    }
+
+    /// Records a failed call. Returns whether it is the first one after a successful call.
+    fn record_failure(&mut self) -> bool {
+        let first = self.down_since.is_none();
+        self.down_since.get_or_insert_with(Instant::now);
+        first
+    }
+
+    /// The delay before the next call after one that failed and took `call_time`. A call that got no
+    /// answer has taken so long that hardly any further delay is needed to limit the load, and
+    /// another one could make a new version late after the store's return.
+    fn next_delay(&mut self, call_time: Duration, fraction: f64) -> Duration {
+        let delay = self.next_delay.mul_f64(fraction);
         self.next_delay = (self.next_delay * 2).min(MAX_BACKOFF);
+        let min_delay = MIN_BACKOFF.mul_f64(fraction);
+        delay.saturating_sub(call_time).max(min_delay)
+    }
+
+    /// How long the next read may wait for new records: not at all while the store is lost. The read
+    /// would hang for that time on a connection on which no answer will come, although the store may
+    /// be back.
+    fn poll_timeout(&self, usual: Duration) -> Duration {
+        match self.down_since {
+            Some(_) => Duration::ZERO,
+            None => usual,
+        }
     }
 
     /// Resets the delay. Logs the end of an outage.
@@ -78,7 +112,8 @@
 }
 
 /// Reads a topic for as long as `is_reader` holds, and passes each batch to `on_batch` with the
-/// time at which it was requested. Each read waits up to `poll_timeout` for new records.
+/// time at which it was requested. Each read waits up to `poll_timeout` for new records, unless the
+/// store was lost and has not answered since.
 pub(crate) async fn follow_topic(
     shell: Rc<Shell>,
     topic: &str,
@@ -97,6 +132,7 @@
             }
         }
         let asked = shell.now();
+        let poll_timeout = backoff.poll_timeout(poll_timeout);
         let result = tokio::select! {
             result = read_once(&shell, topic, from, poll_timeout) => result,
             // Something is missing. A read pending on a connection that has gone silent would block
@@ -112,7 +148,8 @@
             Ok(None) => from = None,
             Err(e) => {
                 shell.handle_input(Input::LogUnreachable);
-                backoff.wait_after_failure(topic, e).await;
+                let call_time = shell.now().since(asked);
+                backoff.wait_after_failure(topic, call_time, e).await;
             }
         }
     }
