--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -1,6 +1,7 @@
 //! Counters of the engine and the node, and the names of their metrics.
 
 use crate::ReportError;
+use policy::SlackEvent;
 use proto::Class;
 use proto::Reason;
 use stdx::plain;
@@ -72,6 +73,38 @@
     }
 }
 
+plain! {
+    /// An event in the allocation of an organisation's tokens by slack.
+    #[derive(Hash)]
+    pub enum QuotaEvent {
+        /// A request was refused because no token was expected for it in time.
+        NoTokenInTime,
+        /// A request was refused because it had waited until it could no longer be in time.
+        WaitEnded,
+        /// A request was refused because the queue was full of more urgent ones.
+        Displaced,
+        /// A refused caller was promised a token.
+        Promised,
+        /// A refused caller returned at the time that it was told, or later.
+        ReturnedOnTime,
+        /// A refused caller returned before the time that it was told.
+        ReturnedEarly,
+    }
+}
+
+impl QuotaEvent {
+    fn name(self) -> &'static str {
+        match self {
+            QuotaEvent::NoTokenInTime => "no-token-in-time",
+            QuotaEvent::WaitEnded => "wait-ended",
+            QuotaEvent::Displaced => "displaced",
+            QuotaEvent::Promised => "promised",
+            QuotaEvent::ReturnedOnTime => "returned-on-time",
+            QuotaEvent::ReturnedEarly => "returned-early",
+        }
+    }
+}
+
 plain! {
     /// An event to count. The node adds it to the metrics.
     #[derive(Hash)]
@@ -104,6 +137,8 @@
         Run(Class),
         /// A run was started while a rate limit of the backend server was in force.
         RateLimitedRun(RunOrigin),
+        /// An event of scheduling by slack at this node's backend server.
+        Slack(SlackEvent),
         /// A header in which the backend server reports about itself was rejected.
         MalformedServerReport(ReportError),
         /// A new incarnation of this node's backend server sent its first heartbeat.
@@ -141,6 +176,8 @@
         PeerQuiet,
         /// An event on a connection between nodes.
         Link(LinkEvent),
+        /// An event in the allocation of an organisation's tokens.
+        Quota(QuotaEvent),
         /// A peer's state changed.
         PeerChanged,
         /// This node queued an append that evicts a dead peer.
@@ -180,6 +217,7 @@
             Counter::Redirect(reason) => format!("redirect.{}", reason.name()),
             Counter::Run(class) => format!("run.{}", class.name()),
             Counter::RateLimitedRun(origin) => format!("rate_limited_run.{}", origin.name()),
+            Counter::Slack(event) => format!("slack.{}", event.name()),
             Counter::MalformedServerReport(error) => {
                 format!("broken_server_report.{}", error.name())
             }
@@ -204,6 +242,7 @@
             Counter::UnexpectedMessage => "unexpected".to_owned(),
             Counter::PeerQuiet => "peer_quiet".to_owned(),
             Counter::Link(event) => format!("link.{}", event.name()),
+            Counter::Quota(event) => format!("quota.{}", event.name()),
             Counter::PeerChanged => "peer_changed".to_owned(),
             Counter::EvictionRequested => "eviction_asked".to_owned(),
             Counter::PeerTableFull => "peer_table_full".to_owned(),
--- a/crates/engine/src/gauges.rs
+++ b/crates/engine/src/gauges.rs
@@ -29,6 +29,8 @@
     pub fn gauges(&self, now: Time) -> Vec<Gauge> {
         let sizes = self.table_sizes();
         let load = self.load_report();
+        let (queued_late, queued_patient) = self.server.slack_occupancy();
+        let (waiting, promised, remembered) = self.quota.slack.sizes();
         vec![
             ("requests", sizes.requests as u64),
             ("calls", sizes.calls as u64),
@@ -48,11 +50,20 @@
             ("server.limit", u64::from(load.limit)),
             ("server.utilisation", u64::from(load.utilisation)),
             ("server.level", u64::from(load.level)),
+            ("server.queued_late", queued_late as u64),
+            ("server.queued_patient", queued_patient as u64),
+            (
+                "server.reserved_slots",
+                u64::from(self.server.reserved_slots()),
+            ),
             ("server.rate_limited", u64::from(self.has_rate_limit())),
             (
                 "server.rate_limit_millihertz",
                 self.rate_limit().map_or(0, RequestRate::millihertz),
             ),
+            ("quota.waiting", waiting as u64),
+            ("quota.promised", promised as u64),
+            ("quota.refused_callers", remembered as u64),
             ("server.leaving", u64::from(self.server_is_leaving())),
         ]
     }
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -41,6 +41,17 @@
             .and_then(|operation| self.filter_identity(now, &mut arrival, operation));
         match admitted {
             Ok((operation, None)) => self.process_arrival(now, arrival, operation, random, None),
+            // The request would wait for a token and be refused then.
+            Ok((_, Some(_))) if self.schedules_by_slack && self.accepts_no_more(now) => {
+                self.refuse_arrival(&arrival, Reason::Draining);
+            }
+            Ok((operation, Some((organisation, quota)))) if self.schedules_by_slack => {
+                let admitted =
+                    self.request_token_by_slack(now, arrival, &operation, organisation, quota);
+                if let Some((arrival, quota_token)) = admitted {
+                    self.process_arrival(now, arrival, operation, random, Some(quota_token));
+                }
+            }
             Ok((operation, Some((organisation, quota)))) => {
                 match self.quota.borrower.try_spend(now, organisation, quota) {
                     Some(quota_token) => {
@@ -88,6 +99,7 @@
         let Arrival {
             token,
             at,
+            first_at,
             caller,
             parents,
             key,
@@ -100,7 +112,7 @@
         let latest_deadline = at + operation.deadline;
         let objective = self
             .schedules_by_slack
-            .then_some(at + operation.latency_objective);
+            .then_some(first_at + operation.latency_objective);
         let caller_timeout =
             caller_timeout.map(|caller_timeout| caller_timeout.saturating_sub(now.since(at)));
         let draft = self
@@ -232,6 +244,11 @@
         })
     }
 
+    /// Whether this node is stopping and no longer accepts new requests from its callers.
+    fn accepts_no_more(&self, now: Time) -> bool {
+        self.stopping && now >= self.accepts_until
+    }
+
     /// Drafts the first call of a new action.
     fn root_draft(
         &mut self,
@@ -242,7 +259,7 @@
         request: Request,
     ) -> Result<RequestDraft, Reason> {
         // A stopping node still finishes its runs, whose child calls carry a context.
-        if self.stopping && now >= self.accepts_until {
+        if self.accepts_no_more(now) {
             return Err(Reason::Draining);
         }
         Ok(RequestDraft {
@@ -417,6 +434,11 @@
         if matches!(outcome, Outcome::NotRun(_)) {
             self.return_quota_token(now, open.quota_token);
         }
+        let completed = matches!(outcome, Outcome::Completed(_)) && self.schedules_by_slack;
+        if let Some(quota_token) = open.quota_token.filter(|_| completed) {
+            let elapsed = now.since(quota_token.spent_at);
+            self.quota.slack.times.record(&open.operation, elapsed);
+        }
         if let Some(hash) = open.request_hash {
             self.resends.record_end(now, hash, &outcome);
         }
@@ -453,7 +475,7 @@
 
     /// Stops the work for a request whose caller has disconnected.
     pub(crate) fn on_caller_gone(&mut self, now: Time, token: RequestToken) {
-        if self.detach_caller(token) || self.cancel_quota_wait(token) {
+        if self.detach_caller(token) || self.cancel_quota_wait(now, token) {
             return;
         }
         if let Some(open) = self.open_requests.get(&token) {
--- a/crates/node/src/store_reader.rs
+++ b/crates/node/src/store_reader.rs
@@ -1,5 +1,8 @@
 //! Follows a topic of the store: reads the newest record of each key first, then later records.
 
+#[cfg(test)]
+mod tests;
+
 use crate::metrics::add_bytes;
 use crate::shell::Shell;
 use engine::Input;
@@ -13,9 +16,6 @@
 use stdx::Time;
 use tokio::time::Instant;
 
-#[cfg(test)]
-mod tests;
-
 /// How long one read of the log waits for new records. A home node may rely on its lease only if it
 /// has read the log to the end recently.
 const LOG_POLL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -132,9 +132,9 @@
             }
         }
         let asked = shell.now();
-        let poll_timeout = backoff.poll_timeout(poll_timeout);
+        let wait = backoff.poll_timeout(poll_timeout);
         let result = tokio::select! {
-            result = read_once(&shell, topic, from, poll_timeout) => result,
+            result = read_once(&shell, topic, from, wait) => result,
             // Something is missing. A read pending on a connection that has gone silent would block
             // until its time-out, so start a new one.
             () = shell.store_read_requested.notified() => continue,
--- a/crates/node/src/store_reader/tests.rs
+++ b/crates/node/src/store_reader/tests.rs
@@ -1,10 +1,13 @@
 //! Readers of a store that is silent for a while, replayed on times in milliseconds.
 
 use super::StoreBackoff;
+use super::MAX_BACKOFF;
+use platform::StoreError;
 use rand::rngs::StdRng;
 use rand::RngExt;
 use rand::SeedableRng;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// When the store falls silent and when it answers again. A call that overlaps this gets no answer.
 const SILENCE: std::ops::Range<u64> = 2170..11_490;
@@ -76,3 +79,21 @@
     backoff.record_failure();
     assert_eq!(ms(backoff.next_delay(Duration::ZERO, 1.0)), 200);
 }
+
+/// Guards against rules that stay out of force for up to 12 s after a silent store has returned,
+/// because the read that was started during the silence was waiting for new records.
+#[tokio::test(start_paused = true)]
+async fn reads_do_not_wait_for_new_records_until_the_store_has_answered() {
+    let mut backoff = StoreBackoff::new();
+    assert_eq!(backoff.poll_timeout(POLL_TIMEOUT), POLL_TIMEOUT);
+    for _ in 0..5 {
+        let failed_at = Instant::now();
+        backoff
+            .wait_after_failure("topic", Duration::ZERO, StoreError::NoResponse)
+            .await;
+        assert!(failed_at.elapsed() <= MAX_BACKOFF);
+        assert_eq!(backoff.poll_timeout(POLL_TIMEOUT), Duration::ZERO);
+    }
+    backoff.record_success("topic");
+    assert_eq!(backoff.poll_timeout(POLL_TIMEOUT), POLL_TIMEOUT);
+}
--- a/crates/policy/src/server_admission/waiting.rs
+++ b/crates/policy/src/server_admission/waiting.rs
@@ -1,6 +1,8 @@
 //! How long work is expected to wait, and how long it may.
 
 use super::ServerAdmission;
+use crate::AdmissionDecision;
+use crate::SlackEvent;
 use crate::WorkItem;
 use std::time::Duration;
 use stdx::Time;
@@ -14,9 +16,39 @@
 
 /// Maximum length of the queue. It is more than a server can process within any deadline and only
 /// bounds memory.
-pub(super) const MAX_QUEUE_LEN: usize = 10_000;
+const MAX_QUEUE_LEN: usize = 10_000;
 
 impl ServerAdmission {
+    /// Queues work that cannot start now, or refuses it if it would wait too long.
+    pub(super) fn enqueue(&mut self, now: Time, item: WorkItem) -> AdmissionDecision {
+        self.record_slack(&item);
+        self.queue.demote_late(now);
+        let ahead = self.queue.ahead_of(now, &item, self.switches.class_order);
+        let is_over_share = self.is_over_share(&item, ahead);
+        let ahead = ahead.saturating_sub(self.displaced_by(&item));
+        let token_wait = self.token_wait(now, ahead + 1);
+        let drain_time = match item.latest_start.filter(|_| !item.admitted) {
+            Some(_) if ahead == 0 && self.can_start_item(now, &item) => Duration::ZERO,
+            Some(_) => self.expected_wait(now, &item, ahead + 1),
+            None => self.drain_time(ahead + 1),
+        };
+        let wait = drain_time.max(token_wait);
+        let too_late = self.switches.deadline_queue && self.is_too_late(now, &item, wait)
+            || self.would_become_late(now, &item, wait);
+        let has_own_bound = item.admitted || item.latest_start.is_some();
+        let queue_full = ahead >= self.queue_capacity() && !has_own_bound;
+        let prefers_siblings = self.siblings_have_room && token_wait > self.max_wait;
+        if prefers_siblings || too_late || queue_full || self.queue.len() >= MAX_QUEUE_LEN {
+            return self.refuse_arrival(now, item, SlackEvent::RefusedOnArrival);
+        }
+        if is_over_share {
+            return self.refuse_arrival(now, item, SlackEvent::RefusedOverShare);
+        }
+        self.count_queued(now, &item);
+        self.queue.push(now, item);
+        AdmissionDecision::Queued
+    }
+
     pub(super) fn pop_expired(&mut self, now: Time) -> Option<WorkItem> {
         let (max_wait, slot_time) = (self.max_wait(), self.slot_time_by_class);
         let by_deadline = self.switches.deadline_queue;
@@ -53,15 +85,18 @@
 
     /// Maximum number of work items that can leave the queue within the maximum queueing time.
     pub(super) fn queue_capacity(&self) -> usize {
+        self.capacity_within(self.max_wait)
+    }
+
+    /// Number of work items that can leave the queue within a time.
+    pub(super) fn capacity_within(&self, time: Duration) -> usize {
         let limit = f64::from(self.limit.get());
         let capacity = match self.slot_time.0 {
-            Some((mean, _)) => limit * self.max_wait.as_secs_f64() / mean.max(1e-6),
+            Some((mean, _)) => limit * time.as_secs_f64() / mean.max(1e-6),
             None => limit,
         };
         let capacity = match &self.rate_limiter {
-            Some(limiter) => {
-                capacity.min(limiter.rate().per_second() * self.max_wait.as_secs_f64())
-            }
+            Some(limiter) => capacity.min(limiter.rate().per_second() * time.as_secs_f64()),
             None => capacity,
         };
         (capacity as usize).clamp(1, MAX_QUEUE_LEN)
@@ -102,11 +137,14 @@
 }
 
 impl MaxWait {
-    /// The maximum wait of a work item. Protected work leaves the queue before all lookups, so it
-    /// waits long only if protected work alone exceeds the capacity. If it were refused after the
-    /// maximum wait of lookups, all queued lookups would be refused with it (see `hold_lookups`).
+    /// The maximum wait of a work item. Work with a latest start was queued because it is expected
+    /// to leave the queue in time, and waits until its deadline. Protected work leaves the queue
+    /// before all lookups, so it waits long only if protected work alone exceeds the capacity. If
+    /// it were refused after the maximum wait of lookups, all queued lookups would be refused with
+    /// it (see `hold_lookups`).
     pub(super) fn of(self, item: &WorkItem) -> Duration {
-        if item.admitted && !self.bounds_admitted {
+        let has_own_bound = item.admitted || item.latest_start.is_some();
+        if has_own_bound && !self.bounds_admitted {
             Duration::MAX
         } else if item.class.is_protected() {
             self.lookups * PROTECTED_WAIT_FACTOR
