Count the time of a hold against the objective of a held call

Cause: a call that is held at its home lost the time of the hold from its deadline only. Its objective began anew, so its run was scheduled as if the caller had only begun to wait. Change: the objective is reduced as the deadline is.

--- a/crates/engine/src/held_calls.rs
+++ b/crates/engine/src/held_calls.rs
@@ -97,7 +97,9 @@
                 continue;
             };
             let waited = u32::try_from(now.since(held.since).as_millis()).unwrap_or(u32::MAX);
-            held.call.remaining_ms = held.call.remaining_ms.saturating_sub(waited);
+            let call = &mut held.call;
+            call.remaining_ms = call.remaining_ms.saturating_sub(waited);
+            call.objective_ms = call.objective_ms.map(|left| left.saturating_sub(waited));
             self.begin_keyed_call(now, held.arrived, held.call);
         }
     }
