Promise nothing about a refused key while records may be incomplete

Cause: hold_refused stated a time without runs also for a slot that was taken over without its records, where an earlier home may have run the key. No sequence is known in which a caller would have read it: keys without a record get "unknown" there. Change: such a home states no time.

--- a/crates/once/src/runs.rs
+++ b/crates/once/src/runs.rs
@@ -130,8 +130,11 @@
     pub fn hold_refused(&mut self, now: Time, key: KeyHash, call: CallId) -> Duration {
         let hold = self.cfg.refusal_hold;
         let slot = usize::from(key.slot());
-        // Without a lease, another node may be the key's home by now.
-        if !self.slots[slot].is_ready() || self.lease_left(now) < hold {
+        // Without a lease, another node may be the key's home by now. While the records of the slot
+        // may be incomplete, a run of the key may have started at an earlier home.
+        let entry = &self.slots[slot];
+        let is_certain = entry.held.is_some_and(|held| held.uncertain_until <= now);
+        if !entry.is_ready() || !is_certain || self.lease_left(now) < hold {
             return Duration::ZERO;
         }
         let Some(end) = self.refused_keys.hold(now, key, call, hold) else {
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -517,6 +517,24 @@
     assert_eq!(cluster.home(3).hold_refused(now, key, CALL), ms(0));
 }
 
+/// A home took over a slot of a node that crashed. A key without a record may have run there, so a
+/// refusal must not be taken as valid for all attempts.
+#[test]
+fn home_with_incomplete_records_gives_no_promise_about_a_refused_key() {
+    let mut cluster = Cluster::new(3);
+    let key = cluster.key_of(3, 0);
+    cluster.crash(3);
+    cluster.join(9, 3);
+    cluster.advance(ms(5_000));
+    let home = slot_home(&cluster.members(), key.slot())
+        .unwrap()
+        .incarnation
+        .0;
+    check(&mut cluster, &[(home, key, BeginResult::Unknown)]);
+    let now = cluster.now;
+    assert_eq!(cluster.home(home).hold_refused(now, key, CALL), ms(0));
+}
+
 /// The table of holds is bounded. A refusal that finds it full is valid for its attempt only.
 #[test]
 fn holds_of_refused_keys_are_bounded() {
