Rely on a class's run time only while it is being measured

Work that is refused because it would end too late is never measured. A server that was frozen while it ran its first two payments, for 9.49 and 9.53 s, put a quick run at 5.1 s, and still at 4.2 s after two runs of 50 ms, against a deadline of 4 s.

The estimate of a class now refuses work only while a run of the class is in progress, for at most 10 s, and for 500 ms after one has ended. After that the next work item runs. A run that takes less than half of the time of a quick run contradicts the estimate, and two of them correct it to about a quarter. On a server that stays slow, about one run at a time is started besides the random ones.

--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -2,6 +2,7 @@
 //! names, the queue and the admission level.
 
 mod level;
+mod recent_runs;
 mod refusal;
 mod waiting;
 
@@ -23,6 +24,7 @@
 use proto::Class;
 use proto::LoadReport;
 use proto::Reason;
+use recent_runs::RecentRuns;
 use std::time::Duration;
 use stdx::Time;
 use waiting::MAX_QUEUE_LEN;
@@ -55,6 +57,8 @@
     slot_time: Estimate,
     /// `slot_time` by class.
     slot_time_by_class: [Estimate; CLASSES],
+    /// Whether `slot_time_by_class` may be relied on to refuse work.
+    recent_runs: [RecentRuns; CLASSES],
     /// `slot_time_by_class` including abandoned runs. On a server that is slow or loses answers
     /// these occupy the slots; measured by complete answers alone, the offered load would look
     /// small while all slots are occupied, and too much would be admitted.
@@ -105,6 +109,7 @@
             last_tick: Time::ZERO,
             slot_time: Estimate::default(),
             slot_time_by_class: [Estimate::default(); CLASSES],
+            recent_runs: [RecentRuns::default(); CLASSES],
             slot_time_with_abandoned: [Estimate::default(); CLASSES],
             failure_share: FailureShare::default(),
             slowdown: Slowdown::default(),
@@ -209,11 +214,13 @@
         let at_limit = self.running >= self.limit.get() || self.slot_level() > 0;
         self.tick(now);
         self.running = self.running.saturating_sub(1);
+        self.recent_runs[class as usize].on_end(now);
         self.failure_share
             .record(now, self.resolve_abandoned(class, outcome));
         match outcome {
             WorkOutcome::Completed { elapsed, own_time } => {
                 self.down_until = None;
+                self.record_recent_run(class, elapsed);
                 self.slot_time.record(elapsed);
                 self.slot_time_by_class[class as usize].record(elapsed);
                 self.slot_time_with_abandoned[class as usize].record(elapsed);
@@ -231,6 +238,12 @@
         }
     }
 
+    /// Must be called before the run is recorded in the estimate that it may contradict.
+    fn record_recent_run(&mut self, class: Class, elapsed: Duration) {
+        let estimate = self.slot_time_by_class[class as usize];
+        self.recent_runs[class as usize].record(estimate, elapsed);
+    }
+
     /// Classifies an abandoned run as lost by the server if it took much longer than usual, and as
     /// failed otherwise. Callers of a silent server give up and call another instance; without this
     /// the missing answers would not count against the server.
@@ -337,6 +350,7 @@
             item.class.is_protected() || item.arrived >= self.lookup_hold.last_refusal(),
             "a lookup that was queued when a protected call was refused for load must not start"
         );
+        self.recent_runs[item.class as usize].on_start(now);
         self.running += 1;
         if let Some(limiter) = &mut self.rate_limiter {
             limiter.take(now);
--- a/crates/policy/src/server_admission/waiting.rs
+++ b/crates/policy/src/server_admission/waiting.rs
@@ -19,13 +19,15 @@
 impl ServerAdmission {
     pub(super) fn pop_expired(&mut self, now: Time) -> Option<WorkItem> {
         let (max_wait, slot_time) = (self.max_wait(), self.slot_time_by_class);
+        let recent_runs = self.recent_runs;
         let by_deadline = self.switches.deadline_queue;
         self.queue.pop_expired(|item| {
             let probe = !by_deadline || item.random_value % LATE_PROBE_INTERVAL == 0;
             let lower_bound = if probe {
                 Duration::ZERO
             } else {
-                slot_time[item.class as usize].lower_bound()
+                let class = item.class as usize;
+                recent_runs[class].lower_bound(now, slot_time[class])
             };
             let waited = now.since(item.arrived);
             waited >= max_wait.of(item) || now + lower_bound >= item.deadline
@@ -47,7 +49,8 @@
         if now + wait >= item.deadline {
             return true;
         }
-        let lower_bound = self.slot_time_by_class[item.class as usize].lower_bound();
+        let class = item.class as usize;
+        let lower_bound = self.recent_runs[class].lower_bound(now, self.slot_time_by_class[class]);
         now + wait + lower_bound >= item.deadline && item.random_value % LATE_PROBE_INTERVAL != 0
     }
 
--- a/crates/policy/tests/server_admission.rs
+++ b/crates/policy/tests/server_admission.rs
@@ -267,3 +267,84 @@
         server.on_finished(at(nth * 3000 + 1500), Class::Order, completed(1500));
     }
 }
+
+/// Runs payments to their end, all of which take 9.8 s.
+fn run_slow_payments(server: &mut ServerAdmission, count: u64) {
+    for id in 0..count {
+        let item = work_item(id, Class::Payment, at(0));
+        let item = WorkItem {
+            deadline: at(20_000),
+            ..item
+        };
+        assert_eq!(server.offer(at(0), item), AdmissionDecision::Start);
+    }
+    for _ in 0..count {
+        server.on_finished(at(9800), Class::Payment, completed(9800));
+    }
+}
+
+/// Offers a payment with a deadline of 4 s that does not run as one of the random probes.
+fn offer_payment(server: &mut ServerAdmission, ms: u64) -> bool {
+    let payment = WorkItem {
+        deadline: at(ms + 4000),
+        ..work_item(ms, Class::Payment, at(ms))
+    };
+    assert_ne!(payment.random_value % 16, 0);
+    server.offer(at(ms), payment) == AdmissionDecision::Start
+}
+
+/// A server was frozen for 9.8 s while it ran its first payments. It refused nearly all payments
+/// after that, minutes later as well, because only runs correct the estimate of the run time. A
+/// caller that resends within the 4 s until its deadline must be served.
+#[test]
+fn payments_run_again_soon_after_a_server_was_frozen() {
+    for frozen in [2, 20] {
+        let mut server = ServerAdmission::new(Switches::ALL, 1, 100, MAX_WAIT);
+        run_slow_payments(&mut server, frozen);
+        for second in 10..70 {
+            let has_run = offer_payment(&mut server, second * 1000);
+            assert!(has_run || second < 14, "{frozen} frozen, {second} s");
+            if has_run {
+                server.on_finished(at(second * 1000 + 100), Class::Payment, completed(100));
+            }
+        }
+    }
+}
+
+/// A server answers within 9.8 s and stays as slow. Payments that are due within 4 s would occupy
+/// its slots in vain, so no more than one at a time may run to measure whether it is still slow.
+#[test]
+fn payments_that_would_end_too_late_are_refused_while_the_server_stays_slow() {
+    let mut server = ServerAdmission::new(Switches::ALL, 1, 100, MAX_WAIT);
+    run_slow_payments(&mut server, 32);
+    let mut ends = Vec::new();
+    let mut started = 0;
+    for ms in (10_000..70_000).step_by(100) {
+        while ends.first().is_some_and(|end| *end <= ms) {
+            server.on_finished(at(ends.remove(0)), Class::Payment, completed(9800));
+        }
+        if offer_payment(&mut server, ms) {
+            started += 1;
+            ends.push(ms + 9800);
+        }
+    }
+    assert!(started <= 60_000 / 9800 + 1, "{started} of 600");
+}
+
+/// The payment that measures whether a server is still slow never ends. The others must not be
+/// refused for as long as it hangs.
+#[test]
+fn a_payment_that_hangs_does_not_hold_up_the_others() {
+    let mut server = ServerAdmission::new(Switches::ALL, 1, 100, MAX_WAIT);
+    run_slow_payments(&mut server, 2);
+    let mut hangs = true;
+    let mut refused = 0;
+    for second in 11..131 {
+        if !offer_payment(&mut server, second * 1000) {
+            refused += 1;
+        } else if !std::mem::replace(&mut hangs, false) {
+            server.on_finished(at(second * 1000 + 100), Class::Payment, completed(100));
+        }
+    }
+    assert!(refused <= 20, "{refused} of 120");
+}
