Learn the speed of servers, choose by completion time, hand work over

Cause: servers of one service differ in speed, and for part of the time a machine takes several times as long. The servers report this as the fourth figure of their load header, which no node read.

Change: the header is decoded into ServerReport::slowdown_percent, with typed errors for malformed values. The node beside the server keeps the newest value with its age, and learns run times by operation at the usual speed of the machine; both are part of the load report. For a service of which an instance has reported a slowdown, the selector chooses by expected completion time. A slow server refuses waiting work that would be late as queue-full if another instance is known to have room.

Without the figure nothing changes, apart from a few bytes in load reports.

--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -122,8 +122,9 @@
     println!("{line}");
 }
 
-/// The rate limit in requests per second that the node's backend server has named, and whether it
-/// leaves; empty if neither is the case.
+/// The rate limit in requests per second that the node's backend server has named, how long work
+/// takes on its machine and the run time at the usual speed, and whether it leaves; empty if none of
+/// these is the case.
 fn format_server_report(page: &StatusPage) -> String {
     let gauge = |name: &str| -> u64 {
         let value = page.get(&format!("gauge.server.{name}"));
@@ -138,6 +139,11 @@
             millihertz % 1000
         ));
     }
+    if gauge("slowdown_percent") > 0 {
+        for name in ["slowdown_percent", "mean_slowdown_percent", "run_time_us"] {
+            text.push_str(&format!(" {name}={}", gauge(name)));
+        }
+    }
     if gauge("leaving") > 0 {
         text.push_str(" leaving=true");
     }
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -153,6 +153,7 @@
             key: call.key,
             first_attempt: call.first_attempt,
             depth: call.depth,
+            redirects: call.redirects,
             request: call.request.clone(),
         }));
         self.send(&call.target, frame);
--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -106,6 +106,11 @@
         RateLimitedRun(RunOrigin),
         /// A header in which the backend server reports about itself was rejected.
         MalformedServerReport(ReportError),
+        /// The backend server reported how long work takes on its machine.
+        SlowdownReport,
+        /// A call that had not started was refused because the backend server had become slow, so
+        /// that another instance runs it.
+        HandOver,
         /// A new incarnation of this node's backend server sent its first heartbeat.
         ServerStarted,
         /// A heartbeat of the backend server arrived after a newer one.
@@ -183,6 +188,8 @@
             Counter::MalformedServerReport(error) => {
                 format!("broken_server_report.{}", error.name())
             }
+            Counter::SlowdownReport => "slowdown_report".to_owned(),
+            Counter::HandOver => "hand_over".to_owned(),
             Counter::RetryBudgetSpent => "retry_budget_spent".to_owned(),
             Counter::Reattach => "reattach".to_owned(),
             Counter::ResendAttached => "attached".to_owned(),
--- a/crates/engine/src/diagnostic.rs
+++ b/crates/engine/src/diagnostic.rs
@@ -155,6 +155,22 @@
         /// The time since the previous limit was last named.
         age: Option<Duration>,
     },
+    /// A job that had not started was refused, because the backend server has become slow and
+    /// another instance can run it sooner.
+    HandedOver {
+        /// The id of the request.
+        request: Arc<str>,
+        /// How long work takes on the server's machine, in percent of the usual.
+        slowdown_percent: u16,
+        /// The time since the server reported that.
+        age: Duration,
+        /// Runs in progress.
+        running: u16,
+        /// Queued jobs.
+        queued: u32,
+        /// The time left until the job should have ended, in milliseconds.
+        due_ms: u64,
+    },
     /// This node's backend server said for the first time that it is about to stop.
     ServerLeaving {
         /// The server's incarnation.
@@ -298,6 +314,19 @@
                     None => Ok(()),
                 }
             }
+            Diagnostic::HandedOver {
+                request,
+                slowdown_percent,
+                age,
+                running,
+                queued,
+                due_ms,
+            } => write!(
+                f,
+                "event=handed_over request={request} slowdown_percent={slowdown_percent} \
+                 age_ms={} running={running} queued={queued} due_ms={due_ms}",
+                age.as_millis()
+            ),
             Diagnostic::ServerLeaving { id } => write!(f, "event=server_leaving id={id}"),
             Diagnostic::JobEnded {
                 request,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,6 +3,7 @@
 use crate::admission::AdmissionLevels;
 use crate::answer_cache::AnswerCache;
 use crate::fetch::FetchSchedule;
+use crate::hand_over::HandOver;
 use crate::job::Job;
 use crate::keyed_calls::HeldCalls;
 use crate::keyed_calls::KeyRun;
@@ -84,6 +85,7 @@
     pub(crate) server: ServerAdmission,
     /// This node's backend server, once its first heartbeat has arrived.
     pub(crate) own_server: Option<OwnServer>,
+    pub(crate) hand_over: HandOver,
     /// Requests in flight from callers and from this node's backend server.
     pub(crate) open_requests: IndexMap<RequestToken, OpenRequest>,
     /// Requests that wait for the answer to an identical one, which the value names.
@@ -182,6 +184,7 @@
                 defaults.max_queue_time,
             ),
             own_server: None,
+            hand_over: HandOver::default(),
             open_requests: IndexMap::new(),
             followers: IndexMap::new(),
             calls: IndexMap::new(),
@@ -285,6 +288,7 @@
         self.drain_loopback(now);
         // Frames of this node to itself may have freed capacity, or queued work that has to leave
         // the queue.
+        self.hand_over_waiting(now);
         self.start_queued_jobs(now);
         self.drain_loopback(now);
         self.fetch_if_due(now);
--- a/crates/engine/src/gauges.rs
+++ b/crates/engine/src/gauges.rs
@@ -53,6 +53,13 @@
                 "server.rate_limit_millihertz",
                 self.rate_limit().map_or(0, RequestRate::millihertz),
             ),
+            ("server.slowdown_percent", u64::from(load.slowdown_percent)),
+            ("server.slowdown_age_ms", u64::from(load.speed.age_ms)),
+            (
+                "server.mean_slowdown_percent",
+                u64::from(load.speed.mean_percent),
+            ),
+            ("server.run_time_us", u64::from(load.speed.run_time_us)),
             ("server.leaving", u64::from(self.server_is_leaving())),
         ]
     }
--- a/crates/engine/src/hedge.rs
+++ b/crates/engine/src/hedge.rs
@@ -60,11 +60,12 @@
 
     /// Records how long a run took, if it ended with a complete response.
     pub(crate) fn record_run_time(&mut self, now: Time, run: RunId, outcome: WorkOutcome) {
-        let WorkOutcome::Completed { elapsed, .. } = outcome else {
+        let WorkOutcome::Completed { elapsed, own_time } = outcome else {
             return;
         };
         let operation = self.jobs.get(&run).and_then(|job| job.operation.clone());
         if let Some(operation) = operation {
+            self.server.record_run(now, operation.1, own_time);
             self.admission.record_run_time(now, &operation, elapsed);
         }
     }
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -26,6 +26,10 @@
     pub(crate) action_id: ActionId,
     pub(crate) admission_sample: u16,
     pub(crate) depth: u8,
+    /// How many instances have refused the call before it came here.
+    pub(crate) redirects: u8,
+    /// When the job should have ended. Unlike at the deadline, it goes on after that.
+    pub(crate) due: Time,
     pub(crate) deadline: Time,
     /// When the latency objective of the action ends, if work is scheduled by slack.
     pub(crate) objective: Option<Time>,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,6 +23,7 @@
 mod fetch;
 mod freshness;
 mod gauges;
+mod hand_over;
 mod hedge;
 mod identity;
 mod ingress;
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -24,7 +24,13 @@
             // The call was never sent and not refused, so the same node may accept it over another
             // connection.
             Reason::PeerLost => true,
-            Reason::QueueFull => call.key.is_none() && self.has_room_elsewhere(now, &call),
+            Reason::QueueFull if call.key.is_some() => false,
+            Reason::QueueFull => {
+                // A slow server hands calls over if its node knows of room elsewhere, so this node
+                // need not know of any.
+                let is_slow = self.selector.is_slow(now, call.target.incarnation);
+                is_slow || self.has_room_elsewhere(now, &call)
+            }
             _ => false,
         };
         if redirect && call.redirects < MAX_REDIRECTS {
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -33,6 +33,7 @@
 use proto::Refusal;
 use proto::RunId;
 use rules::MatchedRule;
+use rules::Operation;
 use std::sync::Arc;
 use std::time::Duration;
 use stdx::Time;
@@ -109,15 +110,17 @@
         let request = call.request;
         let rules = &self.journal.rules;
         let operation = rules.match_rule(&request).map(MatchedRule::operation);
+        let after = |ms| now + Duration::from_millis(u64::from(ms));
+        let (deadline, objective) = (after(call.remaining_ms), call.objective_ms.map(after));
         let job = Job {
             owner,
             action_id: call.action,
             admission_sample: call.admission_sample,
             depth: call.depth,
-            deadline: now + Duration::from_millis(u64::from(call.remaining_ms)),
-            objective: call
-                .objective_ms
-                .map(|left| now + Duration::from_millis(u64::from(left))),
+            redirects: call.redirects,
+            due: job_due(now, call.depth, objective, deadline, operation),
+            deadline,
+            objective,
             retry_allowance: RetryAllowance::new(call.retry_allowance),
             possible_repeat: call.possible_repeat,
             operation: operation.map(operation_key),
@@ -196,6 +199,9 @@
             }
             item.passed_level = item.passed_level.max(level);
         }
+        if self.hand_over_offered(now, run, &item) {
+            return;
+        }
         let decision = self.server.offer(now, item);
         if !item.admitted {
             let passed_level = item.passed_level.max(self.server.level());
@@ -431,6 +437,25 @@
     }
 }
 
+/// The time by which the job of a call that arrives now should end: the end of the latency objective
+/// of an action that begins here. The answer to a call of a run is needed earlier, because the run
+/// has more to do after it; half of the time left is taken for that.
+fn job_due(
+    now: Time,
+    depth: u8,
+    objective: Option<Time>,
+    deadline: Time,
+    operation: Option<&Operation>,
+) -> Time {
+    let own_objective = operation.map(|operation| now + operation.latency_objective);
+    let objective = objective.or(own_objective.filter(|_| depth == 0));
+    let due = objective.map_or(deadline, |objective| objective.min(deadline));
+    match depth {
+        0 => due,
+        _ => now + now.until(due) / 2,
+    }
+}
+
 /// The scope of the keys of child calls. It is the same for every run of the same call of the
 /// action.
 fn child_key_scope(action: ActionId, key: Option<KeyHash>) -> Arc<str> {
--- a/crates/engine/src/server_report.rs
+++ b/crates/engine/src/server_report.rs
@@ -21,13 +21,13 @@
 const MIN_RATE_WITHOUT_CHECKS: RequestRate = RequestRate::from_millihertz(250);
 
 /// The age up to which the load that another instance has reported is considered.
-const MAX_LOAD_AGE: Duration = Duration::from_secs(3);
+pub(crate) const MAX_LOAD_AGE: Duration = Duration::from_secs(3);
 
 /// How often the node of a limited server asks other instances of the service for their load, and
 /// how many of them. The regular probes reach each of them once in a round over all nodes, which is
 /// too late to tell whether what exceeds the limit can be sent there.
-const LOAD_QUERY_INTERVAL: Duration = Duration::from_secs(1);
-const QUERIED_SIBLINGS: usize = 3;
+pub(crate) const LOAD_QUERY_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const QUERIED_SIBLINGS: usize = 3;
 
 /// Utilisation of an instance whose concurrency limit is reached.
 const FULL_UTILISATION: u16 = 1000;
@@ -44,6 +44,10 @@
         Rate(RateError),
         /// The value has no defined meaning.
         UnknownValue,
+        /// The value has too few or too many figures.
+        FigureCount,
+        /// The value is a number that the server cannot mean.
+        OutOfRange,
     }
 }
 
@@ -56,6 +60,8 @@
             ReportError::Rate(RateError::Negative) => "negative",
             ReportError::Rate(RateError::TooLarge) => "too-large",
             ReportError::UnknownValue => "unknown-value",
+            ReportError::FigureCount => "figure-count",
+            ReportError::OutOfRange => "out-of-range",
         }
     }
 }
@@ -67,6 +73,8 @@
     pub rate_limit: Result<Option<RequestRate>, ReportError>,
     /// Whether it is about to stop and accepts no new work.
     pub leaving: Result<bool, ReportError>,
+    /// How long work takes on its machine at this moment, in percent of the usual, if it says so.
+    pub slowdown_percent: Result<Option<u16>, ReportError>,
 }
 
 impl Default for ServerReport {
@@ -75,6 +83,7 @@
         Self {
             rate_limit: Ok(None),
             leaving: Ok(false),
+            slowdown_percent: Ok(None),
         }
     }
 }
@@ -129,7 +138,11 @@
         sent_at: Time,
         report: ServerReport,
     ) {
-        let errors = [report.rate_limit.err(), report.leaving.err()];
+        let errors = [
+            report.rate_limit.err(),
+            report.leaving.err(),
+            report.slowdown_percent.err(),
+        ];
         for error in errors.into_iter().flatten() {
             self.count(Counter::MalformedServerReport(error));
         }
@@ -140,6 +153,13 @@
         if !server.has_id(id) || sent_at < server.known_since {
             return;
         }
+        if let Ok(Some(percent)) = report.slowdown_percent {
+            self.server.set_slowdown(now, percent);
+            self.count(Counter::SlowdownReport);
+        }
+        let Some(server) = self.own_server.as_mut() else {
+            return;
+        };
         let previous = server.named_limit;
         if let Ok(rate) = report.rate_limit {
             server.named_limit = NamedLimit::update(previous, now, sent_at, rate);
@@ -224,8 +244,7 @@
         rules.health_paths.get(&self.own_instance.service).cloned()
     }
 
-    /// Whether the backend server has named a rate limit that is in force. The driver may omit
-    /// reports that say nothing while there is none.
+    /// Whether the backend server has named a rate limit that is in force.
     pub fn has_rate_limit(&self) -> bool {
         self.rate_limit().is_some()
     }
--- a/crates/engine/tests/duplicates.rs
+++ b/crates/engine/tests/duplicates.rs
@@ -74,6 +74,7 @@
         key: None,
         first_attempt: false,
         depth: 0,
+        redirects: 0,
         request: Request::new("press", "GET", "/days", Bytes::new()),
     };
     Input::Frame {
--- a/crates/engine/tests/levels.rs
+++ b/crates/engine/tests/levels.rs
@@ -115,6 +115,7 @@
             key: None,
             first_attempt: false,
             depth: 0,
+            redirects: 0,
             request: Request::new("status", "GET", "/orders", Bytes::new()),
         };
         let frame = Frame::Call(Box::new(call));
--- a/crates/engine/tests/server_report.rs
+++ b/crates/engine/tests/server_report.rs
@@ -133,6 +133,7 @@
     let malformed = ServerReport {
         rate_limit: Err(error),
         leaving: Err(ReportError::Repeated),
+        ..ServerReport::default()
     };
     let outputs = respond(&mut engine, 20, 15, malformed);
     for error in [error, ReportError::Repeated] {
@@ -168,6 +169,76 @@
     assert_eq!(leaves, ["event=server_leaving id=a"]);
 }
 
+fn slowdown(percent: u16) -> ServerReport {
+    ServerReport {
+        slowdown_percent: Ok(Some(percent)),
+        ..ServerReport::default()
+    }
+}
+
+#[test]
+fn newest_slowdown_is_kept_and_counted() {
+    let mut engine = node();
+    let outputs = respond(&mut engine, 10, 5, slowdown(250));
+    assert!(outputs.contains(&Output::Count(Counter::SlowdownReport)));
+    assert_eq!(gauge(&engine, "server.slowdown_percent"), 250);
+    respond(&mut engine, 20, 5, slowdown(100));
+    assert_eq!(gauge(&engine, "server.slowdown_percent"), 100);
+}
+
+/// A response without the figure, or with a malformed one, says nothing about the speed.
+#[test]
+fn malformed_slowdown_is_counted_and_changes_nothing() {
+    let mut engine = node();
+    respond(&mut engine, 10, 5, slowdown(250));
+    let error = ReportError::OutOfRange;
+    let malformed = ServerReport {
+        slowdown_percent: Err(error),
+        ..ServerReport::default()
+    };
+    assert!(!engine.may_omit_report(at(20), malformed));
+    let outputs = respond(&mut engine, 20, 15, malformed);
+    let counted = Output::Count(Counter::MalformedServerReport(error));
+    assert!(outputs.contains(&counted), "{outputs:?}");
+    respond(&mut engine, 30, 25, ServerReport::default());
+    assert_eq!(gauge(&engine, "server.slowdown_percent"), 250);
+}
+
+/// A server that stops reporting would count as slow forever.
+#[test]
+fn slowdown_that_is_not_renewed_counts_as_usual() {
+    let mut engine = node();
+    respond(&mut engine, 10, 5, slowdown(250));
+    engine.handle(at(1010), Input::Tick);
+    assert_eq!(gauge(&engine, "server.slowdown_percent"), 250);
+    engine.handle(at(1011), Input::Tick);
+    assert_eq!(gauge(&engine, "server.slowdown_percent"), 100);
+}
+
+/// Servers report in every response, and each input to the engine has a cost.
+#[test]
+fn driver_omits_what_the_engine_knows() {
+    let mut engine = node();
+    assert!(engine.may_omit_report(at(5), ServerReport::default()));
+    assert!(!engine.may_omit_report(at(5), slowdown(100)));
+    respond(&mut engine, 10, 5, slowdown(100));
+    assert!(engine.may_omit_report(at(59), slowdown(110)));
+    assert!(!engine.may_omit_report(at(60), slowdown(100)));
+    assert!(!engine.may_omit_report(at(20), slowdown(250)));
+    assert!(!engine.may_omit_report(at(20), leaving()));
+    respond(&mut engine, 20, 15, limit(Some(10)));
+    assert!(!engine.may_omit_report(at(21), slowdown(100)));
+}
+
+/// The speed of the predecessor says nothing about a new incarnation.
+#[test]
+fn restarted_server_has_no_slowdown() {
+    let mut engine = node();
+    respond(&mut engine, 10, 5, slowdown(250));
+    engine.handle(at(100), heartbeat("b", 200));
+    assert_eq!(gauge(&engine, "server.slowdown_percent"), 0);
+}
+
 /// A server that got no requests for a while has to be asked, or its limit would never be lifted.
 #[test]
 fn limited_server_without_traffic_is_asked_for_its_limit() {
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -7,7 +7,6 @@
 use actix_http::StatusCode;
 use engine::Input;
 use engine::RunEnd;
-use engine::ServerReport;
 use httpconn::Connection;
 use httpconn::ExchangeError;
 use httpconn::Parser;
@@ -217,7 +216,7 @@
     let Some(report) = (shell.dialect.parse_server_report)(status, headers, Some(id)) else {
         return;
     };
-    if report == ServerReport::default() && !shell.engine.borrow().has_rate_limit() {
+    if shell.engine.borrow().may_omit_report(shell.now(), report) {
         return;
     }
     let id = id.clone();
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -66,7 +66,7 @@
         Diagnostic::Answered { outcome, .. } | Diagnostic::JobEnded { outcome, .. } => {
             matches!(outcome, OutcomeSummary::Completed(status) if *status < 500)
         }
-        Diagnostic::Refused { .. } => false,
+        Diagnostic::Refused { .. } | Diagnostic::HandedOver { .. } => false,
         // Changes of state of peers, the own backend server and the trust in API keys are rare, so
         // these lines are not limited.
         Diagnostic::Peer { .. }
--- a/crates/node/src/link/tests.rs
+++ b/crates/node/src/link/tests.rs
@@ -33,6 +33,7 @@
         key: None,
         first_attempt: false,
         depth: 0,
+        redirects: 0,
         request: Request::new("press", "GET", "/days", Bytes::from(vec![7; size])),
     }))
 }
--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -5,6 +5,8 @@
 //! with two candidates for each proximity, so the cost of a choice does not depend on the size of
 //! the fleet.
 
+use crate::instance_speed::InstanceSpeed;
+use crate::instance_speed::UsualRunTimes;
 use crate::Switches;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -30,6 +32,9 @@
 /// of the calls to a busy service would leave theirs.
 const FREE_LOAD: u32 = 800;
 
+/// The cost of a run itself in the unit of load: a full limit of load ahead takes one run time.
+const RUN_COST: u32 = 1000;
+
 /// Time over which the weight of a load report falls linearly to zero.
 const REPORT_LIFETIME: Duration = Duration::from_secs(5);
 
@@ -91,6 +96,7 @@
     new_since: Option<Time>,
     report: LoadReport,
     reported_at: Option<Time>,
+    speed: InstanceSpeed,
     /// Calls sent since the last report.
     sent_since_report: u32,
     in_flight: u32,
@@ -105,6 +111,10 @@
     /// By [`Proximity`].
     ready: [IndexSet<Incarnation>; 3],
     last_resort: IndexSet<Incarnation>,
+    /// Whether one of the instances has reported how long work takes on its machine. Instances are
+    /// then chosen by expected completion time.
+    is_uneven: bool,
+    usual_run_times: UsualRunTimes,
 }
 
 /// Chooses instances for calls, based on their load reports and on the calls sent by this node.
@@ -179,6 +189,7 @@
             new_since: Some(now).filter(|_| is_new),
             report: LoadReport::default(),
             reported_at: None,
+            speed: InstanceSpeed::default(),
             sent_since_report: 0,
             in_flight: 0,
             failures: 0,
@@ -194,6 +205,12 @@
         instance.report = report;
         instance.reported_at = Some(now);
         instance.sent_since_report = 0;
+        if report.slowdown_percent > 0 {
+            let instances = self.services.entry(instance.service.clone()).or_default();
+            instances.is_uneven = true;
+            let usual = &mut instances.usual_run_times;
+            instance.speed.on_report(now, &report, usual);
+        }
         if report.draining {
             let (service, proximity) = (instance.service.clone(), instance.proximity);
             self.set_instance(now, id, &service, proximity, Eligibility::Excluded);
@@ -257,7 +274,11 @@
         let candidate = |id: &Incarnation| {
             let instance = self.instances.get(id)?;
             let is_usable = !avoid.contains(id) && now >= instance.backoff_until;
-            is_usable.then(|| (instance.cost(now, free_load), *id))
+            let cost = match instances.is_uneven {
+                true => InstanceState::completion_cost,
+                false => InstanceState::cost,
+            };
+            is_usable.then(|| (cost(instance, now, free_load), *id))
         };
         let mut best: Option<((u32, u32), Incarnation)> = None;
         for ids in &instances.ready {
@@ -277,6 +298,28 @@
         Some(chosen)
     }
 
+    /// Whether an instance has reported that its machine is much slower now than on average.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_policy::{Eligibility, InstanceSelector, Proximity};
+    /// use proto::{Incarnation, LoadReport};
+    /// use stdx::Time;
+    ///
+    /// let mut selector = InstanceSelector::new();
+    /// let (id, near) = (Incarnation(7), Proximity::SameDomain);
+    /// selector.set_instance(Time::ZERO, id, &"press".into(), near, Eligibility::Ready);
+    /// let report = LoadReport { slowdown_percent: 250, ..LoadReport::default() };
+    /// selector.on_report(Time::ZERO, id, report);
+    /// assert!(selector.is_slow(Time::ZERO, id));
+    /// assert!(!selector.is_slow(Time::from_micros(600_000), id), "the report is too old");
+    /// ```
+    pub fn is_slow(&self, now: Time, id: Incarnation) -> bool {
+        let instance = self.instances.get(&id);
+        instance.is_some_and(|instance| instance.speed.is_slow(now))
+    }
+
     /// Whether an instance of `service` for which `is_allowed` holds would start work immediately.
     ///
     /// # Examples
@@ -338,6 +381,20 @@
         (waiting + DISTANCE_COST[self.proximity as usize], load)
     }
 
+    /// The cost by expected completion time: the run, and the work ahead divided by the slots, both
+    /// at the present speed there. The unit is a thousandth of the usual run time, so that the cost
+    /// orders instances of equal speed as [`InstanceState::cost`] does.
+    fn completion_cost(&self, now: Time, free_load: u32) -> (u32, u32) {
+        let load = self.load(now);
+        let work = RUN_COST + load.saturating_sub(free_load);
+        let time = (work as f32 * self.speed.time_ratio(now)) as u32;
+        let penalty = self.weighted(now, self.report.penalty, 0);
+        (
+            time + penalty + DISTANCE_COST[self.proximity as usize],
+            load,
+        )
+    }
+
     /// The load in thousandths of the limit.
     fn load(&self, now: Time) -> u32 {
         let limit = match self.report.limit {
--- /dev/null
+++ b/crates/policy/src/instance_speed.rs
@@ -0,0 +1,100 @@
+//! How fast other instances work, from their load reports.
+
+use indexmap::IndexMap;
+use proto::LoadReport;
+use std::time::Duration;
+use stdx::Time;
+
+/// Time within which the weight of a reported slowdown falls linearly to zero. A machine keeps its
+/// speed for about this time, so a value of this age says nothing about the present.
+const SLOWDOWN_LIFETIME: Duration = Duration::from_millis(600);
+
+/// Multiple of its mean slowdown from which an instance counts as slow, as at the node beside it.
+const SLOW_RATIO: f32 = 1.5;
+
+/// Weight of a report in the run time that is usual for a service: one in this many.
+const REFERENCE_WINDOW: f32 = 64.0;
+
+/// Bounds of the time that work takes, as a multiple of the usual.
+const TIME_RATIO: (f32, f32) = (0.05, 100.0);
+
+/// The run time that is usual for the instances of a service, by the set of operations that it was
+/// measured for (see [`proto::ServerSpeed::operations`]).
+#[derive(Debug, Default)]
+pub(crate) struct UsualRunTimes {
+    /// The logarithm of microseconds.
+    by_operations: IndexMap<u8, f32>,
+}
+
+impl UsualRunTimes {
+    /// Records the run time of an instance, and returns its ratio to the usual one.
+    fn record(&mut self, operations: u8, run_time_us: u32) -> f32 {
+        let log = (run_time_us as f32).ln();
+        let usual = self.by_operations.entry(operations).or_insert(log);
+        *usual += (log - *usual) / REFERENCE_WINDOW;
+        (log - *usual).exp()
+    }
+}
+
+/// The speed of one instance.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct InstanceSpeed {
+    /// How long work takes on its machine, as a ratio to the usual.
+    slowdown: f32,
+    mean_slowdown: f32,
+    /// When `slowdown` was the newest value; `None` before the first report.
+    slowdown_at: Option<Time>,
+    /// The run time at the usual speed of its machine, as a ratio to that of other instances.
+    run_time: f32,
+}
+
+impl Default for InstanceSpeed {
+    fn default() -> Self {
+        Self {
+            slowdown: 1.0,
+            mean_slowdown: 1.0,
+            slowdown_at: None,
+            run_time: 1.0,
+        }
+    }
+}
+
+impl InstanceSpeed {
+    pub(crate) fn on_report(&mut self, now: Time, report: &LoadReport, usual: &mut UsualRunTimes) {
+        if report.slowdown_percent == 0 {
+            return;
+        }
+        self.slowdown = f32::from(report.slowdown_percent) / 100.0;
+        self.mean_slowdown = match report.speed.mean_percent {
+            0 => 1.0,
+            percent => f32::from(percent) / 100.0,
+        };
+        let age = Duration::from_millis(u64::from(report.speed.age_ms));
+        self.slowdown_at = Some(Time::ZERO + now.since(Time::ZERO).saturating_sub(age));
+        self.run_time = match report.speed.run_time_us {
+            0 => 1.0,
+            run_time_us => usual.record(report.speed.operations, run_time_us),
+        };
+    }
+
+    /// How long work takes there now, as a multiple of what is usual for the service. The reported
+    /// slowdown changes into its mean with its age.
+    pub(crate) fn time_ratio(&self, now: Time) -> f32 {
+        let (min, max) = TIME_RATIO;
+        (self.run_time * self.slowdown(now)).clamp(min, max)
+    }
+
+    /// Whether its machine is much slower now than on average.
+    pub(crate) fn is_slow(&self, now: Time) -> bool {
+        self.slowdown(now) > SLOW_RATIO * self.mean_slowdown
+    }
+
+    fn slowdown(&self, now: Time) -> f32 {
+        let age = self
+            .slowdown_at
+            .map_or(SLOWDOWN_LIFETIME, |at| now.since(at));
+        let age = age.as_secs_f32() / SLOWDOWN_LIFETIME.as_secs_f32();
+        let weight = (1.0 - age).max(0.0);
+        self.mean_slowdown + (self.slowdown - self.mean_slowdown) * weight
+    }
+}
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -141,6 +141,11 @@
         due.min()
     }
 
+    /// The waiting work items in the order in which they leave by rank.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &WorkItem> {
+        self.ranks.values().flatten()
+    }
+
     fn fronts(&self) -> impl Iterator<Item = &WorkItem> {
         self.ranks.values().filter_map(VecDeque::front)
     }
--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -1,6 +1,7 @@
 //! Admission control for one backend server: the concurrency limit, the rate limit that the server
 //! names, the queue and the admission level.
 
+mod hand_over;
 mod level;
 mod refusal;
 mod waiting;
@@ -10,6 +11,7 @@
 use crate::concurrency_limit::ConcurrencyLimit;
 use crate::failure_share::FailureShare;
 use crate::lookup_hold::LookupHold;
+use crate::machine_speed::MachineSpeed;
 use crate::queue::Queue;
 use crate::rate_limiter::RateLimiter;
 use crate::slowdown::Slowdown;
@@ -63,6 +65,8 @@
     failure_share: FailureShare,
     /// How much slower than usual the server is.
     slowdown: Slowdown,
+    /// How fast the server works, if it reports how long work takes on its machine.
+    speed: MachineSpeed,
     /// Set while the server is unreachable; it is not tried again before this time.
     down_until: Option<Time>,
     lookup_hold: LookupHold,
@@ -108,6 +112,7 @@
             slot_time_with_abandoned: [Estimate::default(); CLASSES],
             failure_share: FailureShare::default(),
             slowdown: Slowdown::default(),
+            speed: MachineSpeed::default(),
             down_until: None,
             lookup_hold: LookupHold::default(),
         };
@@ -122,6 +127,7 @@
         self.rate_limiter = None;
         self.failure_share.reset();
         self.slowdown = Slowdown::default();
+        self.speed = MachineSpeed::default();
         self.limit.restart(now);
         self.limit.set_bounds(1, slots.max(1));
         self.limit.set_to_max();
@@ -217,6 +223,9 @@
                 self.slot_time.record(elapsed);
                 self.slot_time_by_class[class as usize].record(elapsed);
                 self.slot_time_with_abandoned[class as usize].record(elapsed);
+                self.speed.record_class(now, class, elapsed, own_time);
+                // What the machine explains is no sign of congestion, and other nodes know of it.
+                let own_time = self.speed.at_usual_speed(now, own_time);
                 self.slowdown.record(now, class, own_time);
                 if self.switches.adaptive_limit {
                     self.limit.record(now, class, own_time, at_limit);
@@ -305,12 +314,14 @@
         if self.down_until.is_some() {
             utilisation = u32::from(u16::MAX);
         }
+        let (slowdown_percent, speed) = self.speed.report(self.last_tick);
         LoadReport {
             utilisation: utilisation.min(u32::from(u16::MAX)) as u16,
             penalty: self.penalty(),
             level: self.level(),
             limit,
-            slowdown_percent: 0,
+            slowdown_percent,
+            speed,
             draining: false,
         }
     }
--- a/crates/policy/src/server_admission/refusal.rs
+++ b/crates/policy/src/server_admission/refusal.rs
@@ -43,19 +43,25 @@
         }
     }
 
-    /// Refuses work with a retry delay: the time to work off the backlog, at least until the rate
-    /// limit permits one more request, multiplied by the ratio of offered load to capacity. Callers refused together would come back together, so the
-    /// random value of the action varies the delay.
+    /// Refuses work with a retry delay.
     pub(super) fn refuse(&self, now: Time, reason: Reason, item: WorkItem) -> AdmissionDecision {
+        let wait = self.retry_delay(now, item.random_value);
+        AdmissionDecision::Refused(Refusal::new(reason, wait))
+    }
+
+    /// The delay after which refused work should come back: the time to work off the backlog, at least
+    /// until the rate limit permits one more request, multiplied by the ratio of offered load to
+    /// capacity. Callers refused together would come back together, so the random value of the action
+    /// varies the delay.
+    pub(super) fn retry_delay(&self, now: Time, random_value: u16) -> Duration {
         let backlog = self.drain_time(self.queue.len() + usize::from(self.running));
         let backlog = backlog.max(self.token_wait(now, self.queue.len() + 1));
         let wait = (backlog + MIN_RETRY_AFTER).mul_f64(self.level.overload_ratio().min(100.0));
         let jitter = if self.switches.spread {
-            retry_jitter(item.random_value)
+            retry_jitter(random_value)
         } else {
             1.0
         };
-        let wait = wait.mul_f64(jitter).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        AdmissionDecision::Refused(Refusal::new(reason, wait))
+        wait.mul_f64(jitter).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 }
--- a/crates/proto/src/answer.rs
+++ b/crates/proto/src/answer.rs
@@ -261,6 +261,25 @@
     }
 }
 
+plain! {
+    /// How fast a backend server works. All fields are 0 unless the server reports how long work
+    /// takes on its machine.
+    #[derive(Default)]
+    pub struct ServerSpeed {
+        /// Age of [`LoadReport::slowdown_percent`], in milliseconds.
+        pub age_ms: u16,
+        /// Mean of [`LoadReport::slowdown_percent`] over the last seconds.
+        pub mean_percent: u16,
+        /// How long a run takes at 100 percent, in microseconds, without its waits for child calls:
+        /// the geometric mean over operations, so that it does not depend on how often each of them
+        /// runs. 0 while too few runs were measured.
+        pub run_time_us: u32,
+        /// Identifies the set of operations in `run_time_us`. Servers are comparable if it is
+        /// equal.
+        pub operations: u8,
+    }
+}
+
 plain! {
     /// Load of a backend server as measured by the node beside it. Load that the server reports
     /// about itself is only a hint.
@@ -283,6 +302,8 @@
         /// How long work takes on the backend server's machine at this moment, in percent of the
         /// usual; 0 if the server does not report it.
         pub slowdown_percent: u16,
+        /// How fast the backend server works, as far as its node has learned it.
+        pub speed: ServerSpeed,
         /// The node is shutting down and accepts no new calls.
         pub draining: bool,
     }
--- a/crates/proto/src/frame.rs
+++ b/crates/proto/src/frame.rs
@@ -133,6 +133,8 @@
         pub first_attempt: bool,
         /// Number of calls above this one in the call tree.
         pub depth: u8,
+        /// How many instances have refused the call so that it was sent to another one.
+        pub redirects: u8,
         /// The request.
         pub request: Request,
     }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -20,6 +20,7 @@
 pub use answer::Outcome;
 pub use answer::Reason;
 pub use answer::Refusal;
+pub use answer::ServerSpeed;
 pub use codec::decode;
 pub use codec::encode;
 pub use codec::DecodeError;
