--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -118,11 +118,20 @@
 
     /// Answers the oldest call.
     fn reply(&mut self, outcome: Outcome, downstream: DownstreamSummary) {
+        self.reply_with_load(outcome, downstream, LoadReport::default());
+    }
+
+    fn reply_with_load(
+        &mut self,
+        outcome: Outcome,
+        downstream: DownstreamSummary,
+        load: LoadReport,
+    ) {
         let (from, call) = self.calls.remove(0);
         let answer = Answer {
             outcome,
             unspent_retries: call.retry_allowance,
-            load: LoadReport::default(),
+            load,
             downstream,
         };
         let frame = Frame::Answer(call.id, Box::new(answer));
@@ -222,6 +231,40 @@
     assert_eq!(ingress.calls.len(), 1);
 }
 
+/// The node beside a slow server hands a call over, because it knows of room that the ingress node
+/// has not heard of. The call must neither fail nor spend a retry.
+#[test]
+fn call_that_a_slow_server_hands_over_goes_to_another_instance() {
+    let mut ingress = IngressNode::new();
+    let full = LoadReport {
+        utilisation: 2000,
+        limit: 10,
+        slowdown_percent: 100,
+        ..LoadReport::default()
+    };
+    let mut seen: Vec<Incarnation> = Vec::new();
+    while seen.len() < 2 {
+        ingress.send("a", "/check/1");
+        if !seen.contains(&ingress.calls[0].0) {
+            seen.push(ingress.calls[0].0);
+        }
+        ingress.reply_with_load(completed(), DownstreamSummary::default(), full);
+    }
+    ingress.send("a", "/check/2");
+    let (first, sent) = ingress.calls[0].clone();
+    assert_eq!(sent.redirects, 0);
+    let slow = LoadReport {
+        slowdown_percent: 250,
+        ..full
+    };
+    let refusal = not_run(Reason::QueueFull);
+    ingress.reply_with_load(refusal, DownstreamSummary::default(), slow);
+    let (second, again) = &ingress.calls[0];
+    assert_ne!(*second, first);
+    assert_eq!(again.redirects, 1);
+    assert_eq!(again.retry_allowance, sent.retry_allowance);
+}
+
 /// Sends 200 requests for the path and counts the calls that go out.
 fn count_sent_calls(ingress: &mut IngressNode, path: &str) -> usize {
     ingress.calls.clear();
--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -388,6 +388,8 @@
         let load = self.load(now);
         let work = RUN_COST + load.saturating_sub(free_load);
         let time = (work as f32 * self.speed.time_ratio(now)) as u32;
+        // A sum with the other terms must not overflow.
+        let time = time.min(u32::MAX / 2);
         let penalty = self.weighted(now, self.report.penalty, 0);
         (
             time + penalty + DISTANCE_COST[self.proximity as usize],
--- a/crates/policy/src/machine_speed.rs
+++ b/crates/policy/src/machine_speed.rs
@@ -22,7 +22,7 @@
 
 /// Weight of a run in the mean run time of an operation: one in this many, once that many runs have
 /// ended.
-const RUN_WINDOW: u32 = 128;
+const RUN_WINDOW: u32 = 512;
 
 /// Maximum number of operations whose run times are measured.
 const MAX_OPERATIONS: usize = 256;
