Return a handed-over call if no other instance is known; trial of hand-overs

Cause: an ingress node that knows no instance but the slow one would end a call that was handed over as not run, although the slow server could run it.

Change: such a call goes back to the same instance with the maximum number of redirects, so that it is not handed over again. The trial gets a fault by which servers state a slowdown, and a test of hand-overs among restarts with all checks of the guarantees. Tests of the delivery of responses with a malformed load header and of the status line.

--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -355,6 +355,21 @@
     addr
 }
 
+/// Guards against a status line that hides that an instance is slow.
+#[actix_rt::test]
+async fn status_shows_the_speed_of_servers() {
+    let page = "service press\ngauge.server.slowdown_percent 250\n\
+                gauge.server.mean_slowdown_percent 122\ngauge.server.run_time_us 50000\n";
+    let addr = start_status_server(page).await.to_string();
+    let (code, out, err) = ctl(&["status", "--node", &addr]).await;
+    assert_eq!(code, 0, "{err}");
+    let expected = " slowdown_percent=250 mean_slowdown_percent=122 run_time_us=50000";
+    assert!(out.contains(expected), "{out}");
+    let addr = start_status_server("service press\n").await.to_string();
+    let (_, out, _) = ctl(&["status", "--node", &addr]).await;
+    assert!(!out.contains("slowdown_percent"), "{out}");
+}
+
 /// Guards against a status line that hides why an instance gets fewer requests than others.
 #[actix_rt::test]
 async fn status_shows_limits_and_departures_of_servers() {
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -25,12 +25,15 @@
             // connection.
             Reason::PeerLost => true,
             Reason::QueueFull if call.key.is_some() => false,
-            Reason::QueueFull => {
-                // A slow server hands calls over if its node knows of room elsewhere, so this node
-                // need not know of any.
-                let is_slow = self.selector.is_slow(now, call.target.incarnation);
-                is_slow || self.has_room_elsewhere(now, &call)
+            // A slow server hands calls over if its node knows of room elsewhere, so this node need
+            // not know of any.
+            Reason::QueueFull if self.selector.is_slow(now, call.target.incarnation) => {
+                if call.redirects < MAX_REDIRECTS && !self.has_untried_instance(&call) {
+                    return self.send_back(now, call);
+                }
+                true
             }
+            Reason::QueueFull => self.has_room_elsewhere(now, &call),
             _ => false,
         };
         if redirect && call.redirects < MAX_REDIRECTS {
@@ -58,6 +61,24 @@
         self.finish_call(now, call, Outcome::NotRun(refusal));
     }
 
+    /// Sends a call that a slow server hands over to that server again, because this node knows no
+    /// other instance. With the maximum number of redirects it is not handed over once more.
+    fn send_back(&mut self, now: Time, mut call: OutgoingCall) {
+        call.redirects = MAX_REDIRECTS;
+        self.count(Counter::Redirect(Reason::QueueFull));
+        let target = call.target.clone();
+        self.send_to_target(now, call, target);
+    }
+
+    fn has_untried_instance(&self, call: &OutgoingCall) -> bool {
+        let is_untried = |id| id != call.target.incarnation && !call.avoid.contains(&id);
+        let service = &call.request.service;
+        let mut peers = self.members.usable_peers(service);
+        let own = &self.own_instance;
+        let own_is_untried = own.service == *service && is_untried(own.incarnation);
+        own_is_untried || peers.any(|peer| is_untried(peer.instance.incarnation))
+    }
+
     /// Whether a call that its target refused can be sent to another node.
     ///
     /// A call with a key is sent to the key's home node only. While this node knows no other home
--- a/crates/node/tests/platform.rs
+++ b/crates/node/tests/platform.rs
@@ -394,6 +394,10 @@
         "server-limit: NaN\r\nserver-leaving: maybe\r\n",
         "server-limit: 0\r\nserver-limit: 0\r\n",
         "server-limit: 99999999999999999999\r\n",
+        "x-bilberrycove-server-load: 1,0,16,0\r\n",
+        "x-bilberrycove-server-load: 1,0,16,10001\r\n",
+        "x-bilberrycove-server-load: one\r\n",
+        "x-bilberrycove-server-load: 1,0,16,250\r\n",
     ];
     for (n, report) in reports.into_iter().enumerate() {
         press.server.report.set(report);
--- a/crates/trial/src/fault.rs
+++ b/crates/trial/src/fault.rs
@@ -59,6 +59,9 @@
     Crash(usize),
     /// The backend server names this rate limit in its responses from now on, or none any more.
     Limit(usize, Option<RequestRate>),
+    /// The backend server says in its responses from now on how long work takes on its machine, in
+    /// percent of the usual.
+    Slowdown(usize, u16),
     /// The backend server says in its responses from now on that it is about to stop, without
     /// announcing it. It exits after some seconds, and another one starts at its address.
     Leave(usize),
@@ -127,6 +130,9 @@
             Fault::Publish(operators) => self.publish_concurrently(operators),
             Fault::Crash(node) => self.crash_server(node),
             Fault::Limit(node, rate) => self.nodes[node].server.report.rate_limit = Ok(rate),
+            Fault::Slowdown(node, percent) => {
+                self.nodes[node].server.report.slowdown_percent = Ok(Some(percent));
+            }
             Fault::Leave(node) => self.leave_by_response(node),
             Fault::Slow(service, factor) => {
                 for node in self
--- a/crates/trial/tests/server_reports.rs
+++ b/crates/trial/tests/server_reports.rs
@@ -4,6 +4,7 @@
 use policy::RequestRate;
 use proto::Reason;
 use rand::RngExt;
+use rand::SeedableRng;
 use std::time::Duration;
 use stdx::Time;
 use trial::Action;
@@ -331,6 +332,41 @@
     assert!(gauges.contains(&("server.leaving", 0)));
 }
 
+/// Calls are handed over while machines become slow and fast again, and nodes restart. A hand-over
+/// must neither run an action twice nor lose or fail one.
+#[test]
+fn hand_overs_keep_the_guarantees() {
+    let mut hand_overs = 0;
+    for seed in SEEDS.take(8) {
+        let mut world = world(seed);
+        let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
+        for operation in [ORDER_LOOKUP, PRESS_BOOKING, ROYALTY_LOOKUP, ROYALTY_CHARGE] {
+            schedule(&mut world, operation, 20, 12);
+        }
+        // Runs that take a hundred times as long are then late.
+        for service in ["order", "press", "royalty"] {
+            world.inject_fault(Fault::Slow(service.into(), 5));
+        }
+        for piece in 0..20 {
+            for node in 0..9 {
+                let percent = if rng.random_bool(0.3) { 10_000 } else { 100 };
+                let wait = Duration::from_millis(600) * piece;
+                world.schedule_after(wait, move |world| {
+                    world.inject_fault(Fault::Slowdown(node, percent));
+                });
+            }
+        }
+        let restarted = rng.random_range(0..9);
+        world.schedule_after(Duration::from_secs(6), move |world| {
+            world.inject_fault(Fault::Restart(restarted));
+        });
+        check(&mut world, 25);
+        hand_overs += world.counters.get("hand_over").copied().unwrap_or(0);
+    }
+    println!("{hand_overs} hand-overs");
+    assert!(hand_overs > 0);
+}
+
 /// Limits and departures among random kills, pauses, cuts and surges.
 #[test]
 fn servers_that_limit_or_leave_are_heeded_under_random_faults() {
