--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -274,11 +274,11 @@
         let candidate = |id: &Incarnation| {
             let instance = self.instances.get(id)?;
             let is_usable = !avoid.contains(id) && now >= instance.backoff_until;
-            let cost = match instances.is_uneven {
-                true => InstanceState::completion_cost,
-                false => InstanceState::cost,
+            let cost = || match instances.is_uneven {
+                true => instance.completion_cost(now, free_load, &instances.usual_run_times),
+                false => instance.cost(now, free_load),
             };
-            is_usable.then(|| (cost(instance, now, free_load), *id))
+            is_usable.then(|| (cost(), *id))
         };
         let mut best: Option<((u32, u32), Incarnation)> = None;
         for ids in &instances.ready {
@@ -384,10 +384,10 @@
     /// The cost by expected completion time: the run, and the work ahead divided by the slots, both
     /// at the present speed there. The unit is a thousandth of the usual run time, so that the cost
     /// orders instances of equal speed as [`InstanceState::cost`] does.
-    fn completion_cost(&self, now: Time, free_load: u32) -> (u32, u32) {
+    fn completion_cost(&self, now: Time, free_load: u32, usual: &UsualRunTimes) -> (u32, u32) {
         let load = self.load(now);
         let work = RUN_COST + load.saturating_sub(free_load);
-        let time = (work as f32 * self.speed.time_ratio(now)) as u32;
+        let time = (work as f32 * self.speed.time_ratio(now, usual)) as u32;
         // A sum with the other terms must not overflow.
         let time = time.min(u32::MAX / 2);
         let penalty = self.weighted(now, self.report.penalty, 0);
--- a/crates/policy/src/instance_speed.rs
+++ b/crates/policy/src/instance_speed.rs
@@ -27,13 +27,25 @@
 }
 
 impl UsualRunTimes {
-    /// Records the run time of an instance, and returns its ratio to the usual one.
-    fn record(&mut self, operations: u8, run_time_us: u32) -> f32 {
-        let log = (run_time_us as f32).ln();
-        let usual = self.by_operations.entry(operations).or_insert(log);
-        *usual += (log - *usual) / REFERENCE_WINDOW;
-        (log - *usual).exp()
+    fn record(&mut self, run_time: RunTime) {
+        let usual = self.by_operations.entry(run_time.operations);
+        let usual = usual.or_insert(run_time.log);
+        *usual += (run_time.log - *usual) / REFERENCE_WINDOW;
     }
+
+    /// The ratio of a run time to the usual one.
+    fn ratio(&self, run_time: RunTime) -> f32 {
+        let usual = self.by_operations.get(&run_time.operations);
+        usual.map_or(1.0, |usual| (run_time.log - usual).exp())
+    }
+}
+
+/// The run time of an instance at the usual speed of its machine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct RunTime {
+    /// The logarithm of microseconds.
+    log: f32,
+    operations: u8,
 }
 
 /// The speed of one instance.
@@ -44,8 +56,8 @@
     mean_slowdown: f32,
     /// When `slowdown` was the newest value; `None` before the first report.
     slowdown_at: Option<Time>,
-    /// The run time at the usual speed of its machine, as a ratio to that of other instances.
-    run_time: f32,
+    /// `None` if the instance has not measured it.
+    run_time: Option<RunTime>,
 }
 
 impl Default for InstanceSpeed {
@@ -54,7 +66,7 @@
             slowdown: 1.0,
             mean_slowdown: 1.0,
             slowdown_at: None,
-            run_time: 1.0,
+            run_time: None,
         }
     }
 }
@@ -71,17 +83,23 @@
         };
         let age = Duration::from_millis(u64::from(report.speed.age_ms));
         self.slowdown_at = Some(Time::ZERO + now.since(Time::ZERO).saturating_sub(age));
-        self.run_time = match report.speed.run_time_us {
-            0 => 1.0,
-            run_time_us => usual.record(report.speed.operations, run_time_us),
-        };
+        let run_time = (report.speed.run_time_us > 0).then(|| RunTime {
+            log: (report.speed.run_time_us as f32).ln(),
+            operations: report.speed.operations,
+        });
+        // The node reports its own server before each choice, and would count it more than others.
+        if let Some(run_time) = run_time.filter(|_| run_time != self.run_time) {
+            usual.record(run_time);
+        }
+        self.run_time = run_time;
     }
 
     /// How long work takes there now, as a multiple of what is usual for the service. The reported
     /// slowdown changes into its mean with its age.
-    pub(crate) fn time_ratio(&self, now: Time) -> f32 {
+    pub(crate) fn time_ratio(&self, now: Time, usual: &UsualRunTimes) -> f32 {
         let (min, max) = TIME_RATIO;
-        (self.run_time * self.slowdown(now)).clamp(min, max)
+        let run_time = self.run_time.map_or(1.0, |run_time| usual.ratio(run_time));
+        (run_time * self.slowdown(now)).clamp(min, max)
     }
 
     /// Whether its machine is much slower now than on average.
