Tell a hand-over from the refusal of a full queue; pass the time left to the choice

The ingress node took a queue-full refusal for a hand-over if it knew the server as slow. Reports lose their weight there after 0.6 s and hold for 1 s at the server's node, so a call handed over in between could fail or spend a retry. The other way round, calls refused by full queues of slow servers were sent on without spending a retry, although no room was known. A hand-over is now marked as a refusal of this attempt only, and the mark is removed before the caller is told.

A handed-over call that the ingress node can send nowhere else, because of backoffs or because the others would shed it, goes back to the server instead of failing.

--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -14,8 +14,15 @@
 
 impl Engine {
     /// Sends a call that did not run to another instance, if that may help, or ends it.
-    pub(crate) fn on_not_run(&mut self, now: Time, mut call: OutgoingCall, refusal: Refusal) {
+    pub(crate) fn on_not_run(&mut self, now: Time, mut call: OutgoingCall, mut refusal: Refusal) {
         let reason = refusal.reason;
+        if call.key.is_none() && reason == Reason::QueueFull && refusal.attempt_only {
+            // The caller is not to be told that another attempt may have run.
+            refusal.attempt_only = false;
+            if call.redirects < MAX_REDIRECTS && now < call.deadline {
+                return self.redirect_handed_over(now, call, refusal);
+            }
+        }
         if matches!(reason, Reason::QueueFull | Reason::ServerRefused) {
             call.record_refusal(refusal);
         }
@@ -24,16 +31,7 @@
             // The call was never sent and not refused, so the same node may accept it over another
             // connection.
             Reason::PeerLost => true,
-            Reason::QueueFull if call.key.is_some() => false,
-            // A slow server hands calls over if its node knows of room elsewhere, so this node need
-            // not know of any.
-            Reason::QueueFull if self.selector.is_slow(now, call.target.incarnation) => {
-                if call.redirects < MAX_REDIRECTS && !self.has_untried_instance(&call) {
-                    return self.send_back(now, call);
-                }
-                true
-            }
-            Reason::QueueFull => self.has_room_elsewhere(now, &call),
+            Reason::QueueFull => call.key.is_none() && self.has_room_elsewhere(now, &call),
             _ => false,
         };
         if redirect && call.redirects < MAX_REDIRECTS {
@@ -61,24 +59,24 @@
         self.finish_call(now, call, Outcome::NotRun(refusal));
     }
 
-    /// Sends a call that a slow server hands over to that server again, because this node knows no
-    /// other instance. With the maximum number of redirects it is not handed over once more.
-    fn send_back(&mut self, now: Time, mut call: OutgoingCall) {
-        call.redirects = MAX_REDIRECTS;
-        self.count(Counter::Redirect(Reason::QueueFull));
-        let target = call.target.clone();
+    /// Sends a call that a slow server has handed over to another instance. The server's node knows
+    /// of room elsewhere, so this node need not know of any.
+    ///
+    /// If this node can use no other instance, or the others would shed the call, it goes back to the
+    /// server. With the maximum number of redirects it is not handed over once more.
+    fn redirect_handed_over(&mut self, now: Time, mut call: OutgoingCall, refusal: Refusal) {
+        call.record_refusal(refusal);
+        self.count(Counter::Redirect(refusal.reason));
+        call.redirects += 1;
+        call.avoid.push(call.target.incarnation);
+        let target = self.admit(now, &mut call).unwrap_or_else(|_| {
+            call.avoid.pop();
+            call.redirects = MAX_REDIRECTS;
+            call.target.clone()
+        });
         self.send_to_target(now, call, target);
     }
 
-    fn has_untried_instance(&self, call: &OutgoingCall) -> bool {
-        let is_untried = |id| id != call.target.incarnation && !call.avoid.contains(&id);
-        let service = &call.request.service;
-        let mut peers = self.members.usable_peers(service);
-        let own = &self.own_instance;
-        let own_is_untried = own.service == *service && is_untried(own.incarnation);
-        own_is_untried || peers.any(|peer| is_untried(peer.instance.incarnation))
-    }
-
     /// Whether a call that its target refused can be sent to another node.
     ///
     /// A call with a key is sent to the key's home node only. While this node knows no other home
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -1,6 +1,7 @@
 //! Chooses the instances that calls are sent to.
 
 use crate::outgoing::OutgoingCall;
+use crate::serve::job_due;
 use crate::Engine;
 use policy::Eligibility;
 use policy::Proximity;
@@ -8,6 +9,8 @@
 use proto::Instance;
 use proto::KeyHash;
 use proto::PeerState;
+use rules::MatchedRule;
+use std::time::Duration;
 use stdx::Time;
 
 impl Engine {
@@ -22,15 +25,33 @@
         if self.own_instance.service == *service {
             self.update_own_eligibility(now);
         }
+        let within = match self.selector.is_uneven(service) {
+            true => self.answer_within(now, call),
+            false => Duration::MAX,
+        };
+        let avoid = &call.avoid;
         let chosen = self
             .selector
-            .choose(now, service, &call.avoid, &mut self.rng)?;
+            .choose_within(now, service, avoid, within, &mut self.rng)?;
         if chosen == own_incarnation {
             return Some(self.own_instance.clone());
         }
         self.members.get(chosen).map(|peer| peer.instance.clone())
     }
 
+    /// The time within which the answer to a call is needed.
+    fn answer_within(&self, now: Time, call: &OutgoingCall) -> Duration {
+        let rule = self.journal.rules.match_rule(&call.request);
+        let operation = rule.map(MatchedRule::operation);
+        now.until(job_due(
+            now,
+            call.depth,
+            call.objective,
+            call.deadline,
+            operation,
+        ))
+    }
+
     /// Whether an instance that the call was not sent to yet has capacity.
     pub(crate) fn has_room_elsewhere(&self, now: Time, call: &OutgoingCall) -> bool {
         let is_untried = |id| id != call.target.incarnation && !call.avoid.contains(&id);
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -440,7 +440,7 @@
 /// The time by which the job of a call that arrives now should end: the end of the latency objective
 /// of an action that begins here. The answer to a call of a run is needed earlier, because the run
 /// has more to do after it; half of the time left is taken for that.
-fn job_due(
+pub(crate) fn job_due(
     now: Time,
     depth: u8,
     objective: Option<Time>,
--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -390,28 +390,6 @@
         instances.is_some_and(|instances| instances.is_uneven)
     }
 
-    /// Whether an instance has reported that its machine is much slower now than on average.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use bilberry_policy::{Eligibility, InstanceSelector, Proximity};
-    /// use proto::{Incarnation, LoadReport};
-    /// use stdx::Time;
-    ///
-    /// let mut selector = InstanceSelector::new();
-    /// let (id, near) = (Incarnation(7), Proximity::SameDomain);
-    /// selector.set_instance(Time::ZERO, id, &"press".into(), near, Eligibility::Ready);
-    /// let report = LoadReport { slowdown_percent: 250, ..LoadReport::default() };
-    /// selector.on_report(Time::ZERO, id, report);
-    /// assert!(selector.is_slow(Time::ZERO, id));
-    /// assert!(!selector.is_slow(Time::from_micros(600_000), id), "the report is too old");
-    /// ```
-    pub fn is_slow(&self, now: Time, id: Incarnation) -> bool {
-        let instance = self.instances.get(&id);
-        instance.is_some_and(|instance| instance.speed.is_slow(now))
-    }
-
     /// Whether an instance of `service` for which `is_allowed` holds would start work immediately.
     ///
     /// # Examples
--- a/crates/policy/src/instance_speed.rs
+++ b/crates/policy/src/instance_speed.rs
@@ -9,9 +9,6 @@
 /// speed for about this time, so a value of this age says nothing about the present.
 const SLOWDOWN_LIFETIME: Duration = Duration::from_millis(600);
 
-/// Multiple of its mean slowdown from which an instance counts as slow, as at the node beside it.
-const SLOW_RATIO: f32 = 1.5;
-
 /// A call counts as in time up to this multiple of the usual run time if run times are not known.
 const UNKNOWN_RATIO_IN_TIME: f32 = 1.5;
 
@@ -122,11 +119,6 @@
         })
     }
 
-    /// Whether its machine is much slower now than on average.
-    pub(crate) fn is_slow(&self, now: Time) -> bool {
-        self.slowdown(now) > SLOW_RATIO * self.mean_slowdown
-    }
-
     fn slowdown(&self, now: Time) -> f32 {
         let age = self
             .slowdown_at
--- a/crates/proto/src/answer.rs
+++ b/crates/proto/src/answer.rs
@@ -50,7 +50,9 @@
         /// seconds.
         pub retry_after_ms: u32,
         /// Only this attempt is known not to have run. An earlier attempt with the same key may
-        /// have been executed, because no node holding the key's record was consulted.
+        /// have been executed, because no node holding the key's record was consulted. In the answer
+        /// to a call without a key that is refused as [`Reason::QueueFull`], another instance should
+        /// run the call, because the server is slow.
         pub attempt_only: bool,
     }
 }
