Leave the speed out of load reports of servers that do not report it

A load report grew by four bytes in every deployment. Without a reported slowdown its encoding is again what it was before the speed was added.

--- a/crates/proto/src/answer.rs
+++ b/crates/proto/src/answer.rs
@@ -286,6 +286,7 @@
     /// Load of a backend server as measured by the node beside it. Load that the server reports
     /// about itself is only a hint.
     #[derive(Default)]
+    #[serde(from = "crate::load_wire::WireLoad", into = "crate::load_wire::WireLoad")]
     pub struct LoadReport {
         /// Running and queued requests, in thousandths of the concurrency limit. If the backend
         /// server has named a rate limit, the offered requests in thousandths of that limit if they
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -10,6 +10,7 @@
 mod ids;
 mod instance;
 mod key;
+mod load_wire;
 mod member;
 mod request;
 mod transfer;
