--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -144,6 +144,7 @@
             false => PriorityBands::default(),
         };
         self.server.set_priority_bands(bands.clone());
+        self.server.forget_runs();
         self.admission.set_priority_bands(bands);
         self.schedules_by_slack = self.journal.rules.schedules_by_slack();
         self.update_quotas();
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -11,6 +11,7 @@
 use journal::Record;
 use proto::Answer;
 use proto::Call;
+use proto::CallId;
 use proto::DownstreamSummary;
 use proto::Frame;
 use proto::Incarnation;
@@ -101,6 +102,15 @@
     }
 
     fn send(&mut self, caller: &str, path: &str) -> RequestToken {
+        self.send_within(caller, path, None)
+    }
+
+    fn send_within(
+        &mut self,
+        caller: &str,
+        path: &str,
+        caller_timeout: Option<Duration>,
+    ) -> RequestToken {
         self.last_token += 1;
         let token = RequestToken(self.last_token);
         self.feed(Input::Request {
@@ -110,7 +120,7 @@
             context: None,
             parent: None,
             key: None,
-            caller_timeout: None,
+            caller_timeout,
             request: Request::new("patterns", "GET", path, Bytes::new()),
         });
         token
@@ -279,6 +289,41 @@
     assert_eq!(ingress.outcomes().last(), Some(&completed()));
 }
 
+/// Traffic between failure domains is billed. A faster server there must be used only if the near
+/// ones, whose runs take 125 ms at present, would be late.
+#[test]
+fn call_leaves_its_failure_domain_only_for_lack_of_time() {
+    let mut ingress = IngressNode::new();
+    let far = Instance {
+        failure_domain: "milano-2".into(),
+        ..instance(4, "patterns")
+    };
+    let join = proto::encode(&Record::Join(far)).into();
+    ingress.feed(Input::Records(vec![(4, join)]));
+    for (n, slowdown_percent) in [(2, 250), (3, 250), (4, 100)] {
+        let (from, number) = (Incarnation(n), 0);
+        let mut load = LoadReport {
+            limit: 10,
+            slowdown_percent,
+            ..LoadReport::default()
+        };
+        (load.speed.mean_percent, load.speed.run_time_us) = (100, 50_000);
+        let answer = Answer {
+            outcome: completed(),
+            unspent_retries: 0,
+            load,
+            downstream: DownstreamSummary::default(),
+        };
+        let frame = Frame::Answer(CallId { from, number }, Box::new(answer));
+        ingress.feed(Input::Frame { from, frame });
+    }
+    ingress.send("a", "/check/1");
+    ingress.send_within("a", "/check/2", Some(Duration::from_millis(150)));
+    let targets: Vec<Incarnation> = ingress.calls.iter().map(|(to, _)| *to).collect();
+    assert_ne!(targets[0], Incarnation(4), "2 s are enough");
+    assert_eq!(targets[1], Incarnation(4));
+}
+
 /// The queue of a slow server is full, and so are the others. Sent to each of them without spending
 /// a retry, the calls would multiply under overload.
 #[test]
--- a/crates/policy/src/machine_speed.rs
+++ b/crates/policy/src/machine_speed.rs
@@ -152,6 +152,12 @@
         self.run_times = self.summarize_run_times();
     }
 
+    /// Forgets the run times by operation, because the numbers of the operations have changed.
+    pub(crate) fn forget_operations(&mut self) {
+        self.operations.clear();
+        self.run_times = ServerSpeed::default();
+    }
+
     /// How long a run of a class would occupy a slot if it started now.
     pub(crate) fn expected_time(&self, now: Time, class: Class) -> Option<Duration> {
         let own_time = self.own_time[class as usize].mean()?;
--- a/crates/policy/src/server_admission/hand_over.rs
+++ b/crates/policy/src/server_admission/hand_over.rs
@@ -71,6 +71,27 @@
         self.speed.record_operation(now, operation, own_time);
     }
 
+    /// Forgets the runs recorded by [`ServerAdmission::record_run`]. Called when new rules take effect,
+    /// because operations are identified by lines of the rules.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use bilberry_policy::{ServerAdmission, Switches};
+    /// # use std::time::Duration;
+    /// # use stdx::Time;
+    /// let mut server = ServerAdmission::new(Switches::ALL, 1, 100, Duration::from_millis(100));
+    /// server.set_slowdown(Time::ZERO, 200);
+    /// for _ in 0..16 {
+    ///     server.record_run(Time::ZERO, 7, Duration::from_millis(50));
+    /// }
+    /// server.forget_runs();
+    /// assert_eq!(server.report().speed.run_time_us, 0);
+    /// ```
+    pub fn forget_runs(&mut self) {
+        self.speed.forget_operations();
+    }
+
     /// Whether work that is offered now is handed over: the server is slow, and the work would end
     /// after `due`. Only for work that another instance may run and is known to have room for.
     ///
