--- a/crates/engine/tests/key_refusals.rs
+++ b/crates/engine/tests/key_refusals.rs
@@ -124,6 +124,7 @@
             key: Some((self.key, Fingerprint::of(&request))),
             first_attempt: false,
             depth: 0,
+            redirects: 0,
             request,
         })))
     }
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -11,6 +11,7 @@
 use journal::Record;
 use proto::Answer;
 use proto::Call;
+use proto::CallId;
 use proto::DownstreamSummary;
 use proto::Frame;
 use proto::Incarnation;
@@ -101,6 +102,15 @@
     }
 
     fn send(&mut self, caller: &str, path: &str) -> RequestToken {
+        self.send_within(caller, path, None)
+    }
+
+    fn send_within(
+        &mut self,
+        caller: &str,
+        path: &str,
+        caller_timeout: Option<Duration>,
+    ) -> RequestToken {
         self.last_token += 1;
         let token = RequestToken(self.last_token);
         self.feed(Input::Request {
@@ -110,7 +120,7 @@
             context: None,
             parent: None,
             key: None,
-            caller_timeout: None,
+            caller_timeout,
             request: Request::new("patterns", "GET", path, Bytes::new()),
         });
         token
@@ -118,11 +128,20 @@
 
     /// Answers the oldest call.
     fn reply(&mut self, outcome: Outcome, downstream: DownstreamSummary) {
+        self.reply_with_load(outcome, downstream, LoadReport::default());
+    }
+
+    fn reply_with_load(
+        &mut self,
+        outcome: Outcome,
+        downstream: DownstreamSummary,
+        load: LoadReport,
+    ) {
         let (from, call) = self.calls.remove(0);
         let answer = Answer {
             outcome,
             unspent_retries: call.retry_allowance,
-            load: LoadReport::default(),
+            load,
             downstream,
         };
         let frame = Frame::Answer(call.id, Box::new(answer));
@@ -149,6 +168,10 @@
     })
 }
 
+fn refusal() -> Refusal {
+    Refusal::new(Reason::QueueFull, Duration::from_secs(5))
+}
+
 fn not_run(reason: Reason) -> Outcome {
     Outcome::NotRun(Refusal::new(reason, Duration::from_secs(5)))
 }
@@ -222,6 +245,135 @@
     assert_eq!(ingress.calls.len(), 1);
 }
 
+/// The node beside a slow server hands a call over, because it knows of room that the ingress node
+/// has not heard of. The call must neither fail nor spend a retry, even if the ingress node knows no
+/// other instance in the end, or the report of the slowdown has expired when it arrives.
+#[test]
+fn call_that_a_slow_server_hands_over_goes_to_another_instance() {
+    let mut ingress = IngressNode::new();
+    let full = LoadReport {
+        utilisation: 2000,
+        limit: 10,
+        slowdown_percent: 100,
+        ..LoadReport::default()
+    };
+    let mut seen: Vec<Incarnation> = Vec::new();
+    while seen.len() < 2 {
+        ingress.send("a", "/check/1");
+        if !seen.contains(&ingress.calls[0].0) {
+            seen.push(ingress.calls[0].0);
+        }
+        ingress.reply_with_load(completed(), DownstreamSummary::default(), full);
+    }
+    ingress.send("a", "/check/2");
+    let (first, sent) = ingress.calls[0].clone();
+    assert_eq!(sent.redirects, 0);
+    let mut expired = LoadReport {
+        slowdown_percent: 250,
+        ..full
+    };
+    expired.speed.age_ms = 900;
+    let handed_over = refusal().for_attempt_only();
+    let refused = Outcome::NotRun(handed_over);
+    ingress.reply_with_load(refused.clone(), DownstreamSummary::default(), expired);
+    let (second, again) = ingress.calls[0].clone();
+    assert_ne!(second, first);
+    assert_eq!(again.redirects, 1);
+    assert_eq!(again.retry_allowance, sent.retry_allowance);
+    ingress.reply_with_load(refused, DownstreamSummary::default(), expired);
+    let (third, again) = ingress.calls[0].clone();
+    assert_eq!(third, second);
+    assert_eq!(again.redirects, 3, "it is not handed over again");
+    assert_eq!(again.retry_allowance, sent.retry_allowance);
+    ingress.reply(completed(), DownstreamSummary::default());
+    assert_eq!(ingress.outcomes().last(), Some(&completed()));
+}
+
+/// Traffic between failure domains is billed. A faster server there must be used only if the near
+/// ones, whose runs take 125 ms at present, would be late.
+#[test]
+fn call_leaves_its_failure_domain_only_for_lack_of_time() {
+    let mut ingress = IngressNode::new();
+    let far = Instance {
+        failure_domain: "milano-2".into(),
+        ..instance(4, "patterns")
+    };
+    let join = proto::encode(&Record::Join(far)).into();
+    ingress.feed(Input::Records(vec![(4, join)]));
+    for (n, slowdown_percent) in [(2, 250), (3, 250), (4, 100)] {
+        let (from, number) = (Incarnation(n), 0);
+        let mut load = LoadReport {
+            limit: 10,
+            slowdown_percent,
+            ..LoadReport::default()
+        };
+        (load.speed.mean_percent, load.speed.run_time_us) = (100, 50_000);
+        let answer = Answer {
+            outcome: completed(),
+            unspent_retries: 0,
+            load,
+            downstream: DownstreamSummary::default(),
+        };
+        let frame = Frame::Answer(CallId { from, number }, Box::new(answer));
+        ingress.feed(Input::Frame { from, frame });
+    }
+    ingress.send("a", "/check/1");
+    ingress.send_within("a", "/check/2", Some(Duration::from_millis(150)));
+    let targets: Vec<Incarnation> = ingress.calls.iter().map(|(to, _)| *to).collect();
+    assert_ne!(targets[0], Incarnation(4), "2 s are enough");
+    assert_eq!(targets[1], Incarnation(4));
+}
+
+/// The queue of a slow server is full, and so are the others. Sent to each of them without spending
+/// a retry, the calls would multiply under overload.
+#[test]
+fn queue_full_refusal_of_a_slow_server_is_no_hand_over() {
+    let mut ingress = IngressNode::new();
+    let slow = LoadReport {
+        utilisation: 2000,
+        limit: 10,
+        slowdown_percent: 250,
+        ..LoadReport::default()
+    };
+    let mut seen: Vec<Incarnation> = Vec::new();
+    while seen.len() < 2 {
+        ingress.send("a", "/check/1");
+        if !seen.contains(&ingress.calls[0].0) {
+            seen.push(ingress.calls[0].0);
+        }
+        ingress.reply_with_load(completed(), DownstreamSummary::default(), slow);
+    }
+    ingress.send("a", "/check/2");
+    let allowance = ingress.calls[0].1.retry_allowance;
+    ingress.reply_with_load(
+        not_run(Reason::QueueFull),
+        DownstreamSummary::default(),
+        slow,
+    );
+    if let Some((_, again)) = ingress.calls.first() {
+        assert_eq!(again.redirects, 0);
+        assert!(again.retry_allowance < allowance, "a retry is spent");
+    }
+}
+
+/// A call that is handed over when it is too late to send it again has not run, and its caller must
+/// not be told that it may have.
+#[test]
+fn refusal_of_a_handed_over_call_holds_for_the_caller() {
+    let mut ingress = IngressNode::new();
+    ingress.send("a", "/check/1");
+    ingress.reply(
+        Outcome::NotRun(refusal().for_attempt_only()),
+        DownstreamSummary::default(),
+    );
+    while !ingress.calls.is_empty() {
+        ingress.reply(not_run(Reason::Shed), DownstreamSummary::default());
+    }
+    let outcomes = ingress.outcomes();
+    let outcome = outcomes.last().expect("it has ended");
+    assert_eq!(outcome.name(), "not-run");
+}
+
 /// Sends 200 requests for the path and counts the calls that go out.
 fn count_sent_calls(ingress: &mut IngressNode, path: &str) -> usize {
     ingress.calls.clear();
