--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -253,7 +253,6 @@
             calls: call
                 .downstream_calls
                 .saturating_add(call.attempts.saturating_sub(1)),
-            refused_permille: 0,
         };
         self.report_to_parent(now, &call, downstream);
         // If the last attempt did not run, an earlier one may still have run.
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -126,7 +126,6 @@
         DownstreamSummary {
             level: self.child_levels.values().copied().max().unwrap_or(0),
             calls: self.downstream_calls,
-            refused_permille: 0,
         }
     }
 
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -395,7 +395,6 @@
         let downstream = DownstreamSummary {
             level: 0x4000,
             calls: 3,
-            ..DownstreamSummary::default()
         };
         if !ingress.calls.is_empty() {
             ingress.reply(completed(), downstream);
--- a/crates/proto/src/answer.rs
+++ b/crates/proto/src/answer.rs
@@ -281,9 +281,6 @@
         pub level: u16,
         /// The number of calls.
         pub calls: u16,
-        /// The highest share of attempts, in thousandths, that the backend servers of a service in
-        /// the tree refuse by themselves.
-        pub refused_permille: u16,
     }
 }
 
