Name retry delays in comments by their usual term

Cause: comments described retry delays by what a caller is told. Change: comments only. Result: no token of the code differs (comparison without comments).

--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -85,9 +85,9 @@
         Displaced,
         /// A refused caller was promised a token.
         Promised,
-        /// A refused caller returned at the time that it was told, or later.
+        /// A refused caller returned at or after the end of its retry delay.
         ReturnedOnTime,
-        /// A refused caller returned before the time that it was told.
+        /// A refused caller returned before the end of its retry delay.
         ReturnedEarly,
     }
 }
--- a/crates/engine/src/diagnostic.rs
+++ b/crates/engine/src/diagnostic.rs
@@ -70,7 +70,7 @@
     }
 }
 
-/// The inputs of a refusal for lack of a quota token, and what the caller was told.
+/// The inputs of a refusal for lack of a quota token, and the retry delay.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuotaRefusal {
     /// The id of the request.
--- a/crates/engine/src/quota/slack.rs
+++ b/crates/engine/src/quota/slack.rs
@@ -68,8 +68,8 @@
         None
     }
 
-    /// Looks up whether a caller returns after a refusal. One that comes at the time that it was
-    /// told is treated as if it had waited since its first attempt. Returns the hash of the request,
+    /// Looks up whether a caller returns after a refusal. One that comes after its retry
+    /// delay is treated as if it had waited since its first attempt. Returns the hash of the request,
     /// and whether a token is held for it.
     fn recognise_caller(
         &mut self,
@@ -280,7 +280,7 @@
         };
         let hash = hash.unwrap_or_else(|| hash_of(&arrival));
         let slack = &mut self.quota.slack;
-        // A caller that was told a time and comes before it is told the same time again.
+        // A caller that returns before its retry delay has passed gets the rest of the delay.
         let told = match slack.returns.on_request(now, hash) {
             Returned::Early(refused) => Some(refused),
             _ => None,
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -17,7 +17,7 @@
     pub(crate) fn on_not_run(&mut self, now: Time, mut call: OutgoingCall, mut refusal: Refusal) {
         let reason = refusal.reason;
         if call.key.is_none() && reason == Reason::QueueFull && refusal.attempt_only {
-            // The caller is not to be told that another attempt may have run.
+            // The answer must not suggest that another attempt may have run.
             refusal.attempt_only = false;
             if call.redirects < MAX_REDIRECTS && now < call.deadline {
                 return self.redirect_handed_over(now, call, refusal);
--- a/crates/engine/tests/key_refusals.rs
+++ b/crates/engine/tests/key_refusals.rs
@@ -210,7 +210,7 @@
     assert_eq!(answers(&outputs), [(&id(3), &completed)]);
 }
 
-/// The calling node retries the attempt itself, so it has told no one of the refusal. A hold would
+/// The calling node retries the attempt itself, so its caller has not seen the refusal. A hold would
 /// only add its duration to each retry.
 #[test]
 fn retry_by_the_calling_node_runs_at_once() {
@@ -240,7 +240,7 @@
     }
 }
 
-/// The home is told to stop while a call is held. The call is answered once.
+/// The home stops while a call is held. The call is answered once.
 #[test]
 fn held_attempt_is_answered_when_its_home_stops() {
     let mut home = Home::new();
--- a/crates/engine/tests/refusals.rs
+++ b/crates/engine/tests/refusals.rs
@@ -181,7 +181,7 @@
 }
 
 /// Has a call with this key refused for load after `elapsed`, by a home that promised to start no
-/// run with the key for this long. Returns the outcome that the caller is told.
+/// run with the key for this long. Returns the outcome that the caller gets.
 fn late_refusal(key: Option<&str>, elapsed: Duration, promised: Duration) -> &'static str {
     let mut engine = ingress_node();
     let outputs = engine.handle(Time::ZERO, booking(key));
@@ -210,7 +210,7 @@
 }
 
 /// A refusal is delayed for longer than the home of the key starts no run with it. Another attempt
-/// of the caller may have run meanwhile, so the caller must not be told that nothing has run.
+/// of the caller may have run meanwhile, so the answer must not say that nothing has run.
 /// Without a key there is no other attempt, and the refusal stays valid.
 #[test]
 fn a_refusal_of_a_key_that_arrives_late_is_valid_for_its_attempt_only() {
--- a/crates/once/src/config.rs
+++ b/crates/once/src/config.rs
@@ -34,7 +34,7 @@
     pub max_hold: Duration,
     /// How long no run of a key starts after a call with it was refused. Long enough for a call to
     /// reach a node in another region over a new connection and for its refusal to return (120 ms
-    /// in the trials), and shorter than the retry delays that callers are told.
+    /// in the trials), and shorter than the retry delays of callers.
     pub refusal_hold: Duration,
     /// Interval after which an unacknowledged transfer is sent again.
     pub resend_interval: Duration,
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -459,7 +459,7 @@
 }
 
 /// A home refuses an attempt of a key. Another attempt that was already on its way runs before the
-/// refusal is delivered, and a caller that was told "not run" has an order.
+/// refusal is delivered, and a caller whose answer was "not run" has an order.
 #[test]
 fn refused_key_starts_no_run_while_its_refusal_is_delivered() {
     let mut cluster = Cluster::new(6);
--- a/crates/organisation/src/borrower.rs
+++ b/crates/organisation/src/borrower.rs
@@ -72,7 +72,7 @@
     started_at: Option<Time>,
     /// Whether any organisation has a quota, so that this node must vote.
     has_quotas: bool,
-    /// Whether urgent and other work is told apart.
+    /// Whether urgent and other work is distinguished.
     by_urgency: bool,
     pools: IndexMap<OrganisationId, Pool>,
     groups: Vec<GroupState>,
@@ -140,7 +140,7 @@
         }
     }
 
-    /// Sets whether urgent and other work is told apart.
+    /// Sets whether urgent and other work is distinguished.
     pub fn set_by_urgency(&mut self, by_urgency: bool) {
         self.by_urgency = by_urgency;
     }
--- a/crates/organisation/src/pool.rs
+++ b/crates/organisation/src/pool.rs
@@ -114,7 +114,7 @@
         self.backoff_until.is_some_and(|until| now < until)
     }
 
-    /// The number of tokens to hold in reserve. None while urgent and other work is told apart and
+    /// The number of tokens to hold in reserve. None while urgent and other work is distinguished and
     /// the lender is short: the reserve would take tokens from requests that wait at other nodes.
     pub(crate) fn reserve(&self, now: Time, by_urgency: bool) -> u32 {
         if by_urgency && self.is_short(now) {
--- a/crates/organisation/src/promises.rs
+++ b/crates/organisation/src/promises.rs
@@ -1,4 +1,4 @@
-//! The times at which refused callers were told to return for a token.
+//! The times for which tokens are promised to refused callers.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,8 +11,8 @@
 /// lender takes, and shorter than a token is valid.
 const LEAD: Duration = Duration::from_millis(100);
 
-/// How long after its time a promised token is held. Callers return within some milliseconds of the
-/// time that they were told; the rest allows for a scheduling delay on a busy machine.
+/// How long after its time a promised token is held. Callers return within some milliseconds of
+/// the end of their retry delay; the rest allows for a scheduling delay on a busy machine.
 const GRACE: Duration = Duration::from_millis(150);
 
 /// Identifies a promise.
--- a/crates/organisation/src/returns.rs
+++ b/crates/organisation/src/returns.rs
@@ -9,8 +9,8 @@
 /// Maximum number of refused callers that are remembered.
 pub const MAX_RETURNS: usize = 4096;
 
-/// How much earlier than told a caller may return and still be recognised. Retry delays are told in
-/// milliseconds.
+/// How long before the end of its retry delay a caller may return and still be recognised. Retry
+/// delays are rounded to milliseconds.
 const TOLERANCE: Duration = Duration::from_millis(5);
 
 plain! {
@@ -18,7 +18,7 @@
     pub struct Refused {
         /// When the caller's first attempt arrived.
         pub first_at: Time,
-        /// When the caller was told to return.
+        /// When the retry delay of the caller ends.
         pub return_at: Time,
         /// When the objective of the caller's first attempt ends.
         pub objective: Time,
@@ -32,9 +32,9 @@
     pub enum Returned {
         /// It is an ordinary request.
         Unknown,
-        /// It has come before the time that its caller was told, and is an ordinary request.
+        /// It has come before the end of the retry delay, and is an ordinary request.
         Early(Refused),
-        /// It has come at the time that its caller was told, or later.
+        /// It has come at or after the end of the retry delay.
         OnTime(Refused),
     }
 }
@@ -119,7 +119,7 @@
         }
     }
 
-    /// Forgets a caller, because its request was admitted before the time that it was told.
+    /// Removes a caller, because its request was admitted before the end of the retry delay.
     pub fn forget(&mut self, hash: u64) -> Option<Refused> {
         self.by_hash.get_mut(&hash)?.take()
     }
--- a/crates/organisation/src/token_queue.rs
+++ b/crates/organisation/src/token_queue.rs
@@ -3,7 +3,7 @@
 //!
 //! Requests are ordered by rank, then by the latest start that meets their latency objective. One
 //! that will not get a token in time, given the rate of tokens and the requests ahead of it, is
-//! refused at once and told a time at which there will be a token for it.
+//! refused at once, with a retry delay after which there will be a token for it.
 
 use crate::promises::PromiseId;
 use crate::promises::Promises;
@@ -73,7 +73,7 @@
 }
 
 plain! {
-    /// The inputs of a refusal, and what the caller is told.
+    /// The inputs of a refusal, and the retry delay.
     pub struct RetryAdvice {
         /// The retry delay.
         pub retry_after: Duration,
@@ -296,11 +296,11 @@
         self.promises.take(promise)
     }
 
-    /// Tells a refused caller when to return. A token is promised for then if the caller can still
+    /// The retry delay of a refused caller. A token is promised for then if the caller can still
     /// be in time, unless `may_promise` is false.
     ///
-    /// A caller that honours no retry delay as long as the time until its token is told the longest
-    /// that it honours: its next attempt waits here for the rest.
+    /// If the time until its token is longer than the retry delays that the caller honours, it gets
+    /// the longest of those, and its next attempt waits here for the rest.
     pub fn advise_retry(
         &mut self,
         now: Time,
--- a/crates/organisation/tests/quotas/work.rs
+++ b/crates/organisation/tests/quotas/work.rs
@@ -44,7 +44,7 @@
     pub(crate) urgent_in_time: u64,
     pub(crate) patient: u64,
     pub(crate) patient_in_time: u64,
-    /// Callers that returned when they were told to, with a promise, and how many of them got a
+    /// Callers that returned after their retry delay, with a promise, and how many of them got a
     /// token in time.
     pub(crate) promised: u64,
     pub(crate) promised_in_time: u64,
--- a/crates/policy/src/machine_speed.rs
+++ b/crates/policy/src/machine_speed.rs
@@ -165,7 +165,7 @@
         Some(own_time.mul_f32(self.slowdown(now)) + child_wait)
     }
 
-    /// What other nodes are told, with the newest slowdown in percent. Both are 0 without reports.
+    /// The speed for load reports, with the newest slowdown in percent. Both are 0 without reports.
     pub(crate) fn report(&self, now: Time) -> (u16, ServerSpeed) {
         let Some((ratio, at)) = self.newest else {
             return (0, ServerSpeed::default());
--- a/crates/policy/src/server_admission/hand_over.rs
+++ b/crates/policy/src/server_admission/hand_over.rs
@@ -158,7 +158,7 @@
     }
 
     /// The refusal of work that is handed over. It holds for this attempt only, by which the ingress
-    /// node tells it from the refusal of a full queue. The delay is for a caller whose call cannot be
+    /// node distinguishes it from the refusal of a full queue. The delay is for a caller whose call cannot be
     /// sent again.
     pub fn hand_over_refusal(&self, now: Time, random_value: u16) -> Refusal {
         Refusal::new(Reason::QueueFull, self.retry_delay(now, random_value)).for_attempt_only()
