--- a/crates/trial/tests/seeds.rs
+++ b/crates/trial/tests/seeds.rs
@@ -44,3 +44,19 @@
         .into_iter()
         .for_each(|seed| check(seed, true));
 }
+
+/// A node that restarts while the store is slow fetches its state from a single peer, whose rules
+/// are older than those in force elsewhere, and runs an order under them.
+#[test]
+fn restarted_node_runs_no_order_under_outdated_rules() {
+    check(3002, true);
+}
+
+/// Bookings are refused with a full queue at a server that runs and queues nothing, while other
+/// servers name limits or leave.
+#[test]
+fn idle_server_refuses_no_booking_while_others_are_limited() {
+    if let Err(report) = trial::check_seed_with_server_reports(821) {
+        panic!("{report}");
+    }
+}
