Let an urgent request take a free token while patient ones wait

Cause: a new request took an available token only if nobody waited at the node. While patient requests waited, whose tokens were held for promised callers, an urgent one was queued or refused although it may take such a token. Change: it takes the token if no waiting request goes before it.

--- a/crates/organisation/src/token_queue.rs
+++ b/crates/organisation/src/token_queue.rs
@@ -167,10 +167,10 @@
         (all as u32, urgent as u32)
     }
 
-    /// Whether a newly arrived request may take one of `available` tokens ahead of those that wait
-    /// and of the promises that are due.
+    /// Whether a newly arrived request may take one of `available` tokens: no waiting request goes
+    /// before it, and the tokens are not held for promises that are due.
     pub fn may_take(&self, now: Time, claim: &TokenClaim, available: u32) -> bool {
-        self.is_empty() && available as usize > self.held(now)(claim)
+        !self.waiting.has_ahead(claim) && available as usize > self.held(now)(claim)
     }
 
     /// Whether a new request should wait: a token is expected for it in time, or the rate of tokens
--- a/crates/organisation/src/wait_queue.rs
+++ b/crates/organisation/src/wait_queue.rs
@@ -57,16 +57,15 @@
         self.entries.last_key_value().map(|(key, _)| *key)
     }
 
+    /// Whether any request goes before a new one.
+    pub(crate) fn has_ahead(&self, claim: &TokenClaim) -> bool {
+        self.entries.range(..=end_of(claim)).next().is_some()
+    }
+
     /// The number of requests that a new one would be behind, of those whose tokens come from the
     /// same supply.
     pub(crate) fn ahead_of(&self, claim: &TokenClaim) -> usize {
-        let end = (
-            claim.rank,
-            !claim.was_promised,
-            claim.latest_start,
-            u64::MAX,
-        );
-        let ahead = self.entries.range(..=end);
+        let ahead = self.entries.range(..=end_of(claim));
         let ahead = ahead.filter(|(_, (other, _))| other.is_urgent == claim.is_urgent);
         ahead.count()
     }
@@ -75,3 +74,13 @@
         self.entries.iter().map(|(key, (claim, _))| (key, claim))
     }
 }
+
+/// The key of the last request that goes before a new one with this claim.
+fn end_of(claim: &TokenClaim) -> WaitKey {
+    (
+        claim.rank,
+        !claim.was_promised,
+        claim.latest_start,
+        u64::MAX,
+    )
+}
--- a/crates/organisation/tests/token_queue.rs
+++ b/crates/organisation/tests/token_queue.rs
@@ -126,3 +126,14 @@
     // The second promise is still held.
     assert_eq!(queue.pop(now, 1).map(|(_, value)| value), None);
 }
+
+/// Guards against an urgent request that is refused, or waits, while a token is available that the
+/// patient requests in the queue must leave to others.
+#[test]
+fn urgent_request_takes_a_token_before_the_patient_ones_that_wait() {
+    let mut queue = TokenQueue::new(START);
+    queue.push(START, claim(2, START + ms(1000)), 1);
+    assert!(queue.may_take(START, &claim(0, START + ms(400)), 1));
+    assert!(!queue.may_take(START, &claim(0, START + ms(400)), 0));
+    assert!(!queue.may_take(START, &claim(2, START + ms(2000)), 1));
+}
