Log which peer a node takes its rules and views from

Needed to find why a restarted node runs orders under outdated rules: the existing line, event=state_restored, has the version but neither the peer nor whether the node had rules in force before. The new line event=state_adopted has both, the random trials put it into their trace, and Input::StateFetched names the address that was asked.

--- a/crates/engine/src/diagnostic.rs
+++ b/crates/engine/src/diagnostic.rs
@@ -176,6 +176,17 @@
         /// The time since this version was last confirmed to be the newest, if it ever was.
         age: Option<Duration>,
     },
+    /// This node adopted the rules and views of a peer, which were newer than its own.
+    StateAdopted {
+        /// The peer.
+        from: SocketAddr,
+        /// The version of the rules now held.
+        rules: u64,
+        /// Offset of the next record to read from the log.
+        next_offset: u64,
+        /// Whether this node's rules had been in force before.
+        was_synced: bool,
+    },
     /// The state of another node changed.
     Peer {
         /// The node.
@@ -337,6 +348,16 @@
                     None => Ok(()),
                 }
             }
+            Diagnostic::StateAdopted {
+                from,
+                rules,
+                next_offset,
+                was_synced,
+            } => write!(
+                f,
+                "event=state_adopted from={from} rules={rules} next_offset={next_offset} \
+                 was_synced={was_synced}"
+            ),
             Diagnostic::Peer {
                 incarnation,
                 addr,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -278,7 +278,7 @@
             Input::RulesChecked { asked, version } => self.on_rules_checked(now, asked, version),
             Input::RulesCheckFailed => self.on_rules_check_failed(now),
             Input::LogUnreachable => self.on_log_unreachable(now),
-            Input::StateFetched(state) => self.on_peer_state(now, &state),
+            Input::StateFetched { from, state } => self.on_peer_state(now, from, &state),
             Input::Appended(number) => self.on_appended(now, number),
             Input::AppendConflict(number) => self.on_append_conflict(now, number),
             Input::AppendLost(number) => self.on_append_lost(now, number),
--- a/crates/engine/src/fetch.rs
+++ b/crates/engine/src/fetch.rs
@@ -2,6 +2,7 @@
 //! reading the store to others.
 
 use crate::Counter;
+use crate::Diagnostic;
 use crate::Engine;
 use crate::Output;
 use bytes::Bytes;
@@ -208,14 +209,20 @@
     }
 
     /// Adopts a peer's state, which [`Engine::state_newer_than`] returned there.
-    pub(crate) fn on_peer_state(&mut self, now: Time, state: &[u8]) {
+    pub(crate) fn on_peer_state(&mut self, now: Time, from: SocketAddr, state: &[u8]) {
         let change = match proto::decode(state) {
             Ok(state) => self.journal.adopt_with_parser(state, self.cfg.parse_rules),
             Err(_) => Change::Invalid,
         };
         match change {
             Change::Restored => {
-                self.log.synced = true;
+                let was_synced = std::mem::replace(&mut self.log.synced, true);
+                self.outputs.push(Output::Diagnostic(Diagnostic::StateAdopted {
+                    from,
+                    rules: self.journal.rules_version,
+                    next_offset: self.journal.next_offset,
+                    was_synced,
+                }));
                 self.on_state_restored(now);
                 self.announce_progress(false);
                 // A node that does not read the store has nothing more to read.
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -100,7 +100,12 @@
     /// The log topic was read to its end.
     LogCaughtUp,
     /// The state of a peer, in response to [`Output::FetchState`].
-    StateFetched(Bytes),
+    StateFetched {
+        /// The address that was asked.
+        from: SocketAddr,
+        /// The encoded state.
+        state: Bytes,
+    },
     /// The operators' newest rules file, from a service that assigns version numbers itself.
     RulesPublished {
         /// The version of the file; versions only increase.
--- a/crates/engine/tests/log/outage.rs
+++ b/crates/engine/tests/log/outage.rs
@@ -69,6 +69,13 @@
     }
 }
 
+fn state_fetched(from: u16, state: Bytes) -> Input {
+    Input::StateFetched {
+        from: instance(from).addr,
+        state,
+    }
+}
+
 fn progress_message(from: &Driver, n: u16) -> Input {
     Input::Datagram {
         from: instance(n).addr,
@@ -98,7 +105,7 @@
         .engine
         .state_newer_than(SyncProgress::default())
         .unwrap();
-    driver.feed(Input::StateFetched(state));
+    driver.feed(state_fetched(2, state));
     assert_eq!(driver.engine.rules_version(), 3);
     assert!(!driver.engine.is_listed());
     assert_eq!(request_refusal(&mut driver), None);
@@ -143,7 +150,8 @@
     driver.advance(Duration::from_secs(1));
     let known = driver.engine.journal().progress();
     assert_eq!(driver.fetches, [(instance(2).addr, known)]);
-    driver.feed(Input::StateFetched(
+    driver.feed(state_fetched(
+        2,
         peer.engine.state_newer_than(known).unwrap(),
     ));
     assert_eq!(driver.engine.rules_version(), 2);
@@ -163,8 +171,8 @@
         .state_newer_than(SyncProgress::default())
         .unwrap();
     let mut driver = node_with_rules(1, 2);
-    driver.feed(Input::StateFetched(old.slice(..old.len() / 2)));
-    driver.feed(Input::StateFetched(old));
+    driver.feed(state_fetched(2, old.slice(..old.len() / 2)));
+    driver.feed(state_fetched(2, old));
     assert_eq!(driver.engine.rules_version(), 2);
     assert_eq!(driver.count(Counter::MalformedRecord), 1);
     assert_eq!(driver.count(Counter::StateRestored), 0);
@@ -181,7 +189,8 @@
     for n in 3..6 {
         peer.read_record(&Record::Join(instance(n)));
     }
-    driver.feed(Input::StateFetched(
+    driver.feed(state_fetched(
+        2,
         peer.engine.state_newer_than(known).unwrap(),
     ));
     assert_eq!(driver.engine.next_offset(), peer.engine.next_offset());
--- a/crates/engine/tests/log/propagation.rs
+++ b/crates/engine/tests/log/propagation.rs
@@ -114,7 +114,7 @@
                     let peer = usize::from(from.port()) - 7001;
                     let state = self.engines[peer].state_newer_than(known);
                     if let Some(state) = state.filter(|_| self.are_connected(node, peer)) {
-                        self.deliver_after(node, LATENCY * 4, Input::StateFetched(state));
+                        self.deliver_after(node, LATENCY * 4, Input::StateFetched { from, state });
                     }
                 }
                 Output::Diagnostic(Diagnostic::Peer { .. } | Diagnostic::Peers { .. }) => {
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -69,9 +69,10 @@
         Diagnostic::Refused { .. }
         | Diagnostic::QuotaRefused(_)
         | Diagnostic::HandedOver { .. } => false,
-        // Changes of state of peers, the own backend server and the trust in API keys are rare, so
+        // Changes of shared state, of peers, the own backend server and the trust in API keys are rare, so
         // these lines are not limited.
-        Diagnostic::Peer { .. }
+        Diagnostic::StateAdopted { .. }
+        | Diagnostic::Peer { .. }
         | Diagnostic::Peers { .. }
         | Diagnostic::OwnServer { .. }
         | Diagnostic::ServerLimit { .. }
--- a/crates/node/src/fetch.rs
+++ b/crates/node/src/fetch.rs
@@ -25,7 +25,7 @@
     let shell = shell.clone();
     actix_rt::spawn(async move {
         match timeout(FETCH_TIMEOUT, request_state(&shell, addr, known)).await {
-            Ok(Some(state)) => shell.handle_input(Input::StateFetched(state)),
+            Ok(Some(state)) => shell.handle_input(Input::StateFetched { from: addr, state }),
             _ => log::debug!("event=no_state_from_peer addr={addr}"),
         }
     });
--- a/crates/trial/src/network.rs
+++ b/crates/trial/src/network.rs
@@ -419,7 +419,8 @@
             };
             world.schedule_in_process(node, inbound, move |world| {
                 let incarnation = world.nodes[node].incarnation;
-                world.handle_input(node, incarnation, Input::StateFetched(state));
+                let input = Input::StateFetched { from: addr, state };
+                world.handle_input(node, incarnation, input);
             });
         });
     }
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -7,6 +7,7 @@
 use crate::Log;
 use crate::Network;
 use crate::Node;
+use engine::Diagnostic;
 use engine::Input;
 use engine::Output;
 use indexmap::IndexMap;
@@ -326,6 +327,9 @@
             Output::ReadLog => self.restart_reading(node),
             Output::Count(counter) => *self.counters.entry(counter.name()).or_insert(0) += 1,
             Output::CheckServer { id, .. } => self.check_health(node, id),
+            Output::Diagnostic(diagnostic @ Diagnostic::StateAdopted { .. }) => {
+                self.trace_event(format!("{} {diagnostic}", self.nodes[node].name));
+            }
             Output::Diagnostic(_) => {}
             Output::Stopped => self
                 .schedule_in_process(node, EXIT_DELAY, move |world| world.exit(node, incarnation)),
