Put a peer's rules in force only when no other node may hold newer ones

Cause: the state of a single peer counted as caught up. The peer may have missed the newest rules, and nothing was asked of any other node.

The queries are the existing Freshness messages with a random id, so that a report to an earlier process at the same address does not count; a node without rules reports zero, so nodes that restart together do not wait for each other, and none passes rules on before it has put them in force. A node that cannot be reached may hold newer rules, so it is waited for until it or the store answers; the caller gets no-rules, which is true, and readiness stays false. Nodes with shared store reads are not affected: their views list no nodes.

Three tests over one engine replay the partition, two nodes that restart together, and a node that is gone for good.

--- /dev/null
+++ b/crates/engine/src/catch_up.rs
@@ -0,0 +1,123 @@
+//! Decides when a node that has started while the store does not answer may put the rules of a peer
+//! in force.
+//!
+//! A single peer may itself have missed the newest rules. So the node queries every other node that
+//! may run, and waits until each has reported a version no newer than the one held here. A node
+//! that does not answer may hold newer rules behind a partition. Then this node accepts no requests
+//! until that node or the store answers: work that runs under outdated rules cannot be undone.
+//!
+//! With shared store reads the views do not list all nodes. There the state of one peer suffices,
+//! and newer rules are announced to every node.
+
+use crate::Diagnostic;
+use crate::Engine;
+use crate::Output;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use proto::FreshnessMessage;
+use proto::PeerState;
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use stdx::Time;
+
+/// Interval between two queries to a node that has not reported its rules version.
+const QUERY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The rules versions that other nodes have reported since this process started.
+#[derive(Debug, Default)]
+pub(crate) struct CatchUp {
+    /// The id of all queries, once there are any. It is random, so that a report to an earlier
+    /// process at this address is not taken for one to this process.
+    request_id: Option<u64>,
+    /// When the missing nodes are queried next.
+    pub(crate) due: Option<Time>,
+    /// The newest version that each address has reported.
+    reported: IndexMap<SocketAddr, u64>,
+    /// The number of missing nodes when that was last logged.
+    logged_missing: Option<usize>,
+}
+
+impl Engine {
+    /// Begins to wait for the reports of all nodes, after `from` has sent its state.
+    pub(crate) fn begin_catch_up(&mut self, now: Time, from: SocketAddr) {
+        let version = self.journal.rules_version;
+        self.record_rules_version(from, version);
+        self.catch_up.due.get_or_insert(now);
+    }
+
+    /// Takes a report of a rules version. Returns whether it answers a query of this module.
+    pub(crate) fn on_rules_version_report(
+        &mut self,
+        from: SocketAddr,
+        request_id: u64,
+        version: u64,
+    ) -> bool {
+        if self.catch_up.request_id != Some(request_id) {
+            return false;
+        }
+        self.record_rules_version(from, version);
+        self.finish_catch_up();
+        true
+    }
+
+    fn record_rules_version(&mut self, from: SocketAddr, version: u64) {
+        let newest = self.catch_up.reported.entry(from).or_default();
+        *newest = version.max(*newest);
+    }
+
+    /// The other nodes that may hold newer rules: those that have not reported a version, or have
+    /// reported a newer one.
+    pub(crate) fn unconfirmed_nodes(&self) -> IndexSet<SocketAddr> {
+        let listed = self.journal.instances().map(|instance| instance.addr);
+        let peers = self.members.peers();
+        let running = peers.filter(|peer| peer.state != PeerState::Dead);
+        let mut addrs: IndexSet<_> = listed
+            .chain(running.map(|peer| peer.instance.addr))
+            .collect();
+        addrs.retain(|addr| {
+            let reported = self.catch_up.reported.get(addr);
+            *addr != self.own_instance.addr
+                && reported.is_none_or(|version| *version > self.journal.rules_version)
+        });
+        addrs
+    }
+
+    /// Queries the nodes that have not reported, if that is due.
+    pub(crate) fn catch_up_if_due(&mut self, now: Time) {
+        if self.log.synced {
+            self.catch_up.due = None;
+            return;
+        }
+        if self.catch_up.due.is_none_or(|due| due > now) {
+            return;
+        }
+        self.catch_up.due = Some(now + QUERY_INTERVAL);
+        let rng = &mut self.rng;
+        let request_id = *self.catch_up.request_id.get_or_insert_with(|| rng.random());
+        for to in self.unconfirmed_nodes() {
+            self.send_freshness(to, FreshnessMessage::Query { request_id });
+        }
+        self.finish_catch_up();
+    }
+
+    /// Puts the rules in force if no other node may hold newer ones.
+    fn finish_catch_up(&mut self) {
+        if self.log.synced || self.catch_up.due.is_none() {
+            return;
+        }
+        let missing = self.unconfirmed_nodes().len();
+        if self.catch_up.logged_missing.replace(missing) != Some(missing) {
+            self.outputs.push(Output::Diagnostic(Diagnostic::CatchUp {
+                rules: self.journal.rules_version,
+                unconfirmed: missing,
+            }));
+        }
+        if missing > 0 {
+            return;
+        }
+        self.log.synced = true;
+        self.catch_up.due = None;
+        self.on_caught_up_from_peers();
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::AdmissionLevels;
 use crate::answer_cache::AnswerCache;
+use crate::catch_up::CatchUp;
 use crate::fetch::FetchSchedule;
 use crate::hand_over::HandOver;
 use crate::held_calls::HeldCalls;
@@ -76,6 +77,7 @@
     pub(crate) journal: State,
     pub(crate) log: LogController,
     pub(crate) fetch: FetchSchedule,
+    pub(crate) catch_up: CatchUp,
     pub(crate) members: Membership,
     pub(crate) selector: InstanceSelector,
     pub(crate) peer_diagnostics: PeerDiagnostics,
@@ -172,6 +174,7 @@
             journal: State::default(),
             log: LogController::default(),
             fetch: FetchSchedule::default(),
+            catch_up: CatchUp::default(),
             members,
             selector: InstanceSelector::with_switches(cfg.policy),
             peer_diagnostics: PeerDiagnostics::default(),
@@ -293,6 +296,7 @@
         self.start_queued_jobs(now);
         self.drain_loopback(now);
         self.fetch_if_due(now);
+        self.catch_up_if_due(now);
         self.start_due_append(now);
         self.check_stopped(now);
         std::mem::take(&mut self.outputs)
@@ -307,6 +311,7 @@
             self.server.next_timer(),
             self.log.next_timer(self.journal.next_offset),
             self.fetch.due,
+            self.catch_up.due,
             self.peer_diagnostics.next_timer(),
             self.next_freshness_timer(),
             self.next_quota_timer(),
--- a/crates/engine/src/fetch.rs
+++ b/crates/engine/src/fetch.rs
@@ -216,22 +216,35 @@
         };
         match change {
             Change::Restored => {
-                let was_synced = std::mem::replace(&mut self.log.synced, true);
-                self.outputs.push(Output::Diagnostic(Diagnostic::StateAdopted {
-                    from,
-                    rules: self.journal.rules_version,
-                    next_offset: self.journal.next_offset,
-                    was_synced,
-                }));
+                let was_synced = self.log.synced;
+                self.outputs
+                    .push(Output::Diagnostic(Diagnostic::StateAdopted {
+                        from,
+                        rules: self.journal.rules_version,
+                        next_offset: self.journal.next_offset,
+                        was_synced,
+                    }));
                 self.on_state_restored(now);
-                self.announce_progress(false);
-                // A node that does not read the store has nothing more to read.
-                if !self.cfg.shared_store_reads {
-                    self.outputs.push(Output::ReadLog);
+                if self.log.synced {
+                    self.on_caught_up_from_peers();
+                } else if self.cfg.shared_store_reads {
+                    self.log.synced = true;
+                    self.on_caught_up_from_peers();
+                } else {
+                    self.begin_catch_up(now, from);
                 }
             }
             Change::Invalid => self.count(Counter::MalformedRecord),
             _ => {}
         }
     }
+
+    /// Passes on the state that this node has from its peers, now that it is in force.
+    pub(crate) fn on_caught_up_from_peers(&mut self) {
+        self.announce_progress(false);
+        // A node that does not read the store has nothing more to read.
+        if !self.cfg.shared_store_reads {
+            self.outputs.push(Output::ReadLog);
+        }
+    }
 }
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -104,6 +104,8 @@
                 rules_version,
                 age_ms,
             } => {
+                let is_catch_up_report =
+                    self.on_rules_version_report(from, request_id, rules_version);
                 if rules_version > self.journal.rules_version {
                     // The evidence is for newer rules than this node has.
                     let theirs = SyncProgress {
@@ -112,6 +114,9 @@
                     };
                     return self.on_peer_progress(now, from, theirs);
                 }
+                if is_catch_up_report {
+                    return;
+                }
                 let age = Duration::from_millis(age_ms.into());
                 self.freshness.on_report(now, request_id, age);
                 self.report_key_trust_change(now);
@@ -147,7 +152,7 @@
         }));
     }
 
-    fn send_freshness(&mut self, to: SocketAddr, message: FreshnessMessage) {
+    pub(crate) fn send_freshness(&mut self, to: SocketAddr, message: FreshnessMessage) {
         let datagram = Datagram::Freshness {
             version: PROTOCOL_VERSION,
             message,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -16,6 +16,7 @@
 mod answer_cache;
 mod append_queue;
 mod calls;
+mod catch_up;
 mod config;
 mod counter;
 mod diagnostic;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -34,8 +34,9 @@
 pub(crate) struct LogController {
     /// Whether the last read got no answer.
     pub(crate) unreachable: bool,
-    /// Whether the log was read to its end once, or its state was fetched from a peer. Before that,
-    /// the rules and views may be older than those in force when a node at this address last ran.
+    /// Whether the log was read to its end once, or its state was fetched from a peer and no other
+    /// node holds newer rules. Before that, the rules and views may be older than those in force
+    /// when this process started.
     pub(crate) synced: bool,
     pub(crate) appends: AppendQueue,
     /// The offset of the append in flight, or of the last one.
@@ -348,7 +349,7 @@
         }
     }
 
-    /// Whether rules are in force that came from a log read to its end, or from a peer.
+    /// Whether rules are in force that came from a log read to its end, or from peers.
     pub(crate) fn has_rules(&self) -> bool {
         self.log.synced && self.journal.rules_version > 0
     }
--- a/crates/engine/tests/log/driver.rs
+++ b/crates/engine/tests/log/driver.rs
@@ -6,6 +6,8 @@
 use bilberry_engine::Input;
 use bilberry_engine::Output;
 use journal::Record;
+use proto::Datagram;
+use proto::FreshnessMessage;
 use proto::Incarnation;
 use proto::Instance;
 use proto::Outcome;
@@ -37,6 +39,8 @@
     pub read_requests: u32,
     /// Addresses that the state was requested from, each with the progress that was sent.
     pub fetches: Vec<(SocketAddr, SyncProgress)>,
+    /// Queries for the rules version of other nodes: the address and the id of the query.
+    pub version_queries: Vec<(SocketAddr, u64)>,
     pub answers: Vec<Outcome>,
 }
 
@@ -55,6 +59,7 @@
             stopped: false,
             read_requests: 0,
             fetches: Vec::new(),
+            version_queries: Vec::new(),
             answers: Vec::new(),
         }
     }
@@ -76,6 +81,14 @@
                 }
                 Output::Count(counter) => self.counters.push(counter),
                 Output::FetchState { from, known } => self.fetches.push((from, known)),
+                Output::Datagram {
+                    to,
+                    datagram:
+                        Datagram::Freshness {
+                            message: FreshnessMessage::Query { request_id },
+                            ..
+                        },
+                } => self.version_queries.push((to, request_id)),
                 Output::Answer { outcome, .. } => self.answers.push(outcome),
                 Output::ReadLog => self.read_requests += 1,
                 Output::Stopped => self.stopped = true,
--- a/crates/engine/tests/log/outage.rs
+++ b/crates/engine/tests/log/outage.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use journal::Record;
 use proto::Datagram;
+use proto::FreshnessMessage;
 use proto::MemberMessage;
 use proto::Outcome;
 use proto::Reason;
@@ -76,6 +77,20 @@
     }
 }
 
+fn version_report(from: u16, request_id: u64, rules_version: u64) -> Input {
+    Input::Datagram {
+        from: instance(from).addr,
+        datagram: Datagram::Freshness {
+            version: PROTOCOL_VERSION,
+            message: FreshnessMessage::Report {
+                request_id,
+                rules_version,
+                age_ms: u32::MAX,
+            },
+        },
+    }
+}
+
 fn progress_message(from: &Driver, n: u16) -> Input {
     Input::Datagram {
         from: instance(n).addr,
@@ -112,6 +127,87 @@
     assert_eq!(driver.take_appends(), []);
 }
 
+/// The newest rules are held by a node that the restarted one cannot reach at first, and its other
+/// peer has missed them. Orders would run under rules that are no longer in force.
+#[test]
+fn a_node_started_in_an_outage_waits_for_the_rules_version_of_each_listed_node() {
+    let mut peer = node_with_rules(2, 1);
+    peer.read_record(&Record::Join(instance(3)));
+    let mut driver = node_in_outage(&[2]);
+    let state = peer.engine.state_newer_than(SyncProgress::default());
+    driver.feed(state_fetched(2, state.unwrap()));
+    assert_eq!(request_refusal(&mut driver), Some(Reason::NoRules));
+    assert!(!driver.engine.is_ready());
+    let known = driver.engine.journal().progress();
+    assert_eq!(
+        driver.engine.state_newer_than(SyncProgress::default()),
+        None
+    );
+
+    driver.advance(Duration::from_secs(60));
+    assert_eq!(request_refusal(&mut driver), Some(Reason::NoRules));
+    let (to, request_id) = *driver.version_queries.last().unwrap();
+    assert_eq!(to, instance(3).addr);
+    driver.feed(version_report(3, request_id.wrapping_add(1), 1));
+    assert_eq!(
+        request_refusal(&mut driver),
+        Some(Reason::NoRules),
+        "the report answers a query of another process"
+    );
+    driver.feed(version_report(3, request_id, 2));
+    assert_eq!(request_refusal(&mut driver), Some(Reason::NoRules));
+    driver.fetches.clear();
+    driver.advance(Duration::from_secs(1));
+    assert!(driver.fetches.contains(&(instance(3).addr, known)));
+
+    peer.read_record(&publish(2));
+    let state = peer.engine.state_newer_than(known).unwrap();
+    driver.feed(state_fetched(3, state));
+    assert_eq!(
+        request_refusal(&mut driver),
+        Some(Reason::NoRules),
+        "node 2 has not reported yet"
+    );
+}
+
+/// Two nodes restart at the same time in an outage, and a third one that holds newer rules cannot
+/// be reached. If the two confirmed each other's rules, both would run orders under outdated ones.
+#[test]
+fn two_restarted_nodes_do_not_replace_the_report_of_a_third() {
+    let mut peer = node_with_rules(2, 1);
+    peer.read_record(&Record::Join(instance(3)));
+    peer.read_record(&Record::Join(instance(4)));
+    let mut driver = node_in_outage(&[2]);
+    let state = peer.engine.state_newer_than(SyncProgress::default());
+    driver.feed(state_fetched(2, state.unwrap()));
+    let (_, request_id) = *driver.version_queries.last().unwrap();
+    // Node 3 has just restarted and knows no rules yet.
+    driver.feed(version_report(3, request_id, 0));
+    driver.advance(Duration::from_secs(10));
+    assert_eq!(request_refusal(&mut driver), Some(Reason::NoRules));
+    driver.feed(version_report(4, request_id, 1));
+    assert_eq!(request_refusal(&mut driver), None);
+}
+
+/// A listed node is gone for good, so it never reports. The node must not refuse requests any longer
+/// once the store answers.
+#[test]
+fn a_waiting_node_takes_the_rules_of_the_store() {
+    let mut peer = node_with_rules(2, 1);
+    peer.read_record(&Record::Join(instance(3)));
+    let mut driver = node_in_outage(&[2]);
+    let state = peer.engine.state_newer_than(SyncProgress::default());
+    driver.feed(state_fetched(2, state.unwrap()));
+    driver.advance(Duration::from_secs(60));
+    assert_eq!(request_refusal(&mut driver), Some(Reason::NoRules));
+    driver.offset = peer.offset;
+    driver.feed(Input::LogCaughtUp);
+    assert_eq!(request_refusal(&mut driver), None);
+    driver.version_queries.clear();
+    driver.advance(Duration::from_secs(5));
+    assert_eq!(driver.version_queries, []);
+}
+
 /// The contacts do not answer either. The node keeps asking them, 20 to 41 times in 20 s.
 #[test]
 fn an_unanswered_fetch_is_retried() {
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -72,6 +72,7 @@
         // Changes of shared state, of peers, the own backend server and the trust in API keys are rare, so
         // these lines are not limited.
         Diagnostic::StateAdopted { .. }
+        | Diagnostic::CatchUp { .. }
         | Diagnostic::Peer { .. }
         | Diagnostic::Peers { .. }
         | Diagnostic::OwnServer { .. }
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -34,6 +34,7 @@
 pub use network::Network;
 pub use node::Node;
 pub use plan::check_seed;
+pub use plan::check_seed_with_restarts_in_outages;
 pub use plan::check_seed_with_server_reports;
 pub use plan::Plan;
 pub use server::FakeBackendServer;
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -18,6 +18,10 @@
     /// Backend servers announce themselves, name rate limits and say that they leave.
     #[options(no_short)]
     server_reports: bool,
+    /// Nodes restart while the store is unavailable and others hold newer rules. There are no other
+    /// faults.
+    #[options(no_short)]
+    restarts_in_outages: bool,
     /// Continue after a failure, and print only the violations.
     #[options()]
     all: bool,
@@ -33,9 +37,12 @@
     };
     let mut failed = 0;
     for seed in first..end {
-        let result = match args.server_reports {
-            true => trial::check_seed_with_server_reports(seed),
-            false => trial::check_seed(seed, !args.homes_stay),
+        let result = if args.server_reports {
+            trial::check_seed_with_server_reports(seed)
+        } else if args.restarts_in_outages {
+            trial::check_seed_with_restarts_in_outages(seed)
+        } else {
+            trial::check_seed(seed, !args.homes_stay)
         };
         let Err(report) = result else {
             continue;
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -78,6 +78,45 @@
     }
 }
 
+impl Plan {
+    /// Adds outages of the store in which nodes restart, after a publication that only some of the
+    /// nodes have read, while a region is partitioned.
+    fn with_restarts_in_outages(mut self, seed: u64, cluster: &ClusterConfig) -> Self {
+        const ROUNDS: u32 = 3;
+        let mut rng = StdRng::seed_from_u64(seed ^ 0x6f75_7461_6765);
+        let nodes = cluster.placements.len();
+        let round_length = FAULT_PERIOD / ROUNDS;
+        for round in 0..ROUNDS {
+            let begin = Time::ZERO + WARM_UP + round_length * round;
+            let after = |millis| begin + Duration::from_millis(millis);
+            let region = &cluster.placements[rng.random_range(0..nodes)].region;
+            self.faults.push((begin, Fault::CutRegion(region.clone())));
+            let healed_at = after(rng.random_range(2000..8000));
+            self.faults.push((healed_at, Fault::Heal));
+            for node in 0..nodes {
+                if rng.random_bool(0.4) {
+                    continue;
+                }
+                self.faults.push((begin, Fault::LogCut(node, true)));
+                let end = after(rng.random_range(4000..8000));
+                self.faults.push((end, Fault::LogCut(node, false)));
+            }
+            let published_at = after(rng.random_range(50..200));
+            self.faults.push((published_at, Fault::Publish(1)));
+            let outage_begin = after(rng.random_range(250..600));
+            self.faults.push((outage_begin, Fault::LogDown(true)));
+            let outage_end = after(rng.random_range(4000..8000));
+            self.faults.push((outage_end, Fault::LogDown(false)));
+            for _ in 0..rng.random_range(1..4) {
+                let at = after(rng.random_range(600..3000));
+                let node = rng.random_range(0..nodes);
+                self.faults.push((at, Fault::Restart(node)));
+            }
+        }
+        self
+    }
+}
+
 fn random_action(rng: &mut StdRng, cluster: &ClusterConfig, nth: u32) -> (Time, Action) {
     let at = Time::ZERO
         + WARM_UP.mul_f64(rng.random_range(0.6..1.0))
@@ -296,6 +335,22 @@
     check_plan(seed, cluster, &plan)
 }
 
+/// As [`check_seed`], with nodes that restart while the store is unavailable and others hold newer
+/// rules.
+///
+/// # Errors
+///
+/// The same as those of [`check_seed`].
+pub fn check_seed_with_restarts_in_outages(seed: u64) -> Result<World, String> {
+    let cluster = random_cluster(seed);
+    let plan = Plan {
+        faults: Vec::new(),
+        ..Plan::new(seed, &cluster, true)
+    };
+    let plan = plan.with_restarts_in_outages(seed, &cluster);
+    check_plan(seed, cluster, &plan)
+}
+
 fn check_plan(seed: u64, cluster: ClusterConfig, plan: &Plan) -> Result<World, String> {
     let mut world = plan.world(seed, cluster);
     world.run_for(WARM_UP + FAULT_PERIOD + Duration::from_secs(15));
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -327,7 +327,9 @@
             Output::ReadLog => self.restart_reading(node),
             Output::Count(counter) => *self.counters.entry(counter.name()).or_insert(0) += 1,
             Output::CheckServer { id, .. } => self.check_health(node, id),
-            Output::Diagnostic(diagnostic @ Diagnostic::StateAdopted { .. }) => {
+            Output::Diagnostic(
+                diagnostic @ (Diagnostic::StateAdopted { .. } | Diagnostic::CatchUp { .. }),
+            ) => {
                 self.trace_event(format!("{} {diagnostic}", self.nodes[node].name));
             }
             Output::Diagnostic(_) => {}
--- a/crates/trial/tests/seeds.rs
+++ b/crates/trial/tests/seeds.rs
@@ -52,6 +52,17 @@
     check(3002, true);
 }
 
+/// Nodes restart while the store is unavailable, some have missed the newest rules, and those that
+/// hold them are partitioned. Work runs under outdated rules.
+#[test]
+fn nodes_restarted_in_outages_run_nothing_under_outdated_rules() {
+    SEEDS.for_each(|seed| {
+        if let Err(report) = trial::check_seed_with_restarts_in_outages(seed) {
+            panic!("{report}");
+        }
+    });
+}
+
 /// Bookings are refused with a full queue at a server that runs and queues nothing, while other
 /// servers name limits or leave.
 #[test]
