Let keyed work wait for the rate limit of its home's server

Cause: while a server names a rate limit and other instances have capacity, work that would have to wait for the limit is refused at once, so that it can be sent there. Work with a key can only run at the home of the key. The retry came back to the same node and was refused again.

Evidence: the line event=ran now has token_wait_ms and siblings_have_room where a rate limit is in force, and the random trials trace it. Ruled out by it: a level or a concurrency limit that stays high without arrivals (level=0, limit=4 to 7), and a bucket that does not refill (the wait is below the interval of one token, and an action a second earlier had taken the last one).

Change: protected work that no other instance may run is queued behind the limit until its deadline, in a lane of its own that goes before work that may leave. If it cannot start in time it is refused as before.

--- a/crates/engine/src/diagnostic.rs
+++ b/crates/engine/src/diagnostic.rs
@@ -37,6 +37,10 @@
         pub level: u16,
         /// The rate limit that the server has named, if one is in force.
         pub rate_limit: Option<RequestRate>,
+        /// The time until the rate limit permits a further start, behind all queued jobs.
+        pub token_wait: Duration,
+        /// Whether other instances of the service had capacity when their load was last known.
+        pub siblings_have_room: bool,
     }
 }
 
@@ -446,7 +450,14 @@
                 server.level
             )
             .and_then(|()| match server.rate_limit {
-                Some(_) => write_rate(f, "rate_limit", server.rate_limit),
+                Some(_) => write_rate(f, "rate_limit", server.rate_limit).and_then(|()| {
+                    write!(
+                        f,
+                        " token_wait_ms={} siblings_have_room={}",
+                        server.token_wait.as_millis(),
+                        server.siblings_have_room
+                    )
+                }),
                 None => Ok(()),
             })
             .and_then(|()| match slack_ms {
--- a/crates/engine/src/serve.rs
+++ b/crates/engine/src/serve.rs
@@ -337,7 +337,7 @@
             started: job.started.is_some(),
             left_ms: now.until(job.deadline).as_millis() as u64,
             slack_ms: job.slack_ms(now),
-            server: self.server_state(),
+            server: self.server_state(now),
         }));
         if self.jobs_by_request_id.get(&job.request.id) == Some(&run) {
             self.jobs_by_request_id.swap_remove(&job.request.id);
@@ -428,7 +428,7 @@
         self.send_to(id.from, Frame::Answer(id, Box::new(answer)));
     }
 
-    fn server_state(&self) -> ServerState {
+    fn server_state(&self, now: Time) -> ServerState {
         let (running, queued, limit) = self.server.occupancy();
         ServerState {
             running,
@@ -436,6 +436,8 @@
             limit,
             level: self.server.level(),
             rate_limit: self.rate_limit(),
+            token_wait: self.server.next_token_wait(now),
+            siblings_have_room: self.server.siblings_have_room(),
         }
     }
 }
--- a/crates/engine/src/slack.rs
+++ b/crates/engine/src/slack.rs
@@ -2,6 +2,7 @@
 //! run times of its operation.
 
 use crate::job::Job;
+use crate::job::JobOwner;
 use crate::Counter;
 use crate::Engine;
 use crate::Output;
@@ -38,6 +39,7 @@
             organisation,
             arrived: now,
             admitted: job.depth > 0,
+            only_here: matches!(job.owner, JobOwner::Key(_)),
         }
     }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -23,6 +23,9 @@
 /// if some of it runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Lane {
+    /// Protected work under a rate limit that only this instance may run, by deadline. All other work may be
+    /// sent to other instances.
+    OnlyHere,
     /// Calls of actions already admitted at their entry node, by deadline.
     Admitted,
     /// Actions that begin here, by arrival.
@@ -44,6 +47,7 @@
         let lane = match item.latest_start {
             Some(latest) if latest < now => Lane::Late,
             Some(_) => Lane::InTime,
+            None if item.only_here => Lane::OnlyHere,
             None if item.admitted => Lane::Admitted,
             None => Lane::BeginsHere,
         };
@@ -318,7 +322,7 @@
 fn insertion_index(lane: Lane, items: &VecDeque<WorkItem>, item: &WorkItem) -> usize {
     let by_slack = |item: &WorkItem| (item.latest_start, !item.admitted);
     match lane {
-        Lane::Admitted | Lane::Late => {
+        Lane::OnlyHere | Lane::Admitted | Lane::Late => {
             items.partition_point(|other| other.deadline <= item.deadline)
         }
         Lane::BeginsHere => items.len(),
--- a/crates/policy/src/server_admission.rs
+++ b/crates/policy/src/server_admission.rs
@@ -115,6 +115,7 @@
     ///     organisation: 0,
     ///     arrived: Time::ZERO,
     ///     admitted: false,
+    ///     only_here: false,
     /// };
     /// assert_eq!(server.offer(Time::ZERO, item), AdmissionDecision::Start);
     /// ```
@@ -173,11 +174,16 @@
 
     /// Sets whether other instances of the service have capacity. If so, work that exceeds the rate
     /// limit is refused soon instead of queued, so that it can be sent there, and the excess is no
-    /// reason to shed actions.
+    /// reason to shed actions. Work that only this instance may run is queued all the same.
     pub fn set_siblings_have_room(&mut self, siblings_have_room: bool) {
         self.siblings_have_room = siblings_have_room;
     }
 
+    /// Whether other instances of the service have capacity, as last set.
+    pub fn siblings_have_room(&self) -> bool {
+        self.siblings_have_room
+    }
+
     /// Sets the priorities of the rules in force.
     pub fn set_priority_bands(&mut self, bands: PriorityBands) {
         self.level.set_priority_bands(bands);
@@ -199,7 +205,9 @@
     }
 
     /// Offers work, and decides whether it starts, is queued or is refused.
-    pub fn offer(&mut self, now: Time, item: WorkItem) -> AdmissionDecision {
+    pub fn offer(&mut self, now: Time, mut item: WorkItem) -> AdmissionDecision {
+        // Without a rate limit, no work is sent elsewhere that could wait here.
+        item.only_here &= self.rate_limiter.is_some() && item.class.is_protected();
         let slot_time = self.slot_time_with_abandoned[item.class as usize].mean();
         self.level.record_offered(now, &item, slot_time);
         self.tick(now);
--- a/crates/policy/src/server_admission/hand_over.rs
+++ b/crates/policy/src/server_admission/hand_over.rs
@@ -120,6 +120,7 @@
     ///     organisation: 0,
     ///     arrived: now,
     ///     admitted: true,
+    ///     only_here: false,
     /// };
     /// let due = now + Duration::from_millis(100);
     /// assert!(!server.hands_over(now, &item, due));
--- a/crates/policy/src/server_admission/refusal.rs
+++ b/crates/policy/src/server_admission/refusal.rs
@@ -21,7 +21,7 @@
             // lookups would not have helped it, and the queued lookups are partly done actions as
             // well. Under a rate limit, another instance may still run it in time.
             let reason = match &self.rate_limiter {
-                Some(_) if self.siblings_have_room => Reason::QueueFull,
+                Some(_) if self.siblings_have_room && !item.only_here => Reason::QueueFull,
                 _ => Reason::Deadline,
             };
             return self.refuse(now, reason, item);
--- a/crates/policy/src/server_admission/waiting.rs
+++ b/crates/policy/src/server_admission/waiting.rs
@@ -35,9 +35,10 @@
         let wait = drain_time.max(token_wait);
         let too_late = self.switches.deadline_queue && self.is_too_late(now, &item, wait)
             || self.would_become_late(now, &item, wait);
-        let has_own_bound = item.admitted || item.latest_start.is_some();
+        let has_own_bound = item.admitted || item.only_here || item.latest_start.is_some();
         let queue_full = ahead >= self.queue_capacity() && !has_own_bound;
-        let prefers_siblings = self.siblings_have_room && token_wait > self.max_wait;
+        let prefers_siblings =
+            self.siblings_have_room && !item.only_here && token_wait > self.max_wait;
         if prefers_siblings || too_late || queue_full || self.queue.len() >= MAX_QUEUE_LEN {
             return self.refuse_arrival(now, item, SlackEvent::RefusedOnArrival);
         }
@@ -111,6 +112,11 @@
         limiter.map_or(Duration::ZERO, |limiter| limiter.time_for(now, count))
     }
 
+    /// How long work that arrives now would wait for the rate limit, behind all queued work.
+    pub fn next_token_wait(&self, now: Time) -> Duration {
+        self.token_wait(now, self.queue.len() + 1)
+    }
+
     pub(super) fn max_wait(&self) -> MaxWait {
         let leaves_early = self.rate_limiter.is_some() && self.siblings_have_room;
         MaxWait {
@@ -147,7 +153,7 @@
     /// it (see `hold_lookups`).
     pub(super) fn of(self, item: &WorkItem) -> Duration {
         let has_own_bound = item.admitted || item.latest_start.is_some();
-        if has_own_bound && !self.bounds_admitted {
+        if item.only_here || has_own_bound && !self.bounds_admitted {
             Duration::MAX
         } else if item.class.is_protected() {
             self.lookups * PROTECTED_WAIT_FACTOR
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -39,6 +39,8 @@
         /// waste the work already done for the action, so load is limited by admission at the entry
         /// node, and such a call waits for as long as it can still meet its deadline.
         pub admitted: bool,
+        /// Whether no other instance may run it, because this node is the home of its key.
+        pub only_here: bool,
     }
 }
 
--- a/crates/policy/tests/admitted.rs
+++ b/crates/policy/tests/admitted.rs
@@ -33,6 +33,7 @@
         organisation: 0,
         arrived: now,
         admitted,
+        only_here: false,
     }
 }
 
--- a/crates/policy/tests/call_trees.rs
+++ b/crates/policy/tests/call_trees.rs
@@ -132,6 +132,7 @@
             organisation: 0,
             arrived: at(self.now),
             admitted: true,
+            only_here: false,
         }
     }
 
--- a/crates/policy/tests/late_runs.rs
+++ b/crates/policy/tests/late_runs.rs
@@ -59,6 +59,7 @@
                 organisation: 0,
                 arrived: now,
                 admitted: true,
+                only_here: false,
             };
             assert_eq!(server.offer(now, item), AdmissionDecision::Start);
             let is_lost = loses_answers && n > 30 && n % 2 == 0;
@@ -127,6 +128,7 @@
                     organisation: 0,
                     arrived: now,
                     admitted: false,
+                    only_here: false,
                 };
                 if server.offer(now, item) == AdmissionDecision::Start {
                     running.push((ms, hangs && ms > 3000 && ms % 24 == 0));
--- a/crates/policy/tests/priority_bands.rs
+++ b/crates/policy/tests/priority_bands.rs
@@ -101,6 +101,7 @@
                 organisation: 0,
                 arrived: now,
                 admitted: false,
+                only_here: false,
             };
             let decision = server.offer(now, item);
             count(&item, decision);
@@ -161,6 +162,7 @@
         organisation: 0,
         arrived: at(0),
         admitted,
+        only_here: false,
     };
     assert_eq!(
         server.offer(at(0), item(0, STATUS, true)),
--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -49,6 +49,7 @@
         organisation: 0,
         arrived: now,
         admitted: false,
+        only_here: false,
     }
 }
 
@@ -196,6 +197,50 @@
     assert!(matches!(decision, AdmissionDecision::Refused(_)));
 }
 
+/// A booking can only run at the home of its key. It was refused so that it could be sent to an
+/// instance with room, came back to the same one, and failed.
+#[test]
+fn work_of_a_home_waits_for_the_limit_although_siblings_have_room() {
+    for admitted in [true, false] {
+        let booking = |id| WorkItem {
+            admitted,
+            only_here: true,
+            ..item(id, Class::Booking, at(1000))
+        };
+        let mut server = limited(1);
+        server.set_siblings_have_room(true);
+        assert_eq!(server.offer(at(1000), booking(1)), AdmissionDecision::Start);
+        server.on_finished(at(1001), Class::Booking, completed());
+        assert_eq!(
+            server.offer(at(1001), booking(2)),
+            AdmissionDecision::Queued
+        );
+        // Work that may run elsewhere leaves, and does not take the next token.
+        let other = WorkItem {
+            only_here: false,
+            ..booking(3)
+        };
+        assert!(matches!(
+            server.offer(at(1001), other),
+            AdmissionDecision::Refused(_)
+        ));
+        assert_eq!(server.next_decision(at(1999)), None);
+        let (left, decision) = server.next_decision(at(2001)).unwrap();
+        assert_eq!((left.id, decision), (2, AdmissionDecision::Start));
+        // A third one would wait until after its deadline.
+        assert!(matches!(
+            server.offer(
+                at(2001),
+                WorkItem {
+                    deadline: at(2900),
+                    ..booking(4)
+                }
+            ),
+            AdmissionDecision::Refused(_)
+        ));
+    }
+}
+
 /// Actions are shed at their first hop for a limit only if no other instance has room.
 #[test]
 fn level_rises_only_without_room_at_siblings() {
--- a/crates/policy/tests/server_admission.rs
+++ b/crates/policy/tests/server_admission.rs
@@ -30,6 +30,7 @@
         organisation: 0,
         arrived: now,
         admitted: false,
+        only_here: false,
     }
 }
 
--- a/crates/policy/tests/slack/server.rs
+++ b/crates/policy/tests/slack/server.rs
@@ -87,6 +87,7 @@
             organisation: 0,
             arrived: at(self.now),
             admitted: false,
+            only_here: false,
         }
     }
 
--- a/crates/policy/tests/uneven/mod.rs
+++ b/crates/policy/tests/uneven/mod.rs
@@ -239,6 +239,7 @@
             organisation: 0,
             arrived: now,
             admitted: true,
+            only_here: false,
         };
         if call.may_be_handed_over() {
             let admission = &self.servers[server].admission;
--- a/crates/trial/src/server.rs
+++ b/crates/trial/src/server.rs
@@ -159,6 +159,12 @@
         };
         let sent_at = node_state.local_time(self.now);
         let full = node_state.server.running.len() >= node_state.server.slots;
+        self.trace_event(format!(
+            "{} sends {} to its server, which runs {} (full: {full})",
+            node_state.name,
+            request.path,
+            node_state.server.running.len(),
+        ));
         let check_result = self.checker.on_server_arrival(node, self.now);
         self.record_check(check_result);
         let node_state = &self.nodes[node];
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -9,6 +9,7 @@
 use crate::Node;
 use engine::Diagnostic;
 use engine::Input;
+use engine::OutcomeSummary;
 use engine::Output;
 use indexmap::IndexMap;
 use proto::Frame;
@@ -22,7 +23,7 @@
 use stdx::Time;
 
 /// Maximum number of event trace lines kept for the report of a violation.
-const MAX_EVENT_TRACE_LINES: usize = 4000;
+const MAX_EVENT_TRACE_LINES: usize = 20_000;
 
 /// One-way latency from a node to its own backend server.
 const LOCAL_LATENCY: Duration = Duration::from_micros(100);
@@ -328,7 +329,15 @@
             Output::Count(counter) => *self.counters.entry(counter.name()).or_insert(0) += 1,
             Output::CheckServer { id, .. } => self.check_health(node, id),
             Output::Diagnostic(
-                diagnostic @ (Diagnostic::StateAdopted { .. } | Diagnostic::CatchUp { .. }),
+                diagnostic @ (Diagnostic::StateAdopted { .. }
+                | Diagnostic::CatchUp { .. }
+                | Diagnostic::OwnServer { .. }
+                | Diagnostic::ServerLimit { .. }
+                | Diagnostic::ServerLeaving { .. }
+                | Diagnostic::JobEnded {
+                    outcome: OutcomeSummary::NotRun(_),
+                    ..
+                }),
             ) => {
                 self.trace_event(format!("{} {diagnostic}", self.nodes[node].name));
             }
--- a/crates/trial/tests/seeds.rs
+++ b/crates/trial/tests/seeds.rs
@@ -71,3 +71,14 @@
         panic!("{report}");
     }
 }
+
+/// Keyed work is refused at its home while the home's server names a limit, because other instances
+/// have room. They may not run it, so it fails although the limit permits it in time.
+#[test]
+fn keyed_work_waits_for_the_limit_of_its_home() {
+    for seed in [1703, 1724, 2861, 3100] {
+        if let Err(report) = trial::check_seed_with_server_reports(seed) {
+            panic!("{report}");
+        }
+    }
+}
