Bound the burst that a rate limit lets through at once

A server in need gets more than it said that it can take.

Cause: the bucket held one second of the named rate. At 9.9 a second a full bucket let ten requests through within 0.13 s; 0.4 s later the server lowered its limit to 0.745. The target is one and a half times what the limits allow in any 4 s, and 5 requests, so nothing beyond 5 may be sent ahead of the rate.

Ruled out: a bound that is computed a hair low (all 18 arrived in the window; the allowed 17.96 was printed as 18.0), and requests that bypass the bucket.

Change: the bucket holds one second of the rate, and 5 requests at most. An interval of length t then gets at most 5 plus what the rates of that time allow, whatever the changes. Work beyond it waits for the next token as before.

Result: a test of bursts before a lowered limit failed (14 where 11.6 are allowed) and passes; 14 tests of rate limits pass.

--- a/crates/policy/src/rate_limiter.rs
+++ b/crates/policy/src/rate_limiter.rs
@@ -5,10 +5,14 @@
 use std::time::Duration;
 use stdx::Time;
 
-/// The time in which an empty bucket fills up. A server names its limit by the second, so that is
+/// The time in which an empty bucket fills up under a low limit. A server names its limit by the second, so that is
 /// the span over which uneven arrivals are evened out.
 const FILL_TIME: Duration = Duration::from_secs(1);
 
+/// The most requests that may be sent at once. A server may lower its limit right after a burst, so
+/// a burst has to be within the 5 requests that a server takes beyond what its limit allows.
+const MAX_BURST: f64 = 5.0;
+
 /// The longest time that is reported for a token.
 const MAX_WAIT: Duration = Duration::from_secs(3600);
 
@@ -74,7 +78,8 @@
 
     /// The number of requests that may be sent at once with a full bucket.
     fn capacity(&self) -> f64 {
-        (self.rate.per_second() * FILL_TIME.as_secs_f64()).max(1.0)
+        let filled = self.rate.per_second() * FILL_TIME.as_secs_f64();
+        filled.clamp(1.0, MAX_BURST)
     }
 
     /// The time between two tokens; `None` if there are none.
--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -117,6 +117,28 @@
     assert!(most_in_window(&starts, 100) <= 2, "{starts:?}");
 }
 
+/// A burst takes all tokens that gathered in an idle time, and the server lowers its limit right
+/// after it. In some 4 s the server then gets more than half more than its limits allow, and 5
+/// requests.
+#[test]
+fn burst_before_a_lowered_limit_stays_within_what_the_limits_allow() {
+    for (high, low) in [(2, 0), (6, 1), (10, 1), (50, 0), (50, 2)] {
+        for burst_ms in [1, 100, 300, 500, 1000] {
+            let mut server = limited(high);
+            let (begin, lowered) = (5000, 5000 + burst_ms);
+            let mut starts = start_times(&mut server, begin, lowered, 1);
+            server.set_rate_limit(at(lowered), rate(low));
+            starts.extend(start_times(&mut server, lowered, begin + 4000, 10));
+            let allowed = (high * burst_ms + low * (4000 - burst_ms)) as f64 / 1000.0;
+            assert!(
+                starts.len() as f64 <= allowed * 1.5 + 5.0,
+                "{} at {high} and {low} a second, lowered after {burst_ms} ms",
+                starts.len()
+            );
+        }
+    }
+}
+
 #[test]
 fn lifted_limit_no_longer_applies() {
     let mut server = limited(1);
