Trial: count a departure statement only for the server that made it

Cause: the checker kept what a server says by node and not by server. The engine compares the id and ignores the old response; the checker recorded it for the new server.

Change: the checker records a response only if it is from the server that runs now. What the running server says binds as before.

--- a/crates/trial/src/server_reports.rs
+++ b/crates/trial/src/server_reports.rs
@@ -195,8 +195,10 @@
         let report = self.nodes[node].server.report;
         let (id, incarnation) = (self.server_id(node), self.nodes[node].incarnation);
         self.schedule_in_process(node, RESPONSE_TIME, move |world| {
+            // A node that was paused reads what its server said after another one has started.
+            let is_same_server = world.server_id(node) == id;
             let is_running = world.nodes[node].engine.is_some();
-            if is_running && world.nodes[node].incarnation == incarnation {
+            if is_same_server && is_running && world.nodes[node].incarnation == incarnation {
                 world.checker.on_server_report(node, world.now, report);
             }
             let input = Input::ServerReport {
--- a/crates/trial/tests/seeds.rs
+++ b/crates/trial/tests/seeds.rs
@@ -82,3 +82,14 @@
         }
     }
 }
+
+/// A paused node reads that its server is about to stop only after another server has started. The
+/// checker took that for a statement of the new server, and reported the requests sent to it.
+#[test]
+fn statement_of_a_former_server_does_not_bind_the_next_one() {
+    for seed in [2522, 100_358] {
+        if let Err(report) = trial::check_seed_with_server_reports(seed) {
+            panic!("{report}");
+        }
+    }
+}
