Release calls that wait for a lost run when their slot moves on

What callers saw: a call with a key got no answer, and stayed in the tables of its home for good ( with homes moving: at 305 s, long after the repair, press-3 has one inbound call and one key).

Cause: the slot of the key moved from press-1 to press-3 while press-1 ran the key, so the call waited at press-3 for the end of a run elsewhere. press-1 was killed, joined again, and the slot moved back. press-3 dropped the record with the slot, and with it the timer that ends such a wait; the end of the run is reported to the new home only.

So it is both: an entry that is never removed, and a caller that was never answered. Ruled out: a run that hangs (the node has no job).

Change: a home that drops a slot's records reports the end of the wait for each run elsewhere. The calls are answered that the key has moved, and their ingress nodes send them to the new home, which has the record.

A test over four homes failed before (no such report) and passes.

--- a/crates/once/src/transfers.rs
+++ b/crates/once/src/transfers.rs
@@ -176,7 +176,7 @@
         entry.moves.pop_front();
         entry.held = None;
         if entry.moves.is_empty() {
-            self.records.take_slot(slot);
+            self.drop_records(slot);
             self.effects.push(Effect::MoveEnded(slot));
         }
     }
@@ -184,7 +184,17 @@
     /// Drops a slot that the next home has received.
     fn release_slot(&mut self, slot: u16) {
         self.slots[usize::from(slot)].held = None;
-        self.records.take_slot(slot);
+        self.drop_records(slot);
+    }
+
+    /// Drops the records of a slot that is no longer held. Calls here that wait for runs elsewhere
+    /// would not be answered, because the ends of these runs are reported to the next home.
+    fn drop_records(&mut self, slot: u16) {
+        for (key, record) in self.records.take_slot(slot) {
+            if matches!(record.state, RunState::RunningAt(_)) {
+                self.effects.push(Effect::RemoteRunEnded(key));
+            }
+        }
     }
 
     /// Sends a slot's transfer, or sends it again.
--- a/crates/once/tests/homes.rs
+++ b/crates/once/tests/homes.rs
@@ -271,6 +271,41 @@
     assert!(cluster.home(4).is_handed_over());
 }
 
+/// A node is gone before it has reported the end of a run whose slot had moved, and the slot moves
+/// again. Calls that wait at the intermediate node for the end of the run would never be answered.
+#[test]
+fn calls_that_wait_for_a_run_elsewhere_are_released_when_the_slot_moves_on() {
+    let mut cluster = Cluster::new(4);
+    cluster.run_time = ms(20_000);
+    let key = cluster.key_of(4, 0);
+    check(&mut cluster, &[(4, key, BeginResult::Start)]);
+    cluster.leave(4);
+    let home_of = |cluster: &Cluster| {
+        let members = cluster.members();
+        slot_home(&members, key.slot()).unwrap().incarnation.0
+    };
+    let intermediate = home_of(&cluster);
+    cluster.advance(ms(100));
+    check(&mut cluster, &[(intermediate, key, BeginResult::Attach)]);
+    cluster.crash(4);
+    let released = bilberry_once::Effect::RemoteRunEnded(key);
+    let effects = |cluster: &Cluster| cluster.node(intermediate).driver_effects.clone();
+    assert!(!effects(&cluster).contains(&released));
+
+    cluster.leave(intermediate);
+    cluster.advance(ms(1000));
+    assert_ne!(home_of(&cluster), intermediate);
+    assert!(effects(&cluster).contains(&released));
+    let next = home_of(&cluster);
+    check(
+        &mut cluster,
+        &[
+            (intermediate, key, MOVING),
+            (next, key, BeginResult::Attach),
+        ],
+    );
+}
+
 /// A slot moves again before its first transfer has arrived. The intermediate node owns it in no
 /// current view, and would keep the records forever if it did not forward them.
 #[test]
--- a/crates/trial/tests/seeds.rs
+++ b/crates/trial/tests/seeds.rs
@@ -93,3 +93,10 @@
         }
     }
 }
+
+/// Calls wait at a home for a run of an earlier home, which is gone, and the slot moves on. They are
+/// never answered and stay in the tables.
+#[test]
+fn calls_that_wait_for_a_lost_run_are_answered_when_their_slot_moves() {
+    check(200_419, true);
+}
