Probe more peers, and other regions more often, after a mass failure

What callers saw: 6 s after a third of 195 machines was lost, 2.7% of the pairs of a live and a lost machine still counted the lost one as alive; 20 s after the loss of a region, 252 of 882 pairs at 63 machines. Calls go to machines that are gone until their links notice.

Cause: a node probes one peer a second, and another region once in eight seconds, whatever it knows. With many machines lost at once, some are not probed by anyone in time, and gossip has nothing to spread.

Change: while a node has three suspects or more, and for ten periods after that, it probes two peers a second and another region every other second. The time that a peer has to answer is unchanged. A loss of one or two machines changes nothing.

No live machine is declared dead, and the other tests of the package pass.

--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -27,6 +27,17 @@
 /// Once in this many periods a contact, and once a dead peer, is pinged in addition to the probe.
 const RECONNECT_EVERY: u64 = 8;
 
+/// With this many suspects at once, a cause that machines share is likely, such as the loss of a
+/// region.
+const MASS_FAILURE_SUSPECTS: usize = 3;
+
+/// How many periods a node probes more often after there were that many suspects.
+const MASS_FAILURE_PERIODS: u64 = 10;
+
+/// Probes in each of these periods, and one in how many periods probes another region.
+const MASS_FAILURE_PROBES: usize = 2;
+const MASS_FAILURE_CROSS_REGION_EVERY: u64 = 2;
+
 /// A probe that waits for its ack.
 #[derive(Debug)]
 struct Probe {
@@ -43,7 +54,10 @@
     next_probe_at: Time,
     periods: u64,
     seq: u64,
-    current: Option<Probe>,
+    /// The probes of this period.
+    current: Vec<Probe>,
+    /// Up to this period, more peers are probed.
+    mass_failure_until: u64,
     /// The remaining targets of the current rounds, in random order.
     same_region: Vec<Incarnation>,
     other_regions: Vec<Incarnation>,
@@ -62,7 +76,8 @@
             next_probe_at: Time::ZERO,
             periods: 0,
             seq: 0,
-            current: None,
+            current: Vec::new(),
+            mass_failure_until: 0,
             same_region: Vec::new(),
             other_regions: Vec::new(),
             recent_pings: BoundedMap::new(MAX_RECENT_PINGS),
@@ -72,7 +87,8 @@
     }
 
     pub(crate) fn next_timer(&self) -> Time {
-        let indirect = self.current.as_ref().and_then(|probe| probe.indirect_at);
+        let indirect = self.current.iter().filter_map(|probe| probe.indirect_at);
+        let indirect = indirect.min();
         indirect.map_or(self.next_probe_at, |at| at.min(self.next_probe_at))
     }
 
@@ -83,9 +99,13 @@
         }
     }
 
-    /// Cancels the current probe without changing the state of its target.
+    /// Cancels the current probes without changing the state of their targets.
     pub(crate) fn cancel_current(&mut self) {
-        self.current = None;
+        self.current.clear();
+    }
+
+    fn is_mass_failure(&self) -> bool {
+        self.periods < self.mass_failure_until
     }
 }
 
@@ -95,8 +115,11 @@
         if now < self.probes.next_probe_at {
             return;
         }
-        self.conclude_probe(now);
+        self.conclude_probes(now);
         self.probes.periods += 1;
+        if self.suspects.len() >= MASS_FAILURE_SUSPECTS {
+            self.probes.mass_failure_until = self.probes.periods + MASS_FAILURE_PERIODS;
+        }
         // Without jitter, nodes that started together would keep probing at the same time.
         let jitter = self.rng.random_range(0.9..1.1);
         let first = self.probes.periods == 1;
@@ -107,7 +130,13 @@
             } else {
                 interval
             };
+        if let Some(addr) = self.probes.addr_checks.pop_front() {
+            self.ping(addr);
+        }
         self.start_probe(now);
+        if self.probes.is_mass_failure() {
+            (1..MASS_FAILURE_PROBES).for_each(|_| self.start_probe(now));
+        }
         self.ping_contact();
         self.ping_dead_peer();
         self.forget_dead_peers(now);
@@ -117,24 +146,28 @@
     /// Asks other nodes to probe the target once its ack is late: they may have a working path to
     /// it.
     fn send_indirect_probes(&mut self, now: Time) {
-        let Some(probe) = &mut self.probes.current else {
-            return;
-        };
-        if probe.indirect_at.is_none_or(|at| now < at) {
-            return;
+        let mut late = Vec::new();
+        for probe in &mut self.probes.current {
+            if probe.indirect_at.is_some_and(|at| at <= now) {
+                probe.indirect_at = None;
+                late.push((probe.seq, probe.addr, probe.target));
+            }
         }
-        probe.indirect_at = None;
-        let (seq, addr, target) = (probe.seq, probe.addr, probe.target);
-        for relay in self.pick_live_peers(self.cfg.indirect_probes, Some(target)) {
-            self.send(relay, MemberMessage::PingReq { seq, target: addr });
+        for (seq, addr, target) in late {
+            for relay in self.pick_live_peers(self.cfg.indirect_probes, Some(target)) {
+                self.send(relay, MemberMessage::PingReq { seq, target: addr });
+            }
         }
     }
 
-    /// Ends the current probe. Its target becomes a suspect if no ack has arrived.
-    fn conclude_probe(&mut self, now: Time) {
-        let Some(probe) = self.probes.current.take() else {
-            return;
-        };
+    /// Ends the current probes. Their targets become suspects if no ack has arrived.
+    fn conclude_probes(&mut self, now: Time) {
+        for probe in std::mem::take(&mut self.probes.current) {
+            self.conclude_probe(now, &probe);
+        }
+    }
+
+    fn conclude_probe(&mut self, now: Time, probe: &Probe) {
         let Some(entry) = self.peers.get(&probe.target) else {
             return;
         };
@@ -149,15 +182,20 @@
     }
 
     fn start_probe(&mut self, now: Time) {
-        if let Some(addr) = self.probes.addr_checks.pop_front() {
-            self.ping(addr);
-        }
         let Some(target) = self.next_target() else {
             return;
         };
+        if self
+            .probes
+            .current
+            .iter()
+            .any(|probe| probe.target == target)
+        {
+            return;
+        }
         let addr = self.peers[&target].peer.instance.addr;
         let seq = self.ping(addr);
-        self.probes.current = Some(Probe {
+        self.probes.current.push(Probe {
             target,
             addr,
             seq,
@@ -168,7 +206,11 @@
     /// The next target of the round. Each peer is probed once before any is probed again, which
     /// bounds the detection time.
     fn next_target(&mut self) -> Option<Incarnation> {
-        let cross_region = self.probes.periods % u64::from(self.cfg.cross_region_every.max(1)) == 0;
+        let every = match self.probes.is_mass_failure() {
+            true => MASS_FAILURE_CROSS_REGION_EVERY,
+            false => self.cfg.cross_region_every.max(1).into(),
+        };
+        let cross_region = self.probes.periods % every == 0;
         self.next_of_round(cross_region)
             .or_else(|| self.next_of_round(!cross_region))
     }
@@ -208,7 +250,7 @@
     /// Pings a contact: in every period while there is no peer to probe, and occasionally later, so
     /// that groups that started separately discover each other.
     fn ping_contact(&mut self) {
-        let has_no_target = self.probes.current.is_none();
+        let has_no_target = self.probes.current.is_empty();
         let len = self.contacts.len() as u64;
         if len == 0 || !(has_no_target || self.probes.periods % RECONNECT_EVERY == 0) {
             return;
@@ -297,14 +339,7 @@
         if addr == sender.instance.addr {
             self.resolve_addr(now, sender);
         }
-        if self
-            .probes
-            .current
-            .as_ref()
-            .is_some_and(|probe| probe.seq == seq)
-        {
-            self.probes.current = None;
-        }
+        self.probes.current.retain(|probe| probe.seq != seq);
         self.on_check_ack(now, seq);
     }
 
