Put a peer's rules in force as soon as the last node has reported

Found while reading the change: when a newer state arrived, the node waited for the next round of queries, up to half a second, although nothing was missing, and event=catch_up could read unconfirmed=0 while a newer announced version was still waited for. It has the announced version now.

Comments are wrapped.

--- a/crates/engine/src/catch_up.rs
+++ b/crates/engine/src/catch_up.rs
@@ -37,8 +37,8 @@
     /// The newest version that any node has announced. The announcing node may have restarted since,
     /// and would report an older one.
     newest_announced: u64,
-    /// The number of missing nodes when that was last logged.
-    logged_missing: Option<usize>,
+    /// What was last logged.
+    logged: Option<Diagnostic>,
 }
 
 impl Engine {
@@ -46,7 +46,7 @@
     pub(crate) fn begin_catch_up(&mut self, now: Time, from: SocketAddr) {
         let version = self.journal.rules_version;
         self.record_rules_version(from, version);
-        self.catch_up.due.get_or_insert(now);
+        self.catch_up.due = Some(now);
     }
 
     /// Takes a report of a rules version. Returns whether it answers a query of this module.
@@ -76,7 +76,7 @@
 
     /// The other nodes that may hold newer rules: those that have not reported a version, or have
     /// reported a newer one.
-    pub(crate) fn unconfirmed_nodes(&self) -> IndexSet<SocketAddr> {
+    fn unconfirmed_nodes(&self) -> IndexSet<SocketAddr> {
         let listed = self.journal.instances().map(|instance| instance.addr);
         let peers = self.members.peers();
         let running = peers.filter(|peer| peer.state != PeerState::Dead);
@@ -115,11 +115,14 @@
             return;
         }
         let missing = self.unconfirmed_nodes().len();
-        if self.catch_up.logged_missing.replace(missing) != Some(missing) {
-            self.outputs.push(Output::Diagnostic(Diagnostic::CatchUp {
-                rules: self.journal.rules_version,
-                unconfirmed: missing,
-            }));
+        let progress = Diagnostic::CatchUp {
+            rules: self.journal.rules_version,
+            announced: self.catch_up.newest_announced,
+            unconfirmed: missing,
+        };
+        if self.catch_up.logged.as_ref() != Some(&progress) {
+            self.catch_up.logged = Some(progress.clone());
+            self.outputs.push(Output::Diagnostic(progress));
         }
         if missing > 0 || self.catch_up.newest_announced > self.journal.rules_version {
             return;
--- a/crates/engine/src/diagnostic.rs
+++ b/crates/engine/src/diagnostic.rs
@@ -191,13 +191,14 @@
         /// Whether this node's rules had been in force before.
         was_synced: bool,
     },
-    /// The number of nodes changed that may hold newer rules than those that this node adopted from
-    /// a peer while the store does not answer.
+    /// The progress of a node that has adopted the rules of a peer while the store does not answer,
+    /// and waits until no other node may hold newer ones.
     CatchUp {
         /// The version of the rules now held.
         rules: u64,
-        /// Nodes that have not reported a version, or have reported a newer one. At zero, the rules
-        /// are put in force.
+        /// The newest version that any node has announced.
+        announced: u64,
+        /// Nodes that have not reported a version, or have reported a newer one.
         unconfirmed: usize,
     },
     /// The state of another node changed.
@@ -371,9 +372,14 @@
                 "event=state_adopted from={from} rules={rules} next_offset={next_offset} \
                  was_synced={was_synced}"
             ),
-            Diagnostic::CatchUp { rules, unconfirmed } => {
-                write!(f, "event=catch_up rules={rules} unconfirmed={unconfirmed}")
-            }
+            Diagnostic::CatchUp {
+                rules,
+                announced,
+                unconfirmed,
+            } => write!(
+                f,
+                "event=catch_up rules={rules} announced={announced} unconfirmed={unconfirmed}"
+            ),
             Diagnostic::Peer {
                 incarnation,
                 addr,
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -34,8 +34,10 @@
 /// How many periods a node probes more often after there were that many suspects.
 const MASS_FAILURE_PERIODS: u64 = 10;
 
-/// Probes in each of these periods, and one in how many periods probes another region.
+/// Number of peers that are probed in each of these periods.
 const MASS_FAILURE_PROBES: usize = 2;
+
+/// One in this many of these periods probes another region.
 const MASS_FAILURE_CROSS_REGION_EVERY: u64 = 2;
 
 /// A probe that waits for its ack.
@@ -56,7 +58,7 @@
     seq: u64,
     /// The probes of this period.
     current: Vec<Probe>,
-    /// Up to this period, more peers are probed.
+    /// Before this period, peers are probed more often.
     mass_failure_until: u64,
     /// The remaining targets of the current rounds, in random order.
     same_region: Vec<Incarnation>,
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -69,8 +69,8 @@
         Diagnostic::Refused { .. }
         | Diagnostic::QuotaRefused(_)
         | Diagnostic::HandedOver { .. } => false,
-        // Changes of shared state, of peers, the own backend server and the trust in API keys are rare, so
-        // these lines are not limited.
+        // Changes of shared state, of peers, the own backend server and the trust in API keys are
+        // rare, so these lines are not limited.
         Diagnostic::StateAdopted { .. }
         | Diagnostic::CatchUp { .. }
         | Diagnostic::Peer { .. }
--- a/crates/once/src/effect.rs
+++ b/crates/once/src/effect.rs
@@ -56,8 +56,8 @@
     /// The time during which this key starts no run after a refusal is over. Calls with this key
     /// that were held must begin again.
     RefusalHoldEnded(KeyHash),
-    /// A run on another node has ended, or this node no longer learns of its end, because the slot has
-    /// moved on. Calls that wait for it must begin again.
+    /// A run on another node has ended, or this node no longer learns of its end, because the slot
+    /// has moved on. Calls that wait for it must begin again.
     RemoteRunEnded(KeyHash),
     /// Remove this queued run from the queue, because its slot moves away. It did not run.
     CancelQueued(KeyHash),
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -23,8 +23,8 @@
 /// if some of it runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Lane {
-    /// Protected work under a rate limit that only this instance may run, by deadline. All other work may be
-    /// sent to other instances.
+    /// Protected work under a rate limit that only this instance may run, by deadline. All other
+    /// work may be sent to other instances.
     OnlyHere,
     /// Calls of actions already admitted at their entry node, by deadline.
     Admitted,
--- a/crates/policy/src/rate_limiter.rs
+++ b/crates/policy/src/rate_limiter.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 use stdx::Time;
 
-/// The time in which an empty bucket fills up under a low limit. A server names its limit by the second, so that is
-/// the span over which uneven arrivals are evened out.
+/// The time in which an empty bucket fills up under a low limit. A server names its limit by the
+/// second, so that is the span over which uneven arrivals are evened out.
 const FILL_TIME: Duration = Duration::from_secs(1);
 
 /// The most requests that may be sent at once. A server may lower its limit right after a burst, so
