Check a node's server as soon as a peer's rules are in force

The health check of the own server, which is sent when rules are applied, needs rules in force, so it waited for the next heartbeat, and the server got no work until then. Each node that started was affected.

Result: a test with and without shared store reads failed and passes.

--- a/crates/engine/src/catch_up.rs
+++ b/crates/engine/src/catch_up.rs
@@ -52,6 +52,7 @@
     /// Takes a report of a rules version. Returns whether it answers a query of this module.
     pub(crate) fn on_rules_version_report(
         &mut self,
+        now: Time,
         from: SocketAddr,
         request_id: u64,
         version: u64,
@@ -60,7 +61,7 @@
             return false;
         }
         self.record_rules_version(from, version);
-        self.finish_catch_up();
+        self.finish_catch_up(now);
         true
     }
 
@@ -106,11 +107,11 @@
         for to in self.unconfirmed_nodes() {
             self.send_freshness(to, FreshnessMessage::Query { request_id });
         }
-        self.finish_catch_up();
+        self.finish_catch_up(now);
     }
 
     /// Puts the rules in force if no other node may hold newer ones.
-    fn finish_catch_up(&mut self) {
+    fn finish_catch_up(&mut self, now: Time) {
         if self.log.synced || self.catch_up.due.is_none() {
             return;
         }
@@ -129,6 +130,8 @@
         }
         self.log.synced = true;
         self.catch_up.due = None;
+        // Without rules in force, the server was not checked when it announced itself.
+        self.request_health_check(now);
         self.on_caught_up_from_peers();
     }
 }
--- a/crates/engine/src/fetch.rs
+++ b/crates/engine/src/fetch.rs
@@ -220,6 +220,7 @@
         match change {
             Change::Restored => {
                 let was_synced = self.log.synced;
+                self.log.synced |= self.cfg.shared_store_reads;
                 self.outputs
                     .push(Output::Diagnostic(Diagnostic::StateAdopted {
                         from,
@@ -228,13 +229,9 @@
                         was_synced,
                     }));
                 self.on_state_restored(now);
-                if self.log.synced {
-                    self.on_caught_up_from_peers();
-                } else if self.cfg.shared_store_reads {
-                    self.log.synced = true;
-                    self.on_caught_up_from_peers();
-                } else {
-                    self.begin_catch_up(now, from);
+                match self.log.synced {
+                    true => self.on_caught_up_from_peers(),
+                    false => self.begin_catch_up(now, from),
                 }
             }
             Change::Invalid => self.count(Counter::MalformedRecord),
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -105,7 +105,7 @@
                 age_ms,
             } => {
                 let is_catch_up_report =
-                    self.on_rules_version_report(from, request_id, rules_version);
+                    self.on_rules_version_report(now, from, request_id, rules_version);
                 if rules_version > self.journal.rules_version {
                     // The evidence is for newer rules than this node has.
                     let theirs = SyncProgress {
--- a/crates/engine/tests/announced.rs
+++ b/crates/engine/tests/announced.rs
@@ -78,6 +78,10 @@
 }
 
 fn node_without_rules(parse_rules: journal::ParseRules) -> Engine {
+    node_without_rules_from(parse_rules, false)
+}
+
+fn node_without_rules_from(parse_rules: journal::ParseRules, shared_store_reads: bool) -> Engine {
     let instance = Instance {
         incarnation: proto::Incarnation(1),
         service: "press".into(),
@@ -89,6 +93,7 @@
         parse_rules,
         keyless_calls: KeylessCalls::OwnedByIngress,
         server_announces: true,
+        shared_store_reads,
         ..Config::default()
     };
     Engine::new(cfg, instance)
@@ -414,3 +419,25 @@
     };
     assert_eq!(health_checks(engine.handle(at(1), version)), ["a /health"]);
 }
+
+/// A node gets its rules from a peer after its server's first heartbeat. If the server were asked
+/// only after the next heartbeat, it would get no work until then.
+#[test]
+fn server_is_checked_as_soon_as_a_peer_has_sent_the_rules() {
+    let peer = node_with(parse_with_check);
+    let known = proto::SyncProgress::default();
+    let state = peer.state_newer_than(known).unwrap();
+    for shared_store_reads in [true, false] {
+        let mut engine = node_without_rules_from(parse_with_check, shared_store_reads);
+        let before = health_checks(engine.handle(at(0), heartbeat("a", 1, 1, false)));
+        assert!(before.is_empty());
+        let from = ([127, 0, 0, 1], 7002).into();
+        let state = state.clone();
+        let fetched = Input::StateFetched { from, state };
+        assert_eq!(
+            health_checks(engine.handle(at(1), fetched)),
+            ["a /health"],
+            "shared_store_reads={shared_store_reads}"
+        );
+    }
+}
