Lend no quota tokens by rules that are not in force

A node that holds them back refuses requests, but lent the tokens of organisations by their quotas, and took votes as a lender. After a quota was lowered, a node restarted in an outage could lend by the former one.

Evidence: a test over one engine. A node that waits for the version of node 3 answers a borrower with a stamp, which invites its vote (1 in place of 0).

Change: as while it stops, such a node answers that it does not lend. The borrower elects another lender and keeps its vote.

Other decisions on the same belief: health checks, readiness, runs and requests all ask for rules in force; leases need the views of the store itself; the trust in API keys needs evidence of its own.

--- a/crates/engine/src/catch_up.rs
+++ b/crates/engine/src/catch_up.rs
@@ -110,6 +110,11 @@
         self.finish_catch_up(now);
     }
 
+    /// Whether rules are held here that are not in force yet.
+    pub(crate) fn holds_rules_back(&self) -> bool {
+        !self.log.synced && self.journal.rules_version > 0
+    }
+
     /// Puts the rules in force if no other node may hold newer ones.
     fn finish_catch_up(&mut self, now: Time) {
         if self.log.synced || self.catch_up.due.is_none() {
--- a/crates/engine/src/quota/loans.rs
+++ b/crates/engine/src/quota/loans.rs
@@ -108,7 +108,7 @@
         vote_stamp: u64,
         wanted: &[TokenDemand],
     ) -> (u64, Vec<Loan>) {
-        if self.stopping {
+        if self.stopping || self.holds_rules_back() {
             return (0, Vec::new());
         }
         let voters = self.quota.voters;
--- a/crates/engine/tests/log/driver.rs
+++ b/crates/engine/tests/log/driver.rs
@@ -11,6 +11,7 @@
 use proto::Incarnation;
 use proto::Instance;
 use proto::Outcome;
+use proto::QuotaMessage;
 use proto::SyncProgress;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,6 +42,8 @@
     pub fetches: Vec<(SocketAddr, SyncProgress)>,
     /// Queries for the rules version of other nodes: the address and the id of the query.
     pub version_queries: Vec<(SocketAddr, u64)>,
+    /// The stamps of this node's answers to nodes that borrow quota tokens.
+    pub lender_stamps: Vec<u64>,
     pub answers: Vec<Outcome>,
 }
 
@@ -60,6 +63,7 @@
             read_requests: 0,
             fetches: Vec::new(),
             version_queries: Vec::new(),
+            lender_stamps: Vec::new(),
             answers: Vec::new(),
         }
     }
@@ -89,6 +93,14 @@
                             ..
                         },
                 } => self.version_queries.push((to, request_id)),
+                Output::Datagram {
+                    datagram:
+                        Datagram::Quota {
+                            message: QuotaMessage::Lend { stamp, .. },
+                            ..
+                        },
+                    ..
+                } => self.lender_stamps.push(stamp),
                 Output::Answer { outcome, .. } => self.answers.push(outcome),
                 Output::ReadLog => self.read_requests += 1,
                 Output::Stopped => self.stopped = true,
--- a/crates/engine/tests/log/outage.rs
+++ b/crates/engine/tests/log/outage.rs
@@ -12,6 +12,7 @@
 use proto::FreshnessMessage;
 use proto::MemberMessage;
 use proto::Outcome;
+use proto::QuotaMessage;
 use proto::Reason;
 use proto::Request;
 use proto::SyncProgress;
@@ -192,6 +193,37 @@
     assert_eq!(request_refusal(&mut driver), None);
 }
 
+/// A node that holds a peer's rules back has the quotas of these rules. If it lent tokens by them, an
+/// organisation whose quota was lowered could go on to use the former one.
+#[test]
+fn a_node_lends_no_quota_tokens_by_rules_that_are_not_in_force() {
+    let mut peer = node_with_rules(2, 1);
+    peer.read_record(&Record::Join(instance(3)));
+    let mut driver = node_in_outage(&[2]);
+    let borrow = || Input::Datagram {
+        from: instance(2).addr,
+        datagram: Datagram::Quota {
+            version: PROTOCOL_VERSION,
+            message: QuotaMessage::Borrow {
+                from: instance(2).incarnation,
+                to: instance(1).incarnation,
+                group: 0,
+                request_id: 1,
+                vote_stamp: 0,
+                wanted: Vec::new(),
+            },
+        },
+    };
+    let state = peer.engine.state_newer_than(SyncProgress::default());
+    driver.feed(state_fetched(2, state.unwrap()));
+    driver.feed(borrow());
+    assert_eq!(driver.lender_stamps, [0], "no votes are accepted");
+    let (_, request_id) = *driver.version_queries.last().unwrap();
+    driver.feed(version_report(3, request_id, 1));
+    driver.feed(borrow());
+    assert_ne!(driver.lender_stamps[1], 0);
+}
+
 /// Two nodes restart at the same time in an outage, and a third one that holds newer rules cannot
 /// be reached. If the two confirmed each other's rules, both would run orders under outdated ones.
 #[test]
