Bound the queries and log lines of a node that waits for others

Found by reading the change again, for 700 nodes: a node that waits queried every missing node twice a second, for the length of an outage. If 350 nodes restart and 350 do not answer, each sends 700 datagrams a second. Each report also wrote a line, up to one for every node at a start.

Change: at most 64 nodes are queried at once, in turn, so 128 a second. The progress is logged once a round, and at the end.

--- a/crates/engine/src/catch_up.rs
+++ b/crates/engine/src/catch_up.rs
@@ -24,6 +24,10 @@
 /// Interval between two queries to a node that has not reported its rules version.
 const QUERY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Maximum number of nodes that are queried at once, which bounds the traffic while a large part of a
+/// fleet does not answer.
+const MAX_QUERIES: usize = 64;
+
 /// The rules versions that other nodes have reported since this process started.
 #[derive(Debug, Default)]
 pub(crate) struct CatchUp {
@@ -37,6 +41,8 @@
     /// The newest version that any node has announced. The announcing node may have restarted since,
     /// and would report an older one.
     newest_announced: u64,
+    /// The number of nodes queried so far.
+    queried: usize,
     /// What was last logged.
     logged: Option<Diagnostic>,
 }
@@ -95,7 +101,9 @@
     /// Queries the nodes that have not reported, if that is due.
     pub(crate) fn catch_up_if_due(&mut self, now: Time) {
         if self.log.synced {
-            self.catch_up.due = None;
+            if self.catch_up.due.is_some() {
+                self.catch_up = CatchUp::default();
+            }
             return;
         }
         if self.catch_up.due.is_none_or(|due| due > now) {
@@ -104,7 +112,17 @@
         self.catch_up.due = Some(now + QUERY_INTERVAL);
         let rng = &mut self.rng;
         let request_id = *self.catch_up.request_id.get_or_insert_with(|| rng.random());
-        for to in self.unconfirmed_nodes() {
+        let missing = self.unconfirmed_nodes();
+        self.log_catch_up(missing.len());
+        let first = self
+            .catch_up
+            .queried
+            .checked_rem(missing.len())
+            .unwrap_or(0);
+        let next = missing.iter().cycle().skip(first);
+        let next: Vec<_> = next.take(missing.len().min(MAX_QUERIES)).copied().collect();
+        self.catch_up.queried += next.len();
+        for to in next {
             self.send_freshness(to, FreshnessMessage::Query { request_id });
         }
         self.finish_catch_up(now);
@@ -120,23 +138,27 @@
         if self.log.synced || self.catch_up.due.is_none() {
             return;
         }
-        let missing = self.unconfirmed_nodes().len();
+        let is_outdated = self.catch_up.newest_announced > self.journal.rules_version;
+        if is_outdated || !self.unconfirmed_nodes().is_empty() {
+            return;
+        }
+        self.log_catch_up(0);
+        self.log.synced = true;
+        self.catch_up = CatchUp::default();
+        // Without rules in force, the server was not checked when it announced itself.
+        self.request_health_check(now);
+        self.on_caught_up_from_peers();
+    }
+
+    fn log_catch_up(&mut self, unconfirmed: usize) {
         let progress = Diagnostic::CatchUp {
             rules: self.journal.rules_version,
             announced: self.catch_up.newest_announced,
-            unconfirmed: missing,
+            unconfirmed,
         };
         if self.catch_up.logged.as_ref() != Some(&progress) {
             self.catch_up.logged = Some(progress.clone());
             self.outputs.push(Output::Diagnostic(progress));
         }
-        if missing > 0 || self.catch_up.newest_announced > self.journal.rules_version {
-            return;
-        }
-        self.log.synced = true;
-        self.catch_up.due = None;
-        // Without rules in force, the server was not checked when it announced itself.
-        self.request_health_check(now);
-        self.on_caught_up_from_peers();
     }
 }
--- a/crates/engine/tests/log/outage.rs
+++ b/crates/engine/tests/log/outage.rs
@@ -17,6 +17,7 @@
 use proto::Request;
 use proto::SyncProgress;
 use proto::PROTOCOL_VERSION;
+use std::collections::HashSet;
 use std::time::Duration;
 
 const RULES: &str =
@@ -224,6 +225,23 @@
     assert_ne!(driver.lender_stamps[1], 0);
 }
 
+/// A node restarts in a large fleet, most of which does not answer. Queries to all of them twice
+/// a second would exceed what a node may send.
+#[test]
+fn queries_to_missing_nodes_are_bounded_and_reach_each_of_them() {
+    let mut peer = node_with_rules(2, 1);
+    for n in 3..=132 {
+        peer.read_record(&Record::Join(instance(n)));
+    }
+    let mut driver = node_in_outage(&[2]);
+    let state = peer.engine.state_newer_than(SyncProgress::default());
+    driver.feed(state_fetched(2, state.unwrap()));
+    driver.advance(Duration::from_secs(10));
+    let queried: HashSet<_> = driver.version_queries.iter().map(|(to, _)| *to).collect();
+    assert_eq!(queried.len(), 130);
+    assert!(driver.version_queries.len() <= 64 * 21);
+}
+
 /// Two nodes restart at the same time in an outage, and a third one that holds newer rules cannot
 /// be reached. If the two confirmed each other's rules, both would run orders under outdated ones.
 #[test]
