Do not take packet loss in a large fleet for a mass failure

Found by reading the change again, for fleets of hundreds: three suspects counted as a mass failure in a fleet of any size.

The mode that adds was on all the time. With 5% loss, and at 24 machines, nothing differed.

Change: one in twelve peers has to be a suspect, and three at least.

A test under loss failed (11,863 suspicions where one probe a second makes 8,815 and 1.3 times that is allowed) and passes; the others of the file are unchanged.

--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -27,9 +27,11 @@
 /// Once in this many periods a contact, and once a dead peer, is pinged in addition to the probe.
 const RECONNECT_EVERY: u64 = 8;
 
-/// With this many suspects at once, a cause that machines share is likely, such as the loss of a
-/// region.
-const MASS_FAILURE_SUSPECTS: usize = 3;
+/// With one suspect in this many peers, and with this many at least, a cause that machines share is
+/// likely, such as the loss of a region. Packet loss makes fewer peers suspects at a time, and more
+/// probes would then only make more of them.
+const MASS_FAILURE_DIVISOR: usize = 12;
+const MIN_MASS_FAILURE_SUSPECTS: usize = 3;
 
 /// How many periods a node probes more often after there were that many suspects.
 const MASS_FAILURE_PERIODS: u64 = 10;
@@ -119,7 +121,8 @@
         }
         self.conclude_probes(now);
         self.probes.periods += 1;
-        if self.suspects.len() >= MASS_FAILURE_SUSPECTS {
+        let share = self.peers.len() / MASS_FAILURE_DIVISOR;
+        if self.suspects.len() >= share.max(MIN_MASS_FAILURE_SUSPECTS) {
             self.probes.mass_failure_until = self.probes.periods + MASS_FAILURE_PERIODS;
         }
         // Without jitter, nodes that started together would keep probing at the same time.
--- a/crates/membership/tests/mass_loss.rs
+++ b/crates/membership/tests/mass_loss.rs
@@ -101,6 +101,28 @@
     }
 }
 
+/// A tenth of all packets is lost, so that some peers are always suspects. If nodes took that for a
+/// mass failure and probed more, they would suspect more live peers.
+#[test]
+fn packet_loss_is_not_taken_for_a_mass_failure() {
+    const SECS: u64 = 30;
+    let nodes = 195;
+    let mut fleet = fleet(nodes);
+    let suspicions = |fleet: &Fleet| fleet.nodes.iter().map(|node| node.suspected).sum::<u32>();
+    let before = suspicions(&fleet);
+    fleet.loss_rate = 0.1;
+    fleet.run(Duration::from_secs(SECS));
+    // Each node probes once a second. A probe fails if the ping or its ack is lost, and so is one of
+    // the four datagrams of each of three indirect probes. All nodes learn of the suspicion.
+    let failed = (1.0 - 0.9_f64.powi(2)) * (1.0 - 0.9_f64.powi(4)).powi(3);
+    let expected = (nodes * nodes) as f64 * SECS as f64 * failed;
+    let suspicions = f64::from(suspicions(&fleet) - before);
+    assert!(
+        suspicions <= expected * 1.3,
+        "{suspicions} where {expected} are expected"
+    );
+}
+
 /// All machines start at the same time, and each knows a few addresses. A node that does not know a
 /// server for long sends it no calls, and its callers queue for fewer servers.
 #[test]
