--- a/review/support/support.rs
+++ b/review/support/support.rs
@@ -82,12 +82,30 @@
     }
 }
 
-/// Ends the case because it could not run.
+/// The ids of the processes that were started and have not been waited for.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// How long a case may take.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
+
+/// Ends the case because it could not run, and the processes that it started.
 pub fn give_up(why: &str) -> ! {
     eprintln!("could not run: {why}");
+    let children = CHILDREN.lock().unwrap();
+    for id in children.iter() {
+        unsafe { sys::kill(*id as i32, SIGKILL) };
+    }
     std::process::exit(COULD_NOT_RUN);
 }
 
+/// Ends a case that takes too long.
+pub fn limit_time() {
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        give_up("time limit");
+    });
+}
+
 /// A process that is killed when dropped.
 pub struct Process {
     child: Child,
@@ -101,12 +119,19 @@
     }
 
     pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+        let mut children = CHILDREN.lock().unwrap();
+        let has_ended = matches!(self.child.try_wait(), Ok(Some(_)));
+        if has_ended {
+            children.retain(|id| *id != self.child.id());
+        }
+        has_ended
     }
 
     pub fn kill(&mut self) {
+        let mut children = CHILDREN.lock().unwrap();
         let _ = self.child.kill();
         let _ = self.child.wait();
+        children.retain(|id| *id != self.child.id());
     }
 }
 
@@ -125,6 +150,7 @@
         .stderr(Stdio::inherit())
         .spawn();
     let mut child = child.unwrap_or_else(|e| give_up(&format!("{}: {e}", program.display())));
+    CHILDREN.lock().unwrap().push(child.id());
     let mut output = BufReader::new(child.stdout.take().unwrap());
     let process = Process { child, name: name.to_owned() };
     let mut line = String::new();
@@ -319,6 +345,14 @@
 pub struct Reply {
     pub takes: Duration,
     pub body: Vec<u8>,
+    /// Bytes that a faulty server sends this long after the complete response.
+    pub additional: Option<(Duration, Vec<u8>)>,
+}
+
+impl Reply {
+    pub fn new(takes: Duration, body: Vec<u8>) -> Self {
+        Self { takes, body, additional: None }
+    }
 }
 
 type Handler = dyn Fn(&Request) -> Reply + Send + Sync;
@@ -380,19 +414,30 @@
     }
 
     /// Serves one connection, one request at a time.
-    fn serve(&self, stream: TcpStream) {
+    fn serve(self: &Arc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(writer) = stream.try_clone() else { return };
+        let writer = Arc::new(Mutex::new(writer));
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
-            let response = self.answer(&request);
-            if writer.write_all(&response).is_err() {
+            let (response, additional) = self.answer(&request);
+            if writer.lock().unwrap().write_all(&response).is_err() {
                 return;
             }
+            if let Some((delay, bytes)) = additional {
+                let (server, writer, id) = (self.clone(), writer.clone(), request.id().to_owned());
+                thread::spawn(move || {
+                    thread::sleep(delay);
+                    if writer.lock().unwrap().write_all(&bytes).is_ok() {
+                        let text = format!("server {} sent additional bytes after the answer to {id}", server.id);
+                        server.record.line(&text);
+                    }
+                });
+            }
         }
     }
 
-    fn answer(&self, request: &Request) -> Vec<u8> {
+    fn answer(&self, request: &Request) -> (Vec<u8>, Option<(Duration, Vec<u8>)>) {
         let id = request.id();
         let load = format!("{},0,{}", self.running.load(Ordering::SeqCst), self.slots);
         let mut head = format!(
@@ -407,12 +452,14 @@
                 true => "503 Draining",
                 false => "200 OK",
             };
-            return format!("HTTP/1.1 {status}\r\n{head}content-length: 0\r\n\r\n").into_bytes();
+            let response = format!("HTTP/1.1 {status}\r\n{head}content-length: 0\r\n\r\n");
+            return (response.into_bytes(), None);
         }
         let expected = request.headers.get("x-bilberrycove-expect-instance");
         if expected.is_some_and(|expected| *expected != self.id) {
             let not_run = "x-bilberrycove-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
-            return format!("HTTP/1.1 421 Misdirected\r\n{head}{not_run}").into_bytes();
+            let response = format!("HTTP/1.1 421 Misdirected\r\n{head}{not_run}");
+            return (response.into_bytes(), None);
         }
         self.running.fetch_add(1, Ordering::SeqCst);
         self.runs.lock().unwrap().push(id.to_owned());
@@ -426,7 +473,7 @@
         let mut response =
             format!("HTTP/1.1 200 OK\r\n{head}{signature}content-length: {len}\r\n\r\n").into_bytes();
         response.extend_from_slice(&reply.body);
-        response
+        (response, reply.additional)
     }
 
     fn send_heartbeats(&self, control: SocketAddr) {
@@ -599,6 +646,25 @@
     ReadEnd::Complete
 }
 
+/// Sends requests of this kind to a machine until one is answered with 200.
+pub fn wait_until_served(machine: &Machine, method: &str, host: &str, path: &str) {
+    let started = Instant::now();
+    for n in 0.. {
+        let id = format!("first-{}-{n}", machine.ip);
+        let headers = [("x-bilberrycove-request-id", &*id), ("x-bilberrycove-deadline-ms", "5000")];
+        let timeout = Duration::from_secs(5);
+        let outbound = machine.outbound();
+        let response = exchange_with_host(outbound, host, method, path, &headers, b"", timeout);
+        if response.is_some_and(|response| response.status == 200) {
+            return;
+        }
+        if started.elapsed() > START_TIMEOUT {
+            give_up("no request is served");
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
 /// A temporary folder that is removed when dropped.
 pub struct TempFolder(pub PathBuf);
 
