--- a/review/support/support.rs
+++ b/review/support/support.rs
@@ -194,6 +194,105 @@
     }
 }
 
+/// The store as one machine reaches it: it serves the machine, or turns it away with status 503.
+pub struct StoreGate {
+    pub addr: SocketAddr,
+    rejects: AtomicBool,
+    /// Reads that wait for new records at this moment.
+    waiting_reads: AtomicU64,
+    record: Arc<Record>,
+    name: String,
+}
+
+impl StoreGate {
+    /// Listens on a free port of `ip` and passes calls on to the store at `store`.
+    pub fn start(ip: &str, name: &str, store: SocketAddr, record: &Arc<Record>) -> Arc<Self> {
+        let listener = TcpListener::bind((ip, 0));
+        let listener = listener.unwrap_or_else(|e| give_up(&format!("{ip}: {e}")));
+        let gate = Arc::new(Self {
+            addr: listener.local_addr().unwrap(),
+            rejects: AtomicBool::new(false),
+            waiting_reads: AtomicU64::new(0),
+            record: record.clone(),
+            name: name.to_owned(),
+        });
+        let accepting = gate.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let gate = accepting.clone();
+                thread::spawn(move || gate.serve(stream, store));
+            }
+        });
+        gate
+    }
+
+    /// Turns the machine away from now on, also its calls in progress, or serves it again.
+    pub fn set_rejecting(&self, rejects: bool) {
+        self.rejects.store(rejects, Ordering::SeqCst);
+        let what = if rejects { "turns away" } else { "serves" };
+        self.record.line(&format!("the store {what} {}", self.name));
+    }
+
+    /// Whether the machine waits for new records.
+    pub fn has_waiting_read(&self) -> bool {
+        self.waiting_reads.load(Ordering::SeqCst) > 0
+    }
+
+    fn serve(&self, stream: TcpStream, store: SocketAddr) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = read_request(&mut reader) {
+            let is_read = request.path.contains("/log-read") && request.path.contains("wait_ms=10000");
+            self.waiting_reads.fetch_add(u64::from(is_read), Ordering::SeqCst);
+            let response = self.forward(&request, store);
+            self.waiting_reads.fetch_sub(u64::from(is_read), Ordering::SeqCst);
+            if response.is_none_or(|response| writer.write_all(&response).is_err()) {
+                return;
+            }
+        }
+    }
+
+    /// The response of the store, or a refusal as soon as the machine is turned away.
+    fn forward(&self, request: &Request, store: SocketAddr) -> Option<Vec<u8>> {
+        const POLL_INTERVAL: Duration = Duration::from_millis(20);
+        let refused = || {
+            let path = &request.path;
+            self.record.line(&format!("the store answers {} {path} of {} with 503", request.method, self.name));
+            Some(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n".to_vec())
+        };
+        if self.rejects.load(Ordering::SeqCst) {
+            return refused();
+        }
+        let mut upstream = TcpStream::connect(store).ok()?;
+        let host = store.to_string();
+        let bytes = encode_request(&request.method, &request.path, &host, &[], &request.body);
+        upstream.write_all(&bytes).ok()?;
+        upstream.set_read_timeout(Some(POLL_INTERVAL)).ok()?;
+        let mut first = [0];
+        loop {
+            match upstream.peek(&mut first) {
+                Ok(0) => return None,
+                Ok(_) => break,
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => return None,
+            }
+            if self.rejects.load(Ordering::SeqCst) {
+                return refused();
+            }
+        }
+        upstream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+        let mut reader = BufReader::new(upstream);
+        let (status, headers) = read_response_head(&mut reader)?;
+        let len = headers.get("content-length").and_then(|len| len.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; len];
+        reader.read_exact(&mut body).ok()?;
+        let mut response = format!("HTTP/1.1 {status} x\r\ncontent-length: {len}\r\n\r\n").into_bytes();
+        response.extend_from_slice(&body);
+        Some(response)
+    }
+}
+
 /// A loopback network of its own for each run, so that runs do not share addresses.
 pub fn machine_ip(n: u8) -> String {
     let pid = std::process::id();
