--- a/review/4/driver.rs
+++ b/review/4/driver.rs
@@ -1,5 +1,5 @@
-//! A faulty server sends the refusal of a request twice. The second copy arrives late, where the
-//! answer to the next request on the connection is expected.
+//! The store is silent for two seconds soon after a new version of the configuration. The version
+//! after that is in force late.
 
 #[path = "../support-2/mod.rs"]
 mod support;
@@ -21,129 +21,82 @@
 use support::Store;
 use support::WorkDir;
 
-/// Requests per second of all clients together, and for how long.
-const RATE: u32 = 100;
-const LOAD_TIME: Duration = Duration::from_secs(40);
-
-/// The rate of requests that a server runs, and how many it runs at once after a pause. It refuses
-/// the others.
-const RUNS_PER_SECOND: f64 = 45.0;
-const MAX_BURST: f64 = 4.0;
-
-const WORK_TIME: Duration = Duration::from_millis(50);
+/// The machines: name, zone and service.
+const MACHINES: [(&str, &str, &str); 6] = [
+    ("entry-1", "zone-a", "order"),
+    ("old-1", "zone-a", "press"),
+    ("new-1", "zone-a", "atelier"),
+    ("entry-2", "zone-b", "order"),
+    ("old-2", "zone-b", "press"),
+    ("new-2", "zone-b", "atelier"),
+];
+const SERVICES: [&str; 2] = ["press", "atelier"];
+
+/// After the first change of the configuration: the silence of the store, the second change, and the
+/// end of the load.
+const SILENT_AFTER: Duration = Duration::from_millis(300);
+const SILENT_TIME: Duration = Duration::from_secs(2);
+const SECOND_CHANGE_AFTER: Duration = Duration::from_millis(5500);
+const LOAD_TIME: Duration = Duration::from_secs(15);
+
+/// `config_apply_s` and `contact_s`.
+const CONFIG_APPLY: Duration = Duration::from_millis(2500);
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Requests per second through each of the two entry machines.
+const RATE: u32 = 20;
+
+const DEADLINE_MS: u32 = 4000;
+const WORK_TIME: Duration = Duration::from_millis(20);
 const SLOTS: u16 = 54;
 
-/// One answer in this many of the faulty server is sent twice: 2.9 %.
-const SECOND_ANSWER_EVERY: u32 = 34;
-
-const DEADLINE_MS: u32 = 5000;
-
-/// The refusal as the examples of the pages show it ("a server sheds").
-const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nX-Bilberrycove-Not-Executed: 1\r\n\
-                       Content-Length: 0\r\n\r\n";
-
-/// What the servers have run: the names of the servers, by request id.
-type Runs = Arc<Mutex<HashMap<String, Vec<&'static str>>>>;
-
-/// A server that runs a limited number of requests per second.
-struct Server {
-    id: &'static str,
-    /// Whether it sends some answers twice.
-    faulty: bool,
-    runs: Runs,
-    record: Record,
-    state: Mutex<ServerState>,
-}
+/// The service that ran each request.
+type Runs = Arc<Mutex<HashMap<String, &'static str>>>;
 
-struct ServerState {
-    /// How many requests it may run now, as of the time when it was last computed.
-    tokens: f64,
-    computed_at: Instant,
-    answers: u32,
-    second_answers: u32,
-    second_refusals: u32,
+fn start_server(machine: &Machine, record: &Record, runs: &Runs) -> Result<(), String> {
+    let listener = TcpListener::bind(machine.app_addr()).map_err(|e| e.to_string())?;
+    let zone = if machine.name.ends_with('1') {
+        "zone-a"
+    } else {
+        "zone-b"
+    };
+    support::send_heartbeats(machine, machine.name, zone, SLOTS);
+    let (name, service) = (machine.name, machine.service);
+    let (record, runs) = (record.clone(), runs.clone());
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (record, runs) = (record.clone(), runs.clone());
+            thread::spawn(move || serve(stream, name, service, &record, &runs));
+        }
+    });
+    Ok(())
 }
 
-impl Server {
-    fn start(machine: &Machine, server: Arc<Self>, zone: &'static str) -> Result<(), String> {
-        let listener = TcpListener::bind(machine.app_addr()).map_err(|e| e.to_string())?;
-        support::send_heartbeats(machine, server.id, zone, SLOTS);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let server = server.clone();
-                thread::spawn(move || server.serve(stream));
-            }
-        });
-        Ok(())
-    }
-
-    fn serve(&self, stream: TcpStream) -> Option<()> {
-        let _ = stream.set_nodelay(true);
-        let mut reader = BufReader::new(stream.try_clone().ok()?);
-        let mut writer = stream;
-        // A copy of the last answer that will be sent late.
-        let mut late_copy: Option<String> = None;
-        loop {
-            let head = support::read_head(&mut reader)?;
-            let mut body = vec![0; head.content_length()];
-            reader.read_exact(&mut body).ok()?;
-            if head.path() == "/healthz" {
-                let answer = support::health_answer(self.id);
-                writer.write_all(answer.as_bytes()).ok()?;
-                continue;
-            }
-            let id = head.request_id();
-            if let Some(copy) = late_copy.take() {
-                let status = &copy[9..12];
-                let server = self.id;
-                self.record.line(&format!(
-                    "server {server} sends a second answer {status}, ahead of the one to {id}"
-                ));
-                writer.write_all(copy.as_bytes()).ok()?;
-            }
-            let answer = match self.may_run() {
-                true => self.run(id),
-                false => REFUSAL.to_owned(),
-            };
-            if answer == REFUSAL {
-                self.record
-                    .line(&format!("server {} refuses {id}", self.id));
-            }
+fn serve(
+    stream: TcpStream,
+    name: &str,
+    service: &'static str,
+    record: &Record,
+    runs: &Runs,
+) -> Option<()> {
+    let _ = stream.set_nodelay(true);
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    let mut writer = stream;
+    loop {
+        let head = support::read_head(&mut reader)?;
+        let mut body = vec![0; head.content_length()];
+        reader.read_exact(&mut body).ok()?;
+        if head.path() == "/healthz" {
+            let answer = support::health_answer(name);
             writer.write_all(answer.as_bytes()).ok()?;
-            if self.is_sent_twice(&answer) {
-                late_copy = Some(answer);
-            }
+            continue;
         }
-    }
-
-    fn may_run(&self) -> bool {
-        let mut state = self.state.lock().unwrap();
-        let elapsed = state.computed_at.elapsed().as_secs_f64();
-        state.computed_at = Instant::now();
-        state.tokens = (state.tokens + elapsed * RUNS_PER_SECOND).min(MAX_BURST);
-        let may_run = state.tokens >= 1.0;
-        state.tokens -= f64::from(u8::from(may_run));
-        may_run
-    }
-
-    fn run(&self, id: &str) -> String {
-        self.record.line(&format!("server {} runs {id}", self.id));
-        let mut runs = self.runs.lock().unwrap();
-        runs.entry(id.to_owned()).or_default().push(self.id);
-        drop(runs);
+        let id = head.request_id();
+        record.line(&format!("{name} of {service} runs {id}"));
+        runs.lock().unwrap().insert(id.to_owned(), service);
         thread::sleep(WORK_TIME);
-        support::success_answer(id, "booked")
-    }
-
-    fn is_sent_twice(&self, answer: &str) -> bool {
-        let mut state = self.state.lock().unwrap();
-        state.answers += 1;
-        if !self.faulty || state.answers % SECOND_ANSWER_EVERY != 0 {
-            return false;
-        }
-        state.second_answers += 1;
-        state.second_refusals += u32::from(answer == REFUSAL);
-        true
+        let answer = support::success_answer(id, service);
+        writer.write_all(answer.as_bytes()).ok()?;
     }
 }
 
@@ -155,105 +108,123 @@
     support::call(addr, request.as_bytes(), limit).map(|answer| answer.status)
 }
 
+/// Sends bookings through both entry machines; returns when each was sent.
+fn send_load(entries: &[SocketAddr], record: &Record, until: Instant) -> HashMap<String, Instant> {
+    let interval = Duration::from_secs(1) / RATE;
+    let mut sent = HashMap::new();
+    let mut clients = Vec::new();
+    let mut number = 0_u64;
+    let began = Instant::now();
+    while Instant::now() < until {
+        for addr in entries.iter().copied() {
+            let id = format!("{:016x}", 0xb000_0000_0000_0000_u64 + number);
+            number += 1;
+            sent.insert(id.clone(), Instant::now());
+            let record = record.clone();
+            clients.push(thread::spawn(move || {
+                record.line(&format!("client sends {id} to {addr}"));
+                let answer = book(addr, &id);
+                record.line(&format!("client gets {answer:?} for {id}"));
+            }));
+        }
+        let due = began + interval * (number / entries.len() as u64) as u32;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    sent
+}
+
+fn config(version: u32, timeout_s: f64, target: &str) -> String {
+    support::config_version(version, "/book/", "unsafe", timeout_s, target, &SERVICES)
+}
+
 fn run() -> Result<bool, String> {
     let path = std::env::args().nth(1).ok_or("no path for the record")?;
     let record = Record::create(&path).map_err(|e| e.to_string())?;
     let trouble = support::with_trouble();
     record.line(&format!("trouble={trouble}"));
     let dir = WorkDir::create().map_err(|e| e.to_string())?;
-    let config = support::config("/book/", "unsafe", 5.0, "press");
-    let store = Store::start(&support::machine_ip(100), &config)?;
-    let entry = Machine::start(&dir.0, "entry", 1, "zone-a", "order", store.addr)?;
-    let press_1 = Machine::start(&dir.0, "press-1", 2, "zone-a", "press", store.addr)?;
-    let press_2 = Machine::start(&dir.0, "press-2", 3, "zone-b", "press", store.addr)?;
-    for machine in [&entry, &press_1, &press_2] {
-        machine.wait_until_ready()?;
+    let first = support::FIRST_VERSION;
+    let store = Store::start(&support::machine_ip(100), &config(first, 4.0, "press"))?;
+    let mut machines = Vec::new();
+    for (number, (name, zone, service)) in MACHINES.into_iter().enumerate() {
+        let number = number as u8 + 1;
+        machines.push(Machine::start(
+            &dir.0, name, number, zone, service, store.addr,
+        )?);
     }
     let runs = Runs::default();
-    let new_server = |id, faulty| {
-        Arc::new(Server {
-            id,
-            faulty,
-            runs: runs.clone(),
-            record: record.clone(),
-            state: Mutex::new(ServerState {
-                tokens: MAX_BURST,
-                computed_at: Instant::now(),
-                answers: 0,
-                second_answers: 0,
-                second_refusals: 0,
-            }),
-        })
-    };
-    let (faulty, sound) = (new_server("i-1", trouble), new_server("i-2", false));
-    Server::start(&press_1, faulty.clone(), "zone-a")?;
-    Server::start(&press_2, sound.clone(), "zone-b")?;
+    for machine in &machines {
+        machine.wait_until_ready()?;
+        start_server(machine, &record, &runs)?;
+    }
+    let entries: Vec<SocketAddr> = [0, 3]
+        .map(|number: usize| machines[number].outbound())
+        .into();
     let mut tries = 0;
     let is_served = support::wait_for(Duration::from_secs(15), || {
         tries += 1;
-        book(entry.outbound(), &format!("warm-{tries}")) == Ok(200)
+        let is_served = |addr: &SocketAddr| book(*addr, &format!("warm-{tries}")) == Ok(200);
+        entries.iter().all(is_served)
     });
     if !is_served {
         return Err("no booking is served".to_owned());
     }
-    // Lets every node hear of both servers.
-    thread::sleep(Duration::from_secs(2));
+    // By now the readers of the store have chosen each other, and wait for new records.
+    thread::sleep(Duration::from_secs(4));
 
-    let answers: Arc<Mutex<HashMap<String, u16>>> = Arc::default();
-    let mut clients = Vec::new();
     let began = Instant::now();
-    let count = RATE * LOAD_TIME.as_secs() as u32;
-    for number in 0..count {
-        let due = began + LOAD_TIME * number / count;
-        thread::sleep(due.saturating_duration_since(Instant::now()));
-        let (answers, record, addr) = (answers.clone(), record.clone(), entry.outbound());
-        clients.push(thread::spawn(move || {
-            let id = format!("{:016x}", 0xb000_0000_0000_0000_u64 + u64::from(number));
-            record.line(&format!("client sends {id}"));
-            match book(addr, &id) {
-                Ok(status) => {
-                    record.line(&format!("client gets {status} for {id}"));
-                    answers.lock().unwrap().insert(id, status);
-                }
-                Err(e) => record.line(&format!("client gets nothing for {id}: {e}")),
-            }
-        }));
+    let loaded = {
+        let (entries, record) = (entries.clone(), record.clone());
+        thread::spawn(move || send_load(&entries, &record, began + LOAD_TIME))
+    };
+    store.publish(&config(first + 4, 3.5, "press"));
+    record.line("the store acknowledges a version with another time-out");
+    if trouble {
+        thread::sleep(SILENT_AFTER);
+        store.set_silent(true);
+        record.line("the store is silent");
+        thread::sleep(SILENT_TIME);
+        store.set_silent(false);
+        record.line("the store answers again");
     }
-    for client in clients {
-        let _ = client.join();
+    let silence_ended = Instant::now();
+    let second_change = began + SECOND_CHANGE_AFTER;
+    thread::sleep(second_change.saturating_duration_since(Instant::now()));
+    store.publish(&config(first + 6, 3.5, "atelier"));
+    let acknowledged = Instant::now();
+    record.line("the store acknowledges a version that moves the route to atelier");
+    if acknowledged < silence_ended + CONTACT {
+        return Err("the store was not stable for contact_s".to_owned());
     }
+    let sent = loaded.join().map_err(|_| "the load failed".to_owned())?;
     thread::sleep(Duration::from_millis(500));
 
-    let (runs, answers) = (runs.lock().unwrap(), answers.lock().unwrap());
-    let mut twice: Vec<_> = runs.iter().filter(|(_, by)| by.len() > 1).collect();
-    twice.sort();
-    for (id, by) in &twice {
-        let status = answers.get(*id);
-        record.line(&format!(
-            "TWICE: {id} was run by {by:?}, answered {status:?}"
-        ));
-    }
-    let mut refused: Vec<_> = answers
+    let runs = runs.lock().unwrap();
+    let mut late: Vec<_> = sent
         .iter()
-        .filter(|(id, status)| matches!(status, 408 | 421 | 429 | 503) && runs.contains_key(*id))
+        .filter(|(id, at)| **at > acknowledged + CONFIG_APPLY && runs.get(*id) == Some(&"press"))
         .collect();
-    refused.sort();
-    for (id, status) in &refused {
-        record.line(&format!("REFUSED: {id} was answered {status} and has run"));
+    late.sort();
+    for (id, at) in &late {
+        let ms = at.duration_since(acknowledged).as_millis();
+        record.line(&format!(
+            "CONFIG: {id}, sent {ms} ms after the acknowledgement, was run by press"
+        ));
     }
-    let state = faulty.state.lock().unwrap();
+    let judged = sent
+        .values()
+        .filter(|at| **at > acknowledged + CONFIG_APPLY);
     record.result(&format!(
-        "{count} bookings sent, {} run, {} answered; the faulty server gave {} answers and {} second \
-         answers, {} of them refusals; run twice: {}; answered as not run although they ran: {}",
-        runs.len(),
-        answers.len(),
-        state.answers,
-        state.second_answers,
-        state.second_refusals,
-        twice.len(),
-        refused.len()
+        "{} bookings sent, {} of them later than 2.5 s after the acknowledgement of the version that \
+         moves the route; of these run at the old service: {}",
+        sent.len(),
+        judged.count(),
+        late.len()
     ));
-    Ok(twice.is_empty() && refused.is_empty())
+    Ok(late.is_empty())
 }
 
 fn main() {
--- a/review/support-2/mod.rs
+++ b/review/support-2/mod.rs
@@ -18,6 +18,9 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -349,15 +352,36 @@
     )
 }
 
+/// The first version of the configuration.
+pub const FIRST_VERSION: u32 = 7;
+
 /// A configuration with one route to a service.
 pub fn config(prefix: &str, kind: &str, timeout_s: f64, service: &str) -> String {
+    config_version(FIRST_VERSION, prefix, kind, timeout_s, service, &[service])
+}
+
+/// A version of a configuration with one route, which leads to the service `target`.
+pub fn config_version(
+    version: u32,
+    prefix: &str,
+    kind: &str,
+    timeout_s: f64,
+    target: &str,
+    services: &[&str],
+) -> String {
+    let services = services.iter().map(|service| {
+        format!(
+            "{{\"name\":\"{service}\",\"health_path\":\"/healthz\",\"max_conns\":424,\
+             \"protocol\":\"h1\",\"tls\":false}}"
+        )
+    });
+    let services = services.collect::<Vec<_>>().join(",");
     format!(
-        "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\
          \"path_prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeout_s\":{timeout_s},\"slo_s\":2,\
-         \"priority\":0,\"service\":\"{service}\",\"attempts\":2}}],\"services\":[{{\
-         \"name\":\"{service}\",\"health_path\":\"/healthz\",\"max_conns\":424,\
-         \"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"max_header_bytes\":16384,\
-         \"max_body_bytes\":67108864,\"header_timeout_s\":3,\"idle_timeout_s\":15}}}}"
+         \"priority\":0,\"service\":\"{target}\",\"attempts\":2}}],\"services\":[{services}],\
+         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\
+         \"header_timeout_s\":3,\"idle_timeout_s\":15}}}}"
     )
 }
 
@@ -367,12 +391,17 @@
 /// A stand-in for the platform's store, with the calls for keyed topics.
 pub struct Store {
     pub addr: SocketAddr,
+    topics: Arc<Topics>,
 }
 
 #[derive(Default)]
 struct Topics {
     records: Mutex<HashMap<String, Vec<KeyedRecord>>>,
     appended: Condvar,
+    /// Whether calls are lost.
+    is_silent: AtomicBool,
+    /// The number of silences so far.
+    silences: AtomicU32,
 }
 
 impl Store {
@@ -380,18 +409,38 @@
     pub fn start(ip: &str, config: &str) -> Result<Self, String> {
         let listener = TcpListener::bind((ip, 0)).map_err(|e| e.to_string())?;
         let addr = listener.local_addr().map_err(|e| e.to_string())?;
-        let topics = Arc::new(Topics::default());
-        let record = (b"config".to_vec(), config.as_bytes().to_vec());
-        let mut records = topics.records.lock().unwrap();
-        records.insert("keyed.op".to_owned(), vec![record]);
-        drop(records);
+        let store = Self {
+            addr,
+            topics: Arc::default(),
+        };
+        store.publish(config);
+        let topics = store.topics.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let topics = topics.clone();
                 thread::spawn(move || topics.serve(stream));
             }
         });
-        Ok(Self { addr })
+        Ok(store)
+    }
+
+    /// Writes a configuration as the operator, who always gets through. The return is the
+    /// acknowledgement.
+    pub fn publish(&self, config: &str) {
+        let record = (b"config".to_vec(), config.as_bytes().to_vec());
+        let mut records = self.topics.records.lock().unwrap();
+        let all = records.entry("keyed.op".to_owned()).or_default();
+        all.push(record);
+        self.topics.appended.notify_all();
+    }
+
+    /// Makes the store silent: calls that are pending or arrive meanwhile are never answered, and
+    /// nothing further on their connections is either.
+    pub fn set_silent(&self, is_silent: bool) {
+        if is_silent {
+            self.topics.silences.fetch_add(1, Ordering::SeqCst);
+        }
+        self.topics.is_silent.store(is_silent, Ordering::SeqCst);
     }
 }
 
@@ -400,10 +449,16 @@
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let mut writer = stream;
+        let mut is_lost = false;
         loop {
             let head = read_head(&mut reader)?;
             let mut body = vec![0; head.content_length()];
             reader.read_exact(&mut body).ok()?;
+            let silences = self.silences.load(Ordering::SeqCst);
+            is_lost |= self.is_silent.load(Ordering::SeqCst);
+            if is_lost {
+                continue;
+            }
             let (path, query) = head.path().split_once('?').unwrap_or((head.path(), ""));
             let (status, body) = match path {
                 "/bilberrycove/log-newest" => (200, self.newest(query)),
@@ -411,6 +466,10 @@
                 "/bilberrycove/log-append" => self.append(query, &body),
                 _ => (404, Vec::new()),
             };
+            is_lost = self.silences.load(Ordering::SeqCst) != silences;
+            if is_lost {
+                continue;
+            }
             let length = body.len();
             let answer = format!("HTTP/1.1 {status} OK\r\nContent-Length: {length}\r\n\r\n");
             writer.write_all(answer.as_bytes()).ok()?;
