Replace lost reads of the store in time

Cause: every reader waits for new records with one read of 10 s, which is given up after 12 s. A silence loses the pending reads of all readers at once, and nothing else asks the store while they are waited for.

Fix: two readers of the whole fleet, the monitors, wait for 1.5 s, so a lost read of theirs is replaced at most 3.7 s after the silence. The number of added calls, 1.1 a second, does not depend on the size of the fleet. `event=store_lost` has the duration of the call.

--- a/crates/engine/src/catch_up.rs
+++ b/crates/engine/src/catch_up.rs
@@ -147,7 +147,7 @@
         self.catch_up = CatchUp::default();
         // Without rules in force, the server was not checked when it announced itself.
         self.request_health_check(now);
-        self.on_caught_up_from_peers();
+        self.on_caught_up_from_peers(now);
     }
 
     fn log_catch_up(&mut self, unconfirmed: usize) {
--- a/crates/engine/src/fetch.rs
+++ b/crates/engine/src/fetch.rs
@@ -7,6 +7,7 @@
 use crate::Output;
 use bytes::Bytes;
 use journal::Change;
+use membership::StoreRole;
 use proto::Datagram;
 use proto::MemberMessage;
 use proto::PeerState;
@@ -62,9 +63,17 @@
         has_more.then(|| Bytes::from(proto::encode(&self.journal)))
     }
 
+    /// How this node gets new content from the store.
+    pub fn store_role(&self, now: Time) -> StoreRole {
+        match self.cfg.shared_store_reads && self.has_rules() {
+            true => self.members.store_role(now),
+            false => StoreRole::Reader,
+        }
+    }
+
     /// Whether this node reads the store itself. Otherwise it gets new content from its peers.
     pub fn reads_store(&self, now: Time) -> bool {
-        !self.cfg.shared_store_reads || !self.has_rules() || self.members.is_store_reader(now)
+        self.store_role(now) != StoreRole::Follower
     }
 
     /// Schedules a fetch if a peer reports progress beyond this node's.
@@ -107,21 +116,31 @@
     /// Announces this node's progress to peers at once.
     ///
     /// Probes carry the progress as well, but reach only one peer a second, so old and new rules
-    /// would be in force side by side for long. A node that got the content from the store notifies
-    /// its whole failure domain, which leaves reading the store to it. Each node also notifies a
-    /// few random peers anywhere.
-    pub(crate) fn announce_progress(&mut self, from_store: bool) {
-        let whole_domain = from_store && self.cfg.shared_store_reads;
+    /// would be in force side by side for long. A node that reads the store notifies its whole
+    /// failure domain, which leaves reading to it. Each node also notifies a few random peers
+    /// anywhere. If the content is from the store, a monitor also notifies the readers of the other
+    /// failure domains, whose own reads may have been lost.
+    pub(crate) fn announce_progress(&mut self, now: Time, from_store: bool) {
+        let role = match self.cfg.shared_store_reads {
+            true => self.members.store_role(now),
+            false => StoreRole::Follower,
+        };
+        let whole_domain =
+            self.cfg.shared_store_reads && (from_store || role != StoreRole::Follower);
+        let mut notified = match from_store && role == StoreRole::Monitor {
+            true => self.members.readers_of_other_domains(),
+            false => Vec::new(),
+        };
         let others = self.members.peers();
         let others = others.filter(|peer| peer.state != PeerState::Dead);
-        let (mut notified, mut rest) = (Vec::new(), Vec::new());
+        let mut rest = Vec::new();
         for peer in others.map(|peer| &peer.instance) {
             match whole_domain && peer.failure_domain == self.own_instance.failure_domain {
                 true => notified.push(peer.addr),
                 false => rest.push(peer.addr),
             }
         }
-        rest.retain(|addr| *addr != self.own_instance.addr);
+        rest.retain(|addr| *addr != self.own_instance.addr && !notified.contains(addr));
         for _ in 0..PROGRESS_FANOUT.min(rest.len()) {
             notified.push(rest.swap_remove(self.rng.random_range(0..rest.len())));
         }
@@ -230,7 +249,7 @@
                     }));
                 self.on_state_restored(now);
                 match self.log.synced {
-                    true => self.on_caught_up_from_peers(),
+                    true => self.on_caught_up_from_peers(now),
                     false => self.begin_catch_up(now, from),
                 }
             }
@@ -240,8 +259,8 @@
     }
 
     /// Passes on the state that this node has from its peers, now that it is in force.
-    pub(crate) fn on_caught_up_from_peers(&mut self) {
-        self.announce_progress(false);
+    pub(crate) fn on_caught_up_from_peers(&mut self, now: Time) {
+        self.announce_progress(now, false);
         // A node that does not read the store has nothing more to read.
         if !self.cfg.shared_store_reads {
             self.outputs.push(Output::ReadLog);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -73,6 +73,7 @@
 pub use io::Output;
 pub use io::RequestToken;
 pub use io::RunEnd;
+pub use membership::StoreRole;
 pub use policy::Switches;
 pub use server_report::ReportError;
 pub use server_report::ServerReport;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -90,7 +90,7 @@
         }
         // Records that are read at the start are known to the other nodes.
         if self.log.synced && self.journal.rules_version > old_version {
-            self.announce_progress(true);
+            self.announce_progress(now, true);
         }
     }
 
@@ -168,7 +168,7 @@
                 self.count(Counter::RulesInForce);
                 self.log.synced = true;
                 self.on_rules(now);
-                self.announce_progress(true);
+                self.announce_progress(now, true);
             }
             Change::Invalid => self.count(Counter::PublicationRejected),
             _ => {}
--- a/crates/engine/tests/log/shared_reads.rs
+++ b/crates/engine/tests/log/shared_reads.rs
@@ -4,6 +4,7 @@
 use crate::propagation::Fleet;
 use bilberry_engine::Config;
 use bilberry_engine::Input;
+use bilberry_engine::StoreRole;
 use proto::Instance;
 use std::time::Duration;
 
@@ -59,6 +60,16 @@
 /// Publishes a version to the nodes that read the store, except those for which `excluded` holds.
 /// Returns the time until all nodes that are not `excluded` have it.
 fn publish(fleet: &mut Fleet, version: u64, excluded: impl Fn(usize) -> bool) -> Duration {
+    publish_to(fleet, version, excluded, readers)
+}
+
+/// Publishes a version like [`publish`], to the nodes that `readers` returns.
+fn publish_to(
+    fleet: &mut Fleet,
+    version: u64,
+    excluded: impl Fn(usize) -> bool,
+    readers: impl Fn(&Fleet) -> Vec<usize>,
+) -> Duration {
     let published_at = fleet.now;
     let end = published_at + Duration::from_secs(30);
     let all = fleet.engines.len();
@@ -176,3 +187,53 @@
     }
     assert_eq!(fleet.count_nodes_behind(2), 0);
 }
+
+fn monitors(fleet: &Fleet) -> Vec<usize> {
+    let nodes = 0..fleet.engines.len();
+    let role = |node: &usize| fleet.engines[*node].store_role(fleet.now);
+    nodes
+        .filter(|node| role(node) == StoreRole::Monitor)
+        .collect()
+}
+
+/// The time in which a version reaches all nodes from the monitors alone, while a monitor needs up to
+/// 1.5 s to read it.
+const MAX_SPREAD_FROM_MONITORS: Duration = Duration::from_secs(1);
+
+/// Guards against a version that comes late because the pending reads of all readers were lost in a
+/// silence of the store, and only the monitors have begun new ones.
+#[test]
+fn version_reaches_all_nodes_from_the_monitors() {
+    for (nodes, domains) in [(6, 2), (24, 6), (63, 6), (195, 9)] {
+        let mut fleet = fleet(nodes, domains);
+        fleet.lose_every = 20;
+        let took = publish_to(&mut fleet, 2, |_| false, monitors);
+        assert!(took < MAX_SPREAD_FROM_MONITORS, "{nodes} nodes: {took:?}");
+    }
+}
+
+/// Guards against store calls that grow with the fleet, and against monitors that fail together with
+/// one failure domain.
+#[test]
+fn two_nodes_of_different_domains_are_monitors() {
+    for (nodes, domains) in [(2, 1), (6, 2), (24, 6), (195, 9)] {
+        let mut fleet = fleet(nodes, domains);
+        let before = monitors(&fleet);
+        assert_eq!(before.len(), 2, "{nodes} nodes");
+        let are_apart = domain_of(before[0], domains) != domain_of(before[1], domains);
+        assert_eq!(are_apart, domains > 1, "{nodes} nodes");
+        if domains < 3 {
+            continue;
+        }
+        let lost = before.clone();
+        fleet.is_cut = Box::new(move |a, b| lost.contains(&a) || lost.contains(&b));
+        fleet.advance(Duration::from_secs(8));
+        let mut after = monitors(&fleet);
+        after.retain(|node| !before.contains(node));
+        assert_eq!(
+            after.len(),
+            2,
+            "{nodes} nodes after the loss of the monitors"
+        );
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -23,6 +23,7 @@
 mod update_queue;
 
 pub use config::Config;
+pub use domain::StoreRole;
 pub use members::Effect;
 pub use members::Membership;
 pub use peer::Peer;
--- a/crates/node/src/platform_mode.rs
+++ b/crates/node/src/platform_mode.rs
@@ -19,6 +19,7 @@
 use engine::Counter;
 use engine::Input;
 use engine::KeylessCalls;
+use engine::StoreRole;
 use engine::TreeRetries;
 use platform::ConfigError;
 use platform::Records;
@@ -34,10 +35,15 @@
 use tokio::time::Instant;
 
 /// How long one read waits for a new configuration. Reads are billed, and peers pass on new
-/// configurations as well; but a connection that has gone silent is only detected when this
-/// time-out expires.
+/// configurations as well.
 const CONFIG_POLL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long one read of a monitor waits for a new configuration. A read that was lost in a silence
+/// of the store is noticed only when this time and that of a call are over. Operators may rely on a
+/// configuration being in force 5.5 s after the store has returned, if nodes have 3 s to recover and
+/// a configuration has 2.5 s to reach all of them.
+pub(crate) const MONITOR_POLL_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Minimum time a node that has just started waits for a peer to send the configuration; a random
 /// delay up to the same length is added. Of nodes that start together, a few read the store and
 /// send the configuration to the others.
@@ -149,7 +155,10 @@
     follow_topic(
         shell,
         platform::CONFIG_TOPIC,
-        CONFIG_POLL_TIMEOUT,
+        |shell| match shell.engine.borrow().store_role(shell.now()) {
+            StoreRole::Monitor => MONITOR_POLL_TIMEOUT,
+            StoreRole::Reader | StoreRole::Follower => CONFIG_POLL_TIMEOUT,
+        },
         |shell| shell.engine.borrow().reads_store(shell.now()),
         |shell, asked, batch| match batch {
             StoreBatch::Newest(newest) => {
--- a/crates/node/src/store_reader.rs
+++ b/crates/node/src/store_reader.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use stdx::Time;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// How long one read of the log waits for new records. A home node may rely on its lease only if it
@@ -55,7 +56,8 @@
         e: StoreError,
     ) {
         if self.record_failure() {
-            log::warn!("event=store_lost call={call} error=\"{e}\"");
+            let ms = call_time.as_millis();
+            log::warn!("event=store_lost call={call} call_ms={ms} error=\"{e}\"");
         }
         let fraction = rand::rng().random_range(0.5..1.0);
         tokio::time::sleep(self.next_delay(call_time, fraction)).await;
@@ -111,48 +113,102 @@
     },
 }
 
+/// A finished read of a topic that is followed.
+pub(crate) enum TopicRead<T> {
+    /// The read returned content.
+    Content(T),
+    /// The read failed.
+    Failed,
+}
+
+/// How a topic is followed. All functions are called again for each read.
+struct Follow<'a, R, P> {
+    topic: &'a str,
+    /// Whether this node reads the topic. Otherwise it leaves that to its peers, and reads once
+    /// whenever `read_requested` is notified.
+    is_reader: R,
+    /// How long a read waits for new records, unless the store was lost and has not answered since.
+    poll_timeout: P,
+    read_requested: &'a Notify,
+}
+
+impl<R: Fn() -> bool, P: Fn() -> Duration> Follow<'_, R, P> {
+    /// Follows the topic. `read` gets the offset to continue from, which is `None` at first and when
+    /// the records there have expired, and returns the next offset with the content.
+    ///
+    /// A read on a connection that has gone silent blocks until its time-out. It is given up and
+    /// replaced by a new one when `read_requested` is notified or a shorter `poll_timeout` applies.
+    async fn run<T>(
+        &self,
+        read: impl AsyncFn(Option<u64>, Duration) -> Result<Option<(u64, T)>, StoreError>,
+        on_read: impl Fn(TopicRead<T>),
+    ) {
+        let mut backoff = StoreBackoff::new();
+        let mut from = None;
+        loop {
+            if !(self.is_reader)() {
+                tokio::select! {
+                    () = tokio::time::sleep(READER_CHECK_INTERVAL) => continue,
+                    // Something is missing that the readers among the peers could not provide.
+                    () = self.read_requested.notified() => {}
+                }
+            }
+            let started = Instant::now();
+            let wait = backoff.poll_timeout((self.poll_timeout)());
+            let result = tokio::select! {
+                result = read(from, wait) => result,
+                () = self.read_requested.notified() => continue,
+                () = self.shorter_timeout(wait) => continue,
+            };
+            match result {
+                Ok(Some((next, content))) => {
+                    from = Some(next);
+                    backoff.record_success(self.topic);
+                    on_read(TopicRead::Content(content));
+                }
+                Ok(None) => from = None,
+                Err(e) => {
+                    on_read(TopicRead::Failed);
+                    let call_time = started.elapsed();
+                    backoff.wait_after_failure(self.topic, call_time, e).await;
+                }
+            }
+        }
+    }
+
+    /// Waits until a read may wait less than `wait` for new records.
+    async fn shorter_timeout(&self, wait: Duration) {
+        while (self.poll_timeout)() >= wait {
+            tokio::time::sleep(READER_CHECK_INTERVAL).await;
+        }
+    }
+}
+
 /// Reads a topic for as long as `is_reader` holds, and passes each batch to `on_batch` with the
-/// time at which it was requested. Each read waits up to `poll_timeout` for new records, unless the
-/// store was lost and has not answered since.
+/// time at which it was requested. Each read waits up to `poll_timeout` for new records.
 pub(crate) async fn follow_topic(
     shell: Rc<Shell>,
     topic: &str,
-    poll_timeout: Duration,
+    poll_timeout: impl Fn(&Shell) -> Duration,
     is_reader: impl Fn(&Shell) -> bool,
     on_batch: impl Fn(&Rc<Shell>, Time, StoreBatch),
 ) {
-    let mut backoff = StoreBackoff::new();
-    let mut from = None;
-    loop {
-        if !is_reader(&shell) {
-            tokio::select! {
-                () = tokio::time::sleep(READER_CHECK_INTERVAL) => continue,
-                // Something is missing that the readers among the peers could not provide.
-                () = shell.store_read_requested.notified() => {}
-            }
-        }
+    let follow = Follow {
+        topic,
+        is_reader: || is_reader(&shell),
+        poll_timeout: || poll_timeout(&shell),
+        read_requested: &shell.store_read_requested,
+    };
+    let read = async |from, wait| {
         let asked = shell.now();
-        let wait = backoff.poll_timeout(poll_timeout);
-        let result = tokio::select! {
-            result = read_once(&shell, topic, from, wait) => result,
-            // Something is missing. A read pending on a connection that has gone silent would block
-            // until its time-out, so start a new one.
-            () = shell.store_read_requested.notified() => continue,
-        };
-        match result {
-            Ok(Some((next, batch))) => {
-                from = Some(next);
-                backoff.record_success(topic);
-                on_batch(&shell, asked, batch);
-            }
-            Ok(None) => from = None,
-            Err(e) => {
-                shell.handle_input(Input::LogUnreachable);
-                let call_time = shell.now().since(asked);
-                backoff.wait_after_failure(topic, call_time, e).await;
-            }
-        }
-    }
+        let read = read_once(&shell, topic, from, wait).await?;
+        Ok(read.map(|(next, batch)| (next, (asked, batch))))
+    };
+    let on_read = |read| match read {
+        TopicRead::Content((asked, batch)) => on_batch(&shell, asked, batch),
+        TopicRead::Failed => shell.handle_input(Input::LogUnreachable),
+    };
+    follow.run(read, on_read).await;
 }
 
 /// Reads one batch and returns it with the offset to continue from. Without an offset, reads the
@@ -184,7 +240,7 @@
 pub(crate) async fn follow_log(shell: Rc<Shell>) {
     let topic = platform::stream_topic(&shell.settings.store_stream);
     let on_batch = |shell: &Rc<Shell>, _, batch| apply_log_batch(shell, batch);
-    follow_topic(shell, &topic, LOG_POLL_TIMEOUT, |_| true, on_batch).await;
+    follow_topic(shell, &topic, |_| LOG_POLL_TIMEOUT, |_| true, on_batch).await;
 }
 
 /// Checks whether the log has newer rules.
--- a/crates/node/src/store_reader/tests.rs
+++ b/crates/node/src/store_reader/tests.rs
@@ -1,12 +1,19 @@
 //! Readers of a store that is silent for a while, replayed on times in milliseconds.
 
+use super::Follow;
 use super::StoreBackoff;
+use super::TopicRead;
 use super::MAX_BACKOFF;
+use crate::platform_mode::MONITOR_POLL_TIMEOUT;
 use platform::StoreError;
 use rand::rngs::StdRng;
 use rand::RngExt;
 use rand::SeedableRng;
+use std::ops::Range;
 use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
 use tokio::time::Instant;
 
 /// When the store falls silent and when it answers again. A call that overlaps this gets no answer.
@@ -97,3 +104,109 @@
     backoff.record_success("topic");
     assert_eq!(backoff.poll_timeout(POLL_TIMEOUT), POLL_TIMEOUT);
 }
+
+/// A store with one topic, to which records are appended at set times. A read that overlaps the
+/// silence gets no answer.
+struct SilentStore {
+    appends: Vec<Instant>,
+    silence: Range<Instant>,
+}
+
+impl SilentStore {
+    /// Returns the number of records once there are more than `from`, or when `wait` is over.
+    async fn read(&self, from: Option<u64>, wait: Duration) -> Result<u64, StoreError> {
+        let started = Instant::now();
+        let answered = async {
+            let next = from.and_then(|from| self.appends.get(from as usize));
+            let at = next.map_or(started + wait, |at| (*at).min(started + wait));
+            let at = at.max(started);
+            if started < self.silence.end && at >= self.silence.start {
+                std::future::pending::<()>().await;
+            }
+            sleep_until(at).await;
+            let appended = self.appends.iter().filter(|at| **at <= Instant::now());
+            appended.count() as u64
+        };
+        let call = wait + Duration::from_millis(CALL_TIMEOUT);
+        let result = timeout(call, answered).await;
+        result.map_err(|_| StoreError::NoResponse)
+    }
+}
+
+/// How long after its acknowledgement the last version is read by a node whose reads wait for
+/// `poll_timeout`.
+async fn time_to_read(store: &SilentStore, poll_timeout: impl Fn() -> Duration) -> Duration {
+    let last = store.appends.len() as u64;
+    let is_read = Notify::new();
+    let follow = Follow {
+        topic: "test",
+        is_reader: || true,
+        poll_timeout,
+        read_requested: &Notify::new(),
+    };
+    let read = async |from, wait| {
+        let end = store.read(from, wait).await?;
+        Ok(Some((end, end)))
+    };
+    let on_read = |read| {
+        if matches!(read, TopicRead::Content(end) if end == last) {
+            is_read.notify_one();
+        }
+    };
+    tokio::select! {
+        () = follow.run(read, on_read) => unreachable!(),
+        () = is_read.notified() => {}
+    }
+    store.appends[store.appends.len() - 1].elapsed()
+}
+
+/// How long the store has answered again when the version of these tests is acknowledged.
+const CALM_TIME: Duration = Duration::from_secs(3);
+
+/// The time left for reading a version, if it has to be in force 2.5 s after its acknowledgement and
+/// takes up to 1 s to reach all nodes.
+const READ_TIME: Duration = Duration::from_millis(1500);
+
+/// Guards against a version that comes late because all pending reads were lost in a silence of the
+/// store that may be shorter than the time for which a read waits.
+#[tokio::test(start_paused = true)]
+async fn monitor_reads_version_in_time_after_any_silence() {
+    for length_ms in [50, 300, 1000, 2000, 3500, 6000, 12_000] {
+        for start_ms in (0..14_000).step_by(170) {
+            for has_version_before in [false, true] {
+                let begin = Instant::now() + Duration::from_secs(1);
+                let start = begin + Duration::from_millis(start_ms);
+                let end = start + Duration::from_millis(length_ms);
+                let before = has_version_before.then(|| start - Duration::from_millis(300));
+                let appends = before.into_iter().chain([end + CALM_TIME]);
+                let store = SilentStore {
+                    appends: appends.collect(),
+                    silence: start..end,
+                };
+                let took = time_to_read(&store, || MONITOR_POLL_TIMEOUT).await;
+                assert!(
+                    took <= READ_TIME,
+                    "silent from {start_ms} for {length_ms} ms, a version before: \
+                     {has_version_before}: read after {took:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against a pending read that keeps the time-out with which it began, when the node has
+/// become a monitor because the previous ones are gone.
+#[tokio::test(start_paused = true)]
+async fn pending_read_is_replaced_when_a_shorter_time_out_applies() {
+    let begin = Instant::now();
+    let store = SilentStore {
+        appends: vec![begin + Duration::from_secs(6)],
+        silence: begin + Duration::from_millis(50)..begin + Duration::from_millis(100),
+    };
+    let becomes_monitor_at = begin + Duration::from_secs(2);
+    let took = time_to_read(&store, || match Instant::now() >= becomes_monitor_at {
+        true => MONITOR_POLL_TIMEOUT,
+        false => POLL_TIMEOUT,
+    });
+    assert!(took.await <= READ_TIME);
+}
