Wake a connection when its handler has room for more of a body

Cause: the handler receives a body through a channel of four chunks. With the channel full and 16 KiB buffered behind it, `has_room` was false, so the branch that waited for room in the channel was not polled: the connection's task and the handler waited for each other.

Why it works: whenever a body waits for the handler, the loop now waits for the handler too. Input is also read up to the buffer's limit meanwhile, so that a caller that leaves is noticed.

--- a/crates/node/src/pipeline.rs
+++ b/crates/node/src/pipeline.rs
@@ -6,6 +6,8 @@
 //! longest of them.
 
 mod requests;
+#[cfg(test)]
+mod tests;
 
 use actix_http::body::BoxBody;
 use actix_http::body::MessageBody;
@@ -22,6 +24,7 @@
 use futures_util::future::Either;
 use futures_util::stream::FuturesOrdered;
 use futures_util::StreamExt;
+use requests::BodySender;
 use requests::RequestReader;
 use requests::WaitState;
 use std::cell::RefCell;
@@ -30,9 +33,10 @@
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::ReadHalf;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio::time::Instant;
@@ -98,6 +102,20 @@
     F: Future<Output = HttpResponse<BoxBody>>,
 {
     let (mut reader, mut writer) = stream.split();
+    serve_halves(&mut reader, &mut writer, cfg, handle, is_stopping).await
+}
+
+/// Serves a connection that consists of a reader and a writer.
+async fn serve_halves<F>(
+    reader: &mut (impl AsyncRead + Unpin),
+    writer: &mut (impl AsyncWrite + Unpin),
+    cfg: &ServiceConfig,
+    handle: impl Fn(HttpRequest) -> F,
+    is_stopping: impl Fn() -> bool,
+) -> Result<(), ConnectionError>
+where
+    F: Future<Output = HttpResponse<BoxBody>>,
+{
     let mut requests = RequestReader::new(cfg.clone());
     let mut unwritten = BytesMut::new();
     let mut responses = FuturesOrdered::new();
@@ -129,6 +147,8 @@
         }
         requests.update_wait_state(responses.is_empty(), unwritten.len());
         let deadline = requests.deadline();
+        let full_channel = requests.full_channel();
+        let is_channel_full = full_channel.is_some();
         tokio::select! {
             biased;
             written = writer.write_buf(&mut unwritten), if !unwritten.is_empty() => {
@@ -139,7 +159,10 @@
                 let keep_alive = write_response(&codec, response, is_last, &mut unwritten)?;
                 requests.no_more_requests |= !keep_alive;
             }
-            is_open = requests.read(&mut reader), if requests.has_room() => {
+            // Nothing is decoded while the handler's channel is full, and nothing more may be read
+            // once the buffer is full as well.
+            () = channel_room(full_channel), if is_channel_full => {}
+            is_open = requests.read(reader), if requests.has_room() => {
                 // The caller has closed its side: all of its requests are cancelled.
                 if !is_open? {
                     return error.map_or(Ok(()), Err);
@@ -160,10 +183,17 @@
         }
     }
     writer.shutdown().await?;
-    let _ = timeout(LINGERING_CLOSE_TIMEOUT, discard_input(&mut reader)).await;
+    let _ = timeout(LINGERING_CLOSE_TIMEOUT, discard_input(reader)).await;
     error.map_or(Ok(()), Err)
 }
 
+/// Waits until the handler has taken a chunk or stopped reading the body.
+async fn channel_room(channel: Option<BodySender>) {
+    if let Some(tx) = channel {
+        let _ = tx.reserve().await;
+    }
+}
+
 async fn sleep_until(deadline: Option<Instant>) {
     match deadline {
         Some(deadline) => tokio::time::sleep_until(deadline).await,
@@ -207,7 +237,7 @@
     }
 }
 
-async fn discard_input(reader: &mut ReadHalf<'_>) {
+async fn discard_input(reader: &mut (impl AsyncRead + Unpin)) {
     let mut buf = [0; 1024];
     while reader.read(&mut buf).await.is_ok_and(|len| len > 0) {}
 }
--- a/crates/node/src/pipeline/requests.rs
+++ b/crates/node/src/pipeline/requests.rs
@@ -17,8 +17,8 @@
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
-use tokio::net::tcp::ReadHalf;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::codec::Decoder;
@@ -57,19 +57,22 @@
     wait_started: Instant,
 }
 
+/// The channel by which a handler receives the body of its request.
+pub(super) type BodySender = mpsc::Sender<Result<Bytes, PayloadError>>;
+
 /// A body that is being received.
 struct Body {
     codec: RequestCodec,
     /// The channel to the handler; `None` once the handler stopped reading and the rest is
     /// discarded.
-    tx: Option<mpsc::Sender<Result<Bytes, PayloadError>>>,
+    tx: Option<BodySender>,
 }
 
 impl Body {
-    /// Whether the handler's channel is full.
-    fn is_blocked(&self) -> bool {
+    /// The handler's channel, if it is full.
+    fn full_channel(&self) -> Option<&BodySender> {
         let tx = self.tx.as_ref().filter(|tx| !tx.is_closed());
-        tx.is_some_and(|tx| tx.capacity() == 0)
+        tx.filter(|tx| tx.capacity() == 0)
     }
 
     /// Sends a chunk to the handler if it is still reading. The channel must have room.
@@ -152,7 +155,7 @@
     /// body is complete.
     pub(super) fn decode_body(&mut self) -> bool {
         while let Some(body) = &mut self.body {
-            if body.is_blocked() {
+            if body.full_channel().is_some() {
                 return false;
             }
             let chunk = body.codec.borrow_mut().decode(&mut self.buf);
@@ -184,23 +187,23 @@
     pub(super) fn has_room(&self) -> bool {
         // An incomplete head may be larger than the buffer limit; `actix-http` has its own limit
         // for it.
-        self.no_more_requests
+        let discards_input = self.no_more_requests && self.body.is_none();
+        discards_input
             || self.wait_state == WaitState::RestOfHead
             || self.buf.len() < READ_BUFFER_LIMIT
     }
 
+    /// The channel to the handler of the body that is being received, if it is full.
+    pub(super) fn full_channel(&self) -> Option<BodySender> {
+        self.body.as_ref()?.full_channel().cloned()
+    }
+
     /// Reads more input; returns `false` at the end of the stream. Cancel-safe: bytes that were
     /// read are kept if the future is dropped.
-    pub(super) async fn read(&mut self, reader: &mut ReadHalf<'_>) -> io::Result<bool> {
+    pub(super) async fn read(&mut self, reader: &mut (impl AsyncRead + Unpin)) -> io::Result<bool> {
         if self.no_more_requests && self.body.is_none() {
             self.buf.clear();
         }
-        let body = self.body.as_ref().filter(|body| body.is_blocked());
-        if let Some(tx) = body.and_then(|body| body.tx.as_ref()) {
-            // Without a permit the handler has stopped reading, and the rest is discarded.
-            let _ = tx.reserve().await;
-            return Ok(true);
-        }
         self.buf.reserve(READ_SIZE);
         Ok(reader.read_buf(&mut self.buf).await? > 0)
     }
