Bound what is read of a server's response

What callers saw: a request whose server sent interim responses or a chunk's extension without end got 504 at its deadline, and other requests through the same node took longer meanwhile.

Cause: only the size of a body was limited. Bytes that are no part of a body were counted by nothing, and bodies only one by one.

Fix: more than 64 KiB outside of a body (and 8 bytes for each byte of it) or more than 16 interim responses end the exchange. All bodies that are being read share `max_responses`; one of declared length waits for its memory, of the others the largest is given up. Each outcome has a counter and a line. Health checks and the store's responses are read by the same code.

Evidence: `endless_bytes_end_the_exchange` does not end without the limits (seen); eleven shapes end now. A response is read the same for every split of its bytes (100 cases).

--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -157,6 +157,10 @@
         CrashSuspect,
         /// A run ended without a complete response.
         RunLost,
+        /// A response of the server was cut off because it exceeded the limits for reading it.
+        ResponseTooLong,
+        /// A response of the server was given up because the memory for responses was used up.
+        ResponseMemoryUsedUp,
         /// A record of the log, or a state received from a peer, could not be decoded.
         MalformedRecord,
         /// A published rules file was rejected.
@@ -237,6 +241,8 @@
             Counter::LateHeartbeat => "late_heartbeat".to_owned(),
             Counter::WrongServiceHeartbeat => "strange_server".to_owned(),
             Counter::RunLost => "run_lost".to_owned(),
+            Counter::ResponseTooLong => "response_too_long".to_owned(),
+            Counter::ResponseMemoryUsedUp => "response_memory_used_up".to_owned(),
             Counter::MalformedRecord => "broken_record".to_owned(),
             Counter::PublicationRejected => "rejected_publication".to_owned(),
             Counter::StateRestored => "restored".to_owned(),
--- a/crates/httpconn/src/connection.rs
+++ b/crates/httpconn/src/connection.rs
@@ -1,10 +1,11 @@
 //! A client connection that carries one request at a time.
 
-use crate::response;
 use crate::response::CompleteResponse;
 use crate::response::Parser;
+use crate::response::ResponseReader;
 use crate::response::Reuse;
 use crate::ExchangeError;
+use crate::ReadLimits;
 use actix_http::header::HeaderMap;
 use actix_http::StatusCode;
 use bytes::BytesMut;
@@ -13,6 +14,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::AsyncRead;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -88,7 +90,7 @@
     pub async fn exchange(
         mut self,
         request: &[u8],
-        max_body: usize,
+        limits: &ReadLimits,
         accept_head: impl Fn(StatusCode, &HeaderMap) -> bool,
     ) -> Result<(CompleteResponse, Self), ExchangeError> {
         let (mut reader, mut writer) = self.stream.split();
@@ -97,13 +99,8 @@
         // reading, which would block a client that only writes.
         let mut response = {
             let write = async { writer.write_all(request).await };
-            let read = read_matching(
-                &self.parser,
-                &mut reader,
-                &mut self.buf,
-                max_body,
-                accept_head,
-            );
+            let reader = ResponseReader::new(&self.parser, &mut reader, &mut self.buf, limits);
+            let read = read_matching(reader, accept_head);
             tokio::pin!(write, read);
             loop {
                 tokio::select! {
@@ -129,17 +126,14 @@
 }
 
 /// Reads responses until `accept_head` accepts one, skipping at most [`MAX_UNMATCHED`].
-async fn read_matching(
-    parser: &Parser,
-    reader: &mut tokio::net::tcp::ReadHalf<'_>,
-    buf: &mut BytesMut,
-    max_body: usize,
+async fn read_matching<R: AsyncRead + Unpin>(
+    mut reader: ResponseReader<'_, R>,
     accept_head: impl Fn(StatusCode, &HeaderMap) -> bool,
 ) -> Result<CompleteResponse, ExchangeError> {
     for skipped in 0..=MAX_UNMATCHED {
-        let head = response::read_head(parser, reader, buf).await?;
+        let head = reader.read_head().await?;
         let is_match = accept_head(head.status, &head.headers);
-        let mut response = response::read_body(head, reader, buf, max_body).await?;
+        let mut response = reader.read_body(head).await?;
         if is_match {
             if skipped > 0 {
                 // More responses to other requests may follow.
@@ -147,6 +141,7 @@
             }
             return Ok(response);
         }
+        reader.skip_response();
     }
     Err(ExchangeError::Unmatched)
 }
--- a/crates/httpconn/src/error.rs
+++ b/crates/httpconn/src/error.rs
@@ -13,6 +13,10 @@
     Malformed,
     /// The response body exceeds the size limit.
     TooLarge,
+    /// More bytes or interim responses were received than may precede or surround a response.
+    ExcessiveOverhead,
+    /// The memory for responses is used up, and this was the largest response of unknown length.
+    NoMemory,
     /// Only responses to other requests were received.
     Unmatched,
 }
@@ -24,6 +28,10 @@
             ExchangeError::ConnectionClosed => "connection closed before the response was complete",
             ExchangeError::Malformed => "malformed HTTP response",
             ExchangeError::TooLarge => "response body exceeds the size limit",
+            ExchangeError::ExcessiveOverhead => {
+                "received too many bytes that are part of no response"
+            }
+            ExchangeError::NoMemory => "memory for responses is used up",
             ExchangeError::Unmatched => "received only responses to other requests",
         };
         f.write_str(text)
--- a/crates/httpconn/src/lib.rs
+++ b/crates/httpconn/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod error;
 mod headers;
+mod limits;
 mod pool;
 mod request;
 mod response;
@@ -18,6 +19,8 @@
 pub use headers::end_to_end_headers;
 pub use headers::single_header;
 pub use headers::BadHeader;
+pub use limits::ReadLimits;
+pub use limits::ResponseBudget;
 pub use pool::Pool;
 pub use request::encode_request;
 pub use response::CompleteResponse;
--- a/crates/httpconn/src/response.rs
+++ b/crates/httpconn/src/response.rs
@@ -1,6 +1,11 @@
 //! Response parsing.
 
+#[cfg(test)]
+mod tests;
+
+use crate::limits::Share;
 use crate::ExchangeError;
+use crate::ReadLimits;
 use actix_http::h1::ClientCodec;
 use actix_http::h1::ClientPayloadCodec;
 use actix_http::h1::MessageType;
@@ -20,6 +25,16 @@
 /// Buffer space reserved for each read, in bytes; most responses fit.
 const READ_SIZE: usize = 8 * 1024;
 
+/// Bytes that are not part of a body, in all responses to one request together: heads, framing and
+/// trailers. A server that sends more sends no response.
+const MAX_OVERHEAD: usize = 64 * 1024;
+
+/// Further such bytes for each byte of the body, for bodies in very small chunks.
+const OVERHEAD_PER_BODY_BYTE: usize = 8;
+
+/// Most interim responses to one request.
+const MAX_INTERIM: usize = 16;
+
 /// A response that was received completely.
 #[derive(Debug)]
 pub struct CompleteResponse {
@@ -65,67 +80,207 @@
     framing: Framing,
 }
 
-/// Reads the head of the next final response, whichever request it belongs to.
-pub(crate) async fn read_head<R>(
-    parser: &Parser,
-    stream: &mut R,
-    buf: &mut BytesMut,
-) -> Result<ResponseHead, ExchangeError>
-where
-    R: AsyncRead + Unpin,
-{
-    let mut codec = ClientCodec::new(parser.0.clone());
-    let mut head = loop {
-        match codec.decode(buf) {
-            // An interim response; the final one follows.
-            Ok(Some(head)) if head.status.is_informational() => {
-                codec = ClientCodec::new(parser.0.clone())
+/// Reads the responses to one request.
+pub(crate) struct ResponseReader<'a, R> {
+    parser: &'a Parser,
+    stream: &'a mut R,
+    /// Bytes that were received but not decoded.
+    buf: &'a mut BytesMut,
+    limits: &'a ReadLimits,
+    share: Share,
+    /// Bytes received for this exchange, without the bodies of skipped responses.
+    received: usize,
+    /// Bytes of the current body that were decoded.
+    body: usize,
+    /// Interim responses received.
+    interim: usize,
+}
+
+impl<'a, R: AsyncRead + Unpin> ResponseReader<'a, R> {
+    pub(crate) fn new(
+        parser: &'a Parser,
+        stream: &'a mut R,
+        buf: &'a mut BytesMut,
+        limits: &'a ReadLimits,
+    ) -> Self {
+        Self {
+            parser,
+            stream,
+            received: buf.len(),
+            buf,
+            share: limits.budget.share(),
+            limits,
+            body: 0,
+            interim: 0,
+        }
+    }
+
+    /// Reads the head of the next final response, whichever request it belongs to.
+    pub(crate) async fn read_head(&mut self) -> Result<ResponseHead, ExchangeError> {
+        let mut codec = ClientCodec::new(self.parser.0.clone());
+        let mut head = loop {
+            match codec.decode(self.buf) {
+                // An interim response; the final one follows.
+                Ok(Some(head)) if head.status.is_informational() => {
+                    self.interim += 1;
+                    if self.interim > MAX_INTERIM {
+                        return Err(ExchangeError::ExcessiveOverhead);
+                    }
+                    codec = ClientCodec::new(self.parser.0.clone())
+                }
+                Ok(Some(head)) => break head,
+                Ok(None) => self.read_more().await?,
+                Err(_) => {
+                    return Err(self
+                        .check_overhead()
+                        .err()
+                        .unwrap_or(ExchangeError::Malformed))
+                }
             }
-            Ok(Some(head)) => break head,
-            Ok(None) => read_more(stream, buf).await?,
-            Err(_) => return Err(ExchangeError::Malformed),
+        };
+        let (status, headers) = (head.status, std::mem::take(head.headers_mut()));
+        Ok(ResponseHead {
+            status,
+            framing: body_framing(codec, status, &headers),
+            headers,
+        })
+    }
+
+    /// Reads the body of a response whose head has been read.
+    pub(crate) async fn read_body(
+        &mut self,
+        head: ResponseHead,
+    ) -> Result<CompleteResponse, ExchangeError> {
+        let ResponseHead {
+            status,
+            headers,
+            framing,
+        } = head;
+        let (body, is_framed) = match framing {
+            Framing::NoBody => (Bytes::new(), true),
+            Framing::Framed(payload) => (self.read_framed(payload, &headers).await?, true),
+            Framing::UntilClose => (self.read_until_close().await?, false),
+        };
+        // Bytes after the end of the response belong to no request.
+        let reuse = if is_framed && self.buf.is_empty() && !has_connection_close(&headers) {
+            Reuse::Yes(idle_timeout(&headers))
+        } else {
+            Reuse::No
+        };
+        Ok(CompleteResponse {
+            status,
+            headers,
+            body,
+            reuse,
+        })
+    }
+
+    /// Returns the memory of a response that was read and belongs to another request.
+    pub(crate) fn skip_response(&mut self) {
+        self.received = self.received.saturating_sub(self.body);
+        self.body = 0;
+        self.share = self.limits.budget.share();
+    }
+
+    async fn read_framed(
+        &mut self,
+        mut payload: ClientPayloadCodec,
+        headers: &HeaderMap,
+    ) -> Result<Bytes, ExchangeError> {
+        let declared = declared_length(headers);
+        if let Some(len) = declared {
+            self.check_body_length(len)?;
+            self.share.reserve(len).await;
         }
-    };
-    let (status, headers) = (head.status, std::mem::take(head.headers_mut()));
-    Ok(ResponseHead {
-        status,
-        framing: body_framing(codec, status, &headers),
-        headers,
-    })
-}
+        let mut first = Bytes::new();
+        let mut rest = BytesMut::new();
+        loop {
+            match payload.decode(self.buf) {
+                Ok(Some(Some(chunk))) => {
+                    self.body += chunk.len();
+                    self.check_body_length(self.body)?;
+                    if declared.is_none() {
+                        self.share.grow(chunk.len())?;
+                    }
+                    if first.is_empty() {
+                        first = chunk;
+                        continue;
+                    }
+                    if rest.is_empty() {
+                        rest.reserve(declared.unwrap_or(0).max(first.len() + chunk.len()));
+                        rest.extend_from_slice(&first);
+                    }
+                    rest.extend_from_slice(&chunk);
+                }
+                Ok(Some(None)) => break,
+                Ok(None) => self.read_more().await?,
+                Err(_) => {
+                    return Err(self
+                        .check_overhead()
+                        .err()
+                        .unwrap_or(ExchangeError::Malformed))
+                }
+            }
+        }
+        Ok(match rest.is_empty() {
+            true => first,
+            false => rest.freeze(),
+        })
+    }
 
-/// Reads the body of a response whose head has been read.
-pub(crate) async fn read_body<R>(
-    head: ResponseHead,
-    stream: &mut R,
-    buf: &mut BytesMut,
-    max_body: usize,
-) -> Result<CompleteResponse, ExchangeError>
-where
-    R: AsyncRead + Unpin,
-{
-    let ResponseHead {
-        status,
-        headers,
-        framing,
-    } = head;
-    let (body, is_framed) = match framing {
-        Framing::NoBody => (Bytes::new(), true),
-        Framing::Framed(payload) => (read_framed(stream, buf, payload, max_body).await?, true),
-        Framing::UntilClose => (read_until_close(stream, buf, max_body).await?, false),
-    };
-    // Bytes after the end of the response belong to no request.
-    let reuse = if is_framed && buf.is_empty() && !has_connection_close(&headers) {
-        Reuse::Yes(idle_timeout(&headers))
-    } else {
-        Reuse::No
-    };
-    Ok(CompleteResponse {
-        status,
-        headers,
-        body,
-        reuse,
-    })
+    async fn read_until_close(&mut self) -> Result<Bytes, ExchangeError> {
+        loop {
+            let new = self.buf.len() - self.body;
+            self.body += new;
+            self.check_body_length(self.body)?;
+            self.share.grow(new)?;
+            // A connection reset means that the body is truncated.
+            match self.fill_buf().await? {
+                Some(0) => return Ok(self.buf.split().freeze()),
+                Some(_) => {}
+                None => return Err(ExchangeError::ConnectionClosed),
+            }
+        }
+    }
+
+    fn check_body_length(&self, len: usize) -> Result<(), ExchangeError> {
+        match len > self.limits.max_body {
+            true => Err(ExchangeError::TooLarge),
+            false => Ok(()),
+        }
+    }
+
+    /// Checks the number of bytes that are not part of the body, after all that was received has been
+    /// decoded as far as possible.
+    fn check_overhead(&self) -> Result<(), ExchangeError> {
+        let allowed = self.body.saturating_mul(OVERHEAD_PER_BODY_BYTE) + MAX_OVERHEAD;
+        match self.received.saturating_sub(self.body) > allowed {
+            true => Err(ExchangeError::ExcessiveOverhead),
+            false => Ok(()),
+        }
+    }
+
+    /// Reads more of a response, of which all that was received has been decoded as far as possible.
+    async fn read_more(&mut self) -> Result<(), ExchangeError> {
+        self.check_overhead()?;
+        match self.fill_buf().await? {
+            Some(0) | None => Err(ExchangeError::ConnectionClosed),
+            Some(_) => Ok(()),
+        }
+    }
+
+    /// Reads once; returns the number of bytes, or `None` if the connection has failed.
+    async fn fill_buf(&mut self) -> Result<Option<usize>, ExchangeError> {
+        self.buf.reserve(READ_SIZE);
+        tokio::select! {
+            biased;
+            () = self.share.given_up() => Err(ExchangeError::NoMemory),
+            read = self.stream.read_buf(self.buf) => {
+                self.received += read.as_ref().map_or(0, |len| *len);
+                Ok(read.ok())
+            }
+        }
+    }
 }
 
 fn body_framing(codec: ClientCodec, status: StatusCode, headers: &HeaderMap) -> Framing {
@@ -144,73 +299,12 @@
     }
 }
 
-async fn read_framed<R>(
-    stream: &mut R,
-    buf: &mut BytesMut,
-    mut payload: ClientPayloadCodec,
-    max_body: usize,
-) -> Result<Bytes, ExchangeError>
-where
-    R: AsyncRead + Unpin,
-{
-    let mut first = Bytes::new();
-    let mut rest = BytesMut::new();
-    loop {
-        match payload.decode(buf) {
-            Ok(Some(Some(chunk))) => {
-                if first.len() + rest.len() + chunk.len() > max_body {
-                    return Err(ExchangeError::TooLarge);
-                }
-                if first.is_empty() {
-                    first = chunk;
-                } else {
-                    rest.extend_from_slice(&chunk);
-                }
-            }
-            Ok(Some(None)) => break,
-            Ok(None) => read_more(stream, buf).await?,
-            Err(_) => return Err(ExchangeError::Malformed),
-        }
-    }
-    if rest.is_empty() {
-        return Ok(first);
-    }
-    let mut body = BytesMut::from(&first[..]);
-    body.unsplit(rest);
-    Ok(body.freeze())
-}
-
-async fn read_until_close<R>(
-    stream: &mut R,
-    buf: &mut BytesMut,
-    max_body: usize,
-) -> Result<Bytes, ExchangeError>
-where
-    R: AsyncRead + Unpin,
-{
-    loop {
-        if buf.len() > max_body {
-            return Err(ExchangeError::TooLarge);
-        }
-        buf.reserve(READ_SIZE);
-        // A connection reset means that the body is truncated.
-        match stream.read_buf(buf).await {
-            Ok(0) => return Ok(buf.split().freeze()),
-            Ok(_) => {}
-            Err(_) => return Err(ExchangeError::ConnectionClosed),
-        }
-    }
-}
-
-async fn read_more<R>(stream: &mut R, buf: &mut BytesMut) -> Result<(), ExchangeError>
-where
-    R: AsyncRead + Unpin,
-{
-    buf.reserve(READ_SIZE);
-    match stream.read_buf(buf).await {
-        Ok(0) | Err(_) => Err(ExchangeError::ConnectionClosed),
-        Ok(_) => Ok(()),
+/// The length of a body that is not chunked.
+fn declared_length(headers: &HeaderMap) -> Option<usize> {
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return None;
     }
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
 fn has_connection_close(headers: &HeaderMap) -> bool {
--- a/crates/httpconn/tests/exchange.rs
+++ b/crates/httpconn/tests/exchange.rs
@@ -3,6 +3,7 @@
 use bilberry_httpconn::Connection;
 use bilberry_httpconn::ExchangeError;
 use bilberry_httpconn::Parser;
+use bilberry_httpconn::ReadLimits;
 use bilberry_httpconn::Reuse;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -52,9 +53,10 @@
 ) -> Result<(String, bool), ExchangeError> {
     let addr = start_server(bytes, end).await;
     let connection = Connection::open(&Parser::default(), addr, TIMEOUT).await?;
+    let limits = ReadLimits::new(MAX_BODY, MAX_BODY);
     let is_match = |_, headers: &actix_http::header::HeaderMap| headers.contains_key("x-ours");
     let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
-    let (response, _) = connection.exchange(request, MAX_BODY, is_match).await?;
+    let (response, _) = connection.exchange(request, &limits, is_match).await?;
     let body = String::from_utf8(response.body.to_vec()).unwrap();
     Ok((body, response.reuse != Reuse::No))
 }
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -5,12 +5,14 @@
 use crate::Settings;
 use actix_http::header::HeaderMap;
 use actix_http::StatusCode;
+use engine::Counter;
 use engine::Input;
 use engine::RunEnd;
 use httpconn::Connection;
 use httpconn::ExchangeError;
 use httpconn::Parser;
 use httpconn::Pool;
+use httpconn::ReadLimits;
 use httpconn::Reuse;
 use indexmap::IndexMap;
 use proto::Request;
@@ -33,7 +35,7 @@
 pub(crate) struct BackendClient {
     parser: Parser,
     addr: SocketAddr,
-    max_body: usize,
+    limits: ReadLimits,
     idle: RefCell<IdleConnections>,
     /// Runs in progress, with the channels that cancel them.
     running: RefCell<IndexMap<RunId, oneshot::Sender<()>>>,
@@ -42,6 +44,9 @@
 /// Time-out of a health check. The next heartbeat triggers another check.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest body of a response to a health check, in bytes.
+const MAX_HEALTH_BODY: usize = 64 * 1024;
+
 /// Idle connections, all to the same incarnation of the server.
 #[derive(Default)]
 struct IdleConnections {
@@ -67,7 +72,7 @@
         Self {
             parser: Parser::default(),
             addr: settings.backend_server_addr,
-            max_body: settings.max_body,
+            limits: ReadLimits::new(settings.max_body, settings.max_responses),
             idle: RefCell::default(),
             running: RefCell::default(),
         }
@@ -128,7 +133,7 @@
             is_match
         };
         match connection
-            .exchange(&request, self.max_body, accept_head)
+            .exchange(&request, &self.limits, accept_head)
             .await
         {
             Ok((response, connection)) => {
@@ -137,11 +142,16 @@
                 }
                 (shell.dialect.classify_response)(response)
             }
-            Err(ExchangeError::TooLarge) => RunEnd::Response((shell.dialect.oversized_response)()),
             Err(e) => {
                 let (id, run) = (&backend_run.request.id, backend_run.run);
                 log::info!("event=run_lost request={id} run={run} error=\"{e}\"");
-                RunEnd::Lost
+                count_cut_off(shell, e);
+                match e {
+                    ExchangeError::TooLarge => {
+                        RunEnd::Response((shell.dialect.oversized_response)())
+                    }
+                    _ => RunEnd::Lost,
+                }
             }
         }
     }
@@ -156,7 +166,14 @@
                 backend.query_health(&shell, &id, &path),
             )
             .await;
-            let healthy = result.is_ok_and(|healthy| healthy.unwrap_or(false));
+            let healthy = match result {
+                Ok(Ok(healthy)) => healthy,
+                Ok(Err(e)) => {
+                    log::info!("event=health_check_lost server={id} error=\"{e}\"");
+                    false
+                }
+                Err(_) => false,
+            };
             shell.handle_input(Input::ServerChecked { id, healthy });
         });
     }
@@ -169,14 +186,16 @@
     ) -> Result<bool, ExchangeError> {
         let connection = Connection::open(&self.parser, self.addr, HEALTH_CHECK_TIMEOUT).await?;
         let request = (shell.dialect.encode_health_check)(path, &self.addr.to_string());
+        let limits = self.limits.with_max_body(MAX_HEALTH_BODY);
         let sent_at = shell.now();
         let accept_head = |status, headers: &HeaderMap| {
             pass_server_report(shell, id, sent_at, status, headers);
             true
         };
         let (response, _) = connection
-            .exchange(&request, self.max_body, accept_head)
-            .await?;
+            .exchange(&request, &limits, accept_head)
+            .await
+            .inspect_err(|e| count_cut_off(shell, *e))?;
         Ok((shell.dialect.is_healthy)(&response, id))
     }
 
@@ -204,6 +223,17 @@
     }
 }
 
+/// Counts a response that was not read to its end because of the limits for reading it.
+fn count_cut_off(shell: &Shell, e: ExchangeError) {
+    match e {
+        ExchangeError::TooLarge | ExchangeError::ExcessiveOverhead => {
+            shell.count(Counter::ResponseTooLong);
+        }
+        ExchangeError::NoMemory => shell.count(Counter::ResponseMemoryUsedUp),
+        _ => {}
+    }
+}
+
 /// Passes on to the engine what the server says about itself in the head of a response. This does
 /// not wait for the body, which may be late or never complete.
 fn pass_server_report(
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -66,6 +66,8 @@
     pub max_body: usize,
     /// Most bytes of all callers' bodies in flight together.
     pub max_bodies: usize,
+    /// Most bytes of all bodies that are being read from the backend server.
+    pub max_responses: usize,
     /// How long a caller may take to send a body.
     pub body_timeout: Duration,
     /// Fleet-wide retry limits for each service.
@@ -100,6 +102,7 @@
 const CONTACTS: Key = Key::new("node", "contacts");
 const MAX_BODY_KEY: Key = Key::new("node", "max_body");
 const MAX_BODIES: Key = Key::new("node", "max_bodies");
+const MAX_RESPONSES: Key = Key::new("node", "max_responses");
 const BODY_TIMEOUT: Key = Key::new("node", "body_timeout");
 const CALLER_HEADER: Key = Key::new("node", "caller_header");
 const BACKEND_ADDR: Key = Key::new("backend_server", "addr");
@@ -119,7 +122,7 @@
 const METRICS_HTTP_ADDR: Key = Key::new("metrics", "http_addr");
 const METRICS_ADDR: Key = Key::new("metrics", "addr");
 
-const KNOWN_KEYS: [Key; 27] = [
+const KNOWN_KEYS: [Key; 28] = [
     SERVICE,
     FAILURE_DOMAIN,
     REGION,
@@ -129,6 +132,7 @@
     CONTACTS,
     MAX_BODY_KEY,
     MAX_BODIES,
+    MAX_RESPONSES,
     BODY_TIMEOUT,
     CALLER_HEADER,
     BACKEND_ADDR,
@@ -216,6 +220,11 @@
                 DEFAULT_MAX_BODIES.max(max_body),
                 parse_byte_count(max_body, MAX_BODIES_LIMIT),
             )?,
+            max_responses: MAX_RESPONSES.or_default(
+                &ini,
+                DEFAULT_MAX_RESPONSES.max(max_body),
+                parse_byte_count(max_body, MAX_BODIES_LIMIT),
+            )?,
             body_timeout: BODY_TIMEOUT.or_default(
                 &ini,
                 Duration::from_secs(10),
@@ -273,7 +282,10 @@
 /// Default of `node.max_bodies`, unless `node.max_body` is larger.
 const DEFAULT_MAX_BODIES: usize = 8 << 20;
 
-/// Largest allowed `node.max_bodies`.
+/// Default of `node.max_responses`, unless `node.max_body` is larger.
+const DEFAULT_MAX_RESPONSES: usize = 8 << 20;
+
+/// Largest allowed `node.max_bodies` and `node.max_responses`.
 const MAX_BODIES_LIMIT: usize = 1 << 30;
 
 fn reject_unknown_keys(ini: &Ini) -> Result<(), SettingsError> {
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -137,7 +137,8 @@
     move |value| {
         let number = value.parse().ok();
         number.filter(|number| (min..=max).contains(number)).ok_or(
-            "a number of bytes: max_body up to 3145728, max_bodies from max_body to 1073741824",
+            "a number of bytes: max_body up to 3145728, max_bodies and max_responses from max_body to \
+             1073741824",
         )
     }
 }
