Finish answers to callers before a stopping node exits

Cause: the node exited when the engine had no work left. What connections of callers had not written yet was dropped with the process.

Fix: a connection counts as busy until its last answer is written, and the flush before the exit waits up to 10 s for busy connections.

Evidence: `answers_that_callers_read_slowly_are_complete_after_a_stop` fails if the flush waits 0 s for them (seen), with the end of the stream in the second answer. `event=flushed` and `event=responses_cut_off` say what it left behind.

--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -53,9 +53,10 @@
         let (shell, cfg) = (shell.clone(), cfg.clone());
         actix_rt::spawn(async move {
             let handle = |req| handler(shell.clone(), req);
-            if let Err(e) =
-                pipeline::serve_connection(stream, &cfg, handle, || shell.is_stopping()).await
-            {
+            let is_stopping = || shell.is_stopping();
+            let busy = &shell.busy_connections;
+            let served = pipeline::serve_connection(stream, &cfg, handle, is_stopping, busy);
+            if let Err(e) = served.await {
                 log::debug!("event=caller_connection_ended peer={peer} error=\"{e}\"");
                 if let Some(reason) = rejection_reason(&e) {
                     shell.count(engine::Counter::NotRun(reason));
--- a/crates/node/src/pipeline.rs
+++ b/crates/node/src/pipeline.rs
@@ -27,6 +27,7 @@
 use requests::BodySender;
 use requests::RequestReader;
 use requests::WaitState;
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::fmt;
 use std::future::Future;
@@ -87,6 +88,36 @@
     }
 }
 
+/// Number of connections with requests whose responses were not written completely.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct BusyConnections(Rc<Cell<usize>>);
+
+impl BusyConnections {
+    pub(crate) fn count(&self) -> usize {
+        self.0.get()
+    }
+}
+
+/// Whether one connection counts as busy; it no longer does when this is dropped.
+struct BusyState {
+    connections: BusyConnections,
+    is_busy: bool,
+}
+
+impl BusyState {
+    fn set(&mut self, is_busy: bool) {
+        let count = &self.connections.0;
+        count.set(count.get() + usize::from(is_busy) - usize::from(self.is_busy));
+        self.is_busy = is_busy;
+    }
+}
+
+impl Drop for BusyState {
+    fn drop(&mut self) {
+        self.set(false);
+    }
+}
+
 /// Decodes one request's body and encodes its response; the encoding depends on the request.
 type RequestCodec = Rc<RefCell<Codec>>;
 
@@ -97,12 +128,13 @@
     cfg: &ServiceConfig,
     handle: impl Fn(HttpRequest) -> F,
     is_stopping: impl Fn() -> bool,
+    busy: &BusyConnections,
 ) -> Result<(), ConnectionError>
 where
     F: Future<Output = HttpResponse<BoxBody>>,
 {
     let (mut reader, mut writer) = stream.split();
-    serve_halves(&mut reader, &mut writer, cfg, handle, is_stopping).await
+    serve_halves(&mut reader, &mut writer, cfg, handle, is_stopping, busy).await
 }
 
 /// Serves a connection that consists of a reader and a writer.
@@ -112,10 +144,15 @@
     cfg: &ServiceConfig,
     handle: impl Fn(HttpRequest) -> F,
     is_stopping: impl Fn() -> bool,
+    busy: &BusyConnections,
 ) -> Result<(), ConnectionError>
 where
     F: Future<Output = HttpResponse<BoxBody>>,
 {
+    let mut busy = BusyState {
+        connections: busy.clone(),
+        is_busy: false,
+    };
     let mut requests = RequestReader::new(cfg.clone());
     let mut unwritten = BytesMut::new();
     let mut responses = FuturesOrdered::new();
@@ -145,6 +182,7 @@
         if requests.no_more_requests && responses.is_empty() && unwritten.is_empty() {
             break;
         }
+        busy.set(!responses.is_empty() || !unwritten.is_empty());
         requests.update_wait_state(responses.is_empty(), unwritten.len());
         let deadline = requests.deadline();
         let full_channel = requests.full_channel();
--- a/crates/node/src/pipeline/tests.rs
+++ b/crates/node/src/pipeline/tests.rs
@@ -1,6 +1,7 @@
 //! Connections of callers that write, read and leave in different ways.
 
 use super::serve_halves;
+use super::BusyConnections;
 use actix_http::body::BoxBody;
 use actix_http::Request as HttpRequest;
 use actix_http::Response as HttpResponse;
@@ -129,8 +130,10 @@
     let (mut reader, mut writer) = tokio::io::split(server);
     let pause = Duration::from_millis(connection.handler_ms);
     let handle = |req| handle(req, pause, connection.response);
-    let served = serve_halves(&mut reader, &mut writer, &cfg, handle, || false);
+    let busy = BusyConnections::default();
+    let served = serve_halves(&mut reader, &mut writer, &cfg, handle, || false, &busy);
     let _ = served.await;
+    assert_eq!(busy.count(), 0);
 }
 
 fn run<T>(test: impl Future<Output = T>) -> T {
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -15,6 +15,7 @@
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::peers::Peers;
+use crate::pipeline::BusyConnections;
 use crate::platform_mode;
 use crate::platform_mode::PlatformAddrs;
 use crate::store_reader;
@@ -51,6 +52,10 @@
 /// How long a stopping node waits for queued frames to be written.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a stopping node waits for callers that read their responses slowly. The process
+/// supervisor may kill it sooner.
+const CALLER_FLUSH_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// How often the flush checks for unsent frames, and how long the writer tasks get after the queues
 /// are empty.
 const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -108,15 +113,29 @@
         self.flush().await;
     }
 
-    /// Waits until the last responses are written. They are queued for the writer tasks; if the
-    /// process exited first, callers would see connections cut off for work that was done.
+    /// Waits until the last responses are written to other nodes and to callers. If the process
+    /// exited first, callers would see connections cut off for work that was done.
     async fn flush(&self) {
-        let deadline = Instant::now() + FLUSH_TIMEOUT;
-        while self.shell.peers.has_unsent() && Instant::now() < deadline {
+        let started = Instant::now();
+        let is_unsent = || {
+            let (peers, busy) = (&self.shell.peers, &self.shell.busy_connections);
+            let elapsed = started.elapsed();
+            (peers.has_unsent() && elapsed < FLUSH_TIMEOUT)
+                || (busy.count() > 0 && elapsed < CALLER_FLUSH_TIMEOUT)
+        };
+        while is_unsent() {
             tokio::time::sleep(FLUSH_POLL_INTERVAL).await;
         }
         // Frames taken from the queues may still be on their way into the sockets.
         tokio::time::sleep(FLUSH_POLL_INTERVAL).await;
+        let (ms, cut) = (
+            started.elapsed().as_millis(),
+            self.shell.busy_connections.count(),
+        );
+        match cut {
+            0 => log::info!("event=flushed flush_ms={ms}"),
+            cut => log::warn!("event=responses_cut_off connections={cut} flush_ms={ms}"),
+        }
     }
 
     /// Counter totals, sorted by name.
@@ -142,6 +161,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) log_limiter: LogRateLimiter,
     pub(crate) body_budget: BodyBudget,
+    pub(crate) busy_connections: BusyConnections,
     clock: Clock,
     pending_replies: RefCell<IndexMap<RequestToken, oneshot::Sender<Reply>>>,
     next_token: Cell<u64>,
@@ -200,6 +220,7 @@
         metrics: Metrics::new(settings.metrics_addr).map_err(StartError::Metrics)?,
         log_limiter: LogRateLimiter::new(),
         body_budget: BodyBudget::new(settings.max_bodies),
+        busy_connections: BusyConnections::default(),
         clock: Clock::new(),
         pending_replies: RefCell::default(),
         next_token: Cell::new(0),
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -7,10 +7,16 @@
 use common::wait_for_homes;
 use common::wait_for_status;
 use common::Instance;
+use common::NodeProcess;
 use common::LOOPBACK;
 use indexmap::IndexMap;
+use standin::Backend;
+use standin::BackendConfig;
 use standin::Store;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 
 const RULES: &str = "\
 operation catalogue GET /patterns/* class=lookup idempotent deadline=20s retries=1 # asked by Giulia
@@ -172,3 +178,47 @@
     }
     assert!(leaving.node.wait_for_exit().await.success());
 }
+
+/// Guards against answers that are cut off when the node that took the requests exits, because their
+/// callers read them slowly.
+#[actix_rt::test]
+async fn answers_that_callers_read_slowly_are_complete_after_a_stop() {
+    const SIZE: usize = 3_000_000;
+    let store = Store::start(LOOPBACK.into()).await.unwrap();
+    let work = BackendConfig {
+        service_time: Duration::from_millis(500),
+        ..BackendConfig::default()
+    };
+    let backend = Backend::start(LOOPBACK.into(), work).await.unwrap();
+    let limits = "max_body = 3145728\nmax_bodies = 33554432";
+    let mut node = NodeProcess::start_with("order", "milano-1", backend.addr, store.addr, limits);
+    publish(&store, RULES).await;
+    wait_for_status(node.http, "rules_version", "1").await;
+    wait_for_homes(&[node.http]).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    let mut stream = socket.connect(node.http).await.unwrap();
+    // The stand-in answers with the body and the path of the request.
+    for _ in 0..2 {
+        let head =
+            format!("POST /order/orders HTTP/1.1\r\nhost: x\r\ncontent-length: {SIZE}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&vec![b'i'; SIZE]).await.unwrap();
+    }
+    while backend.runs.borrow().values().sum::<u32>() < 2 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    node.signal("-TERM");
+    // Longer than the node needs to finish everything else.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for _ in 0..2 {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await.unwrap());
+        }
+        assert!(head.starts_with(b"HTTP/1.1 200"));
+        let mut body = vec![0; SIZE + "/orders".len()];
+        stream.read_exact(&mut body).await.unwrap();
+    }
+    assert!(node.wait_for_exit().await.success());
+}
