Do not take a server that reads slowly for a lost connection

Cause: connections to servers have a `TCP_USER_TIMEOUT` of 2.5 s. The system applies it also to data that waits because the receiver's window is closed.

Fix: the time-out applies to requests of up to 2,048 bytes, which fit into the smallest receive buffer. Larger ones end with the response, the end of the connection or the deadline of their run.

--- a/crates/httpconn/src/connection.rs
+++ b/crates/httpconn/src/connection.rs
@@ -27,10 +27,15 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 2;
 
-/// How long sent data may stay unacknowledged before the connection is closed
+/// How long a short request may stay unacknowledged before the connection is closed
 /// (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Largest request to which [`UNACKNOWLEDGED_TIMEOUT`] applies, in bytes. It fits into the smallest
+/// receive buffer. The system applies the time-out also to data that waits because the receiver's
+/// window is closed, and so would end the connection of a server that reads slowly.
+const MAX_SHORT_REQUEST: usize = 2048;
+
 /// How many responses to other requests are skipped before the exchange fails.
 const MAX_UNMATCHED: usize = 2;
 
@@ -40,6 +45,7 @@
     parser: Parser,
     stream: TcpStream,
     buf: BytesMut,
+    has_user_timeout: bool,
     /// When the last response was complete.
     pub(crate) idle_since: Instant,
     /// How long the server keeps the connection open while idle, if it announced that.
@@ -63,6 +69,7 @@
             .map_err(|_| ExchangeError::NotConnected)?;
         set_socket_options(&stream);
         Ok(Self {
+            has_user_timeout: false,
             parser: parser.clone(),
             stream,
             buf: BytesMut::new(),
@@ -93,6 +100,7 @@
         limits: &ReadLimits,
         accept_head: impl Fn(StatusCode, &HeaderMap) -> bool,
     ) -> Result<(CompleteResponse, Self), ExchangeError> {
+        self.set_user_timeout(request.len() <= MAX_SHORT_REQUEST);
         let (mut reader, mut writer) = self.stream.split();
         let mut written = false;
         // Reads while writing: a server may respond before it has read the whole body and then stop
@@ -123,6 +131,15 @@
         }
         Ok((response, self))
     }
+
+    /// Sets whether the connection is closed when sent data stays unacknowledged. Errors are ignored
+    /// like those of the other socket options.
+    fn set_user_timeout(&mut self, is_set: bool) {
+        if is_set != std::mem::replace(&mut self.has_user_timeout, is_set) {
+            let timeout = is_set.then_some(UNACKNOWLEDGED_TIMEOUT);
+            let _ = SockRef::from(&self.stream).set_tcp_user_timeout(timeout);
+        }
+    }
 }
 
 /// Reads responses until `accept_head` accepts one, skipping at most [`MAX_UNMATCHED`].
@@ -156,5 +173,4 @@
     let socket = SockRef::from(stream);
     let _ = stream.set_nodelay(true);
     let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
 }
--- a/crates/node/tests/uploads.rs
+++ b/crates/node/tests/uploads.rs
@@ -12,9 +12,10 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 const RULES: &str =
@@ -23,6 +24,13 @@
 /// Larger than any buffer on the path.
 const SIZE: usize = 400_000;
 
+/// How long a server pauses that reads slowly: longer than unacknowledged data of a short request may
+/// take.
+const PAUSE: Duration = Duration::from_millis(3500);
+
+/// The server's receive buffer, in bytes, so that a server that does not read closes its window.
+const RECEIVE_BUFFER: u32 = 32 * 1024;
+
 /// How the server handles an upload.
 #[derive(Clone, Copy, PartialEq)]
 enum Behaviour {
@@ -32,6 +40,8 @@
     RespondsFirst,
     /// Reads half of the body, then closes the connection.
     ClosesConnection,
+    /// Pauses before it reads the body, then responds.
+    PausesFirst,
 }
 
 /// A server that records the bodies it has read completely and counts the uploads it has started.
@@ -45,7 +55,10 @@
 
 impl Server {
     async fn start() -> Self {
-        let listener = TcpListener::bind(SocketAddr::from(LOOPBACK)).await.unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+        socket.bind(SocketAddr::from(LOOPBACK)).unwrap();
+        let listener = socket.listen(64).unwrap();
         let server = Self {
             addr: listener.local_addr().unwrap(),
             behaviour: Rc::new(Cell::new(Behaviour::ReadsFirst)),
@@ -73,6 +86,11 @@
                     self.read_body(&mut stream, length).await?;
                     respond(&mut stream).await?;
                 }
+                Behaviour::PausesFirst => {
+                    tokio::time::sleep(PAUSE).await;
+                    self.read_body(&mut stream, length).await?;
+                    respond(&mut stream).await?;
+                }
                 Behaviour::RespondsFirst => {
                     respond(&mut stream).await?;
                     self.read_body(&mut stream, length).await?;
@@ -190,3 +208,13 @@
     assert!(matches!(status, 502 | 504), "{status}");
     assert_eq!(server.started.get(), 1);
 }
+
+/// Guards against uploads that are broken off while their server reads them slowly. The server may
+/// have stored a part of the upload, and the client does not learn what happened.
+#[actix_rt::test]
+async fn upload_that_the_server_reads_slowly_is_not_broken_off() {
+    let (node, server) = start().await;
+    server.behaviour.set(Behaviour::PausesFirst);
+    assert_eq!(upload(node.http, false).await, 200);
+    assert_eq!(*server.bodies.borrow(), [body()]);
+}
