Attribute no response without a request id on a kept connection

Cause: a refusal without a request id was attributed to the request in flight.

Fix: a response without an id is attributed only if it is the first one on its connection, and that connection carries no further request. Any other is skipped and counted, and the response to the request is waited for.

--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -157,6 +157,8 @@
         CrashSuspect,
         /// A run ended without a complete response.
         RunLost,
+        /// A response of the server belonged to another request than the one in flight.
+        ResponseSkipped,
         /// A response of the server was cut off because it exceeded the limits for reading it.
         ResponseTooLong,
         /// A response of the server was given up because the memory for responses was used up.
@@ -241,6 +243,7 @@
             Counter::LateHeartbeat => "late_heartbeat".to_owned(),
             Counter::WrongServiceHeartbeat => "strange_server".to_owned(),
             Counter::RunLost => "run_lost".to_owned(),
+            Counter::ResponseSkipped => "response_skipped".to_owned(),
             Counter::ResponseTooLong => "response_too_long".to_owned(),
             Counter::ResponseMemoryUsedUp => "response_memory_used_up".to_owned(),
             Counter::MalformedRecord => "broken_record".to_owned(),
--- a/crates/httpconn/src/connection.rs
+++ b/crates/httpconn/src/connection.rs
@@ -39,6 +39,18 @@
 /// How many responses to other requests are skipped before the exchange fails.
 const MAX_UNMATCHED: usize = 2;
 
+/// The head of a response, before its body is read.
+#[derive(Debug, Clone, Copy)]
+pub struct ResponseStart<'a> {
+    /// The status code.
+    pub status: StatusCode,
+    /// All headers.
+    pub headers: &'a HeaderMap,
+    /// Whether it is the first response on the connection. Any other may be a late or additional
+    /// response to an earlier request.
+    pub is_first: bool,
+}
+
 /// An HTTP/1.1 client connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -46,6 +58,8 @@
     stream: TcpStream,
     buf: BytesMut,
     has_user_timeout: bool,
+    /// Whether a complete response was received.
+    has_response: bool,
     /// When the last response was complete.
     pub(crate) idle_since: Instant,
     /// How long the server keeps the connection open while idle, if it announced that.
@@ -70,6 +84,7 @@
         set_socket_options(&stream);
         Ok(Self {
             has_user_timeout: false,
+            has_response: false,
             parser: parser.clone(),
             stream,
             buf: BytesMut::new(),
@@ -98,7 +113,7 @@
         mut self,
         request: &[u8],
         limits: &ReadLimits,
-        accept_head: impl Fn(StatusCode, &HeaderMap) -> bool,
+        accept_head: impl Fn(ResponseStart<'_>) -> bool,
     ) -> Result<(CompleteResponse, Self), ExchangeError> {
         self.set_user_timeout(request.len() <= MAX_SHORT_REQUEST);
         let (mut reader, mut writer) = self.stream.split();
@@ -108,7 +123,7 @@
         let mut response = {
             let write = async { writer.write_all(request).await };
             let reader = ResponseReader::new(&self.parser, &mut reader, &mut self.buf, limits);
-            let read = read_matching(reader, accept_head);
+            let read = read_matching(reader, !self.has_response, accept_head);
             tokio::pin!(write, read);
             loop {
                 tokio::select! {
@@ -125,6 +140,7 @@
             // The server still expects the rest of the body on this connection.
             response.reuse = Reuse::No;
         }
+        self.has_response = true;
         self.idle_since = Instant::now();
         if let Reuse::Yes(idle_timeout) = response.reuse {
             self.idle_timeout = idle_timeout;
@@ -145,11 +161,16 @@
 /// Reads responses until `accept_head` accepts one, skipping at most [`MAX_UNMATCHED`].
 async fn read_matching<R: AsyncRead + Unpin>(
     mut reader: ResponseReader<'_, R>,
-    accept_head: impl Fn(StatusCode, &HeaderMap) -> bool,
+    is_first_request: bool,
+    accept_head: impl Fn(ResponseStart<'_>) -> bool,
 ) -> Result<CompleteResponse, ExchangeError> {
     for skipped in 0..=MAX_UNMATCHED {
         let head = reader.read_head().await?;
-        let is_match = accept_head(head.status, &head.headers);
+        let is_match = accept_head(ResponseStart {
+            status: head.status,
+            headers: &head.headers,
+            is_first: is_first_request && skipped == 0,
+        });
         let mut response = reader.read_body(head).await?;
         if is_match {
             if skipped > 0 {
--- a/crates/httpconn/src/lib.rs
+++ b/crates/httpconn/src/lib.rs
@@ -15,6 +15,7 @@
 mod response;
 
 pub use connection::Connection;
+pub use connection::ResponseStart;
 pub use error::ExchangeError;
 pub use headers::end_to_end_headers;
 pub use headers::single_header;
--- a/crates/httpconn/tests/exchange.rs
+++ b/crates/httpconn/tests/exchange.rs
@@ -4,6 +4,7 @@
 use bilberry_httpconn::ExchangeError;
 use bilberry_httpconn::Parser;
 use bilberry_httpconn::ReadLimits;
+use bilberry_httpconn::ResponseStart;
 use bilberry_httpconn::Reuse;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -54,7 +55,7 @@
     let addr = start_server(bytes, end).await;
     let connection = Connection::open(&Parser::default(), addr, TIMEOUT).await?;
     let limits = ReadLimits::new(MAX_BODY, MAX_BODY);
-    let is_match = |_, headers: &actix_http::header::HeaderMap| headers.contains_key("x-ours");
+    let is_match = |start: ResponseStart<'_>| start.headers.contains_key("x-ours");
     let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
     let (response, _) = connection.exchange(request, &limits, is_match).await?;
     let body = String::from_utf8(response.body.to_vec()).unwrap();
@@ -179,3 +180,37 @@
     let opened = Connection::open(&Parser::default(), addr, TIMEOUT).await;
     assert_eq!(opened.err(), Some(ExchangeError::NotConnected));
 }
+
+/// Guards against additional bytes of a server that are taken for the response to the next request on
+/// its connection.
+#[actix_rt::test]
+async fn only_the_first_response_of_a_connection_is_marked_as_first() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 1024];
+        let stray = "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
+        let ours = "HTTP/1.1 200 OK\r\nx-ours: 1\r\ncontent-length: 3\r\n\r\nink";
+        for response in [stray.to_owned(), format!("{stray}{ours}")] {
+            assert!(stream.read(&mut buf).await.unwrap() > 0);
+            stream.write_all(response.as_bytes()).await.unwrap();
+        }
+        tokio::time::sleep(TIMEOUT).await;
+    });
+    let limits = ReadLimits::new(MAX_BODY, MAX_BODY);
+    let mut connection = Connection::open(&Parser::default(), addr, TIMEOUT)
+        .await
+        .unwrap();
+    let mut statuses = Vec::new();
+    for _ in 0..2 {
+        let is_match =
+            |start: ResponseStart<'_>| start.is_first || start.headers.contains_key("x-ours");
+        let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+        let exchange = connection.exchange(request, &limits, is_match);
+        let (response, returned) = exchange.await.unwrap();
+        statuses.push(response.status.as_u16());
+        connection = returned;
+    }
+    assert_eq!(statuses, [503, 200]);
+}
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -3,8 +3,6 @@
 use crate::dialect::OutgoingRun;
 use crate::shell::Shell;
 use crate::Settings;
-use actix_http::header::HeaderMap;
-use actix_http::StatusCode;
 use engine::Counter;
 use engine::Input;
 use engine::RunEnd;
@@ -13,10 +11,13 @@
 use httpconn::Parser;
 use httpconn::Pool;
 use httpconn::ReadLimits;
+use httpconn::ResponseStart;
 use httpconn::Reuse;
 use indexmap::IndexMap;
+use platform::ResponseMatch;
 use proto::Request;
 use proto::RunId;
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -125,19 +126,28 @@
         };
         let request = (shell.dialect.encode_run)(&run);
         let sent_at = shell.now();
-        let accept_head = |status, headers: &HeaderMap| {
-            let is_match = (shell.dialect.matches_request)(headers, &backend_run.request);
-            if let Some(id) = backend_run.expected_server.as_ref().filter(|_| is_match) {
-                pass_server_report(shell, id, sent_at, status, headers);
+        let is_identified = Cell::new(true);
+        let accept_head = |start: ResponseStart<'_>| {
+            let matched = (shell.dialect.match_response)(start, &backend_run.request);
+            is_identified.set(matched == ResponseMatch::Identified);
+            if matched == ResponseMatch::Other {
+                let (id, run) = (&backend_run.request.id, backend_run.run);
+                let status = start.status.as_u16();
+                log::info!("event=response_skipped request={id} run={run} status={status}");
+                shell.count(Counter::ResponseSkipped);
+                return false;
+            }
+            if let Some(id) = &backend_run.expected_server {
+                pass_server_report(shell, id, sent_at, start);
             }
-            is_match
+            true
         };
         match connection
             .exchange(&request, &self.limits, accept_head)
             .await
         {
             Ok((response, connection)) => {
-                if response.reuse != Reuse::No {
+                if response.reuse != Reuse::No && is_identified.get() {
                     self.release(backend_run, connection);
                 }
                 (shell.dialect.classify_response)(response)
@@ -188,8 +198,8 @@
         let request = (shell.dialect.encode_health_check)(path, &self.addr.to_string());
         let limits = self.limits.with_max_body(MAX_HEALTH_BODY);
         let sent_at = shell.now();
-        let accept_head = |status, headers: &HeaderMap| {
-            pass_server_report(shell, id, sent_at, status, headers);
+        let accept_head = |start: ResponseStart<'_>| {
+            pass_server_report(shell, id, sent_at, start);
             true
         };
         let (response, _) = connection
@@ -236,13 +246,8 @@
 
 /// Passes on to the engine what the server says about itself in the head of a response. This does
 /// not wait for the body, which may be late or never complete.
-fn pass_server_report(
-    shell: &Rc<Shell>,
-    id: &Arc<str>,
-    sent_at: Time,
-    status: StatusCode,
-    headers: &HeaderMap,
-) {
+fn pass_server_report(shell: &Rc<Shell>, id: &Arc<str>, sent_at: Time, start: ResponseStart<'_>) {
+    let (status, headers) = (start.status, start.headers);
     let Some(report) = (shell.dialect.parse_server_report)(status, headers, Some(id)) else {
         return;
     };
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -8,6 +8,7 @@
 mod platform;
 
 use crate::Settings;
+use ::platform::ResponseMatch;
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
 use actix_http::Request as HttpRequest;
@@ -18,6 +19,7 @@
 use engine::RunEnd;
 use engine::ServerReport;
 use httpconn::CompleteResponse;
+use httpconn::ResponseStart;
 use proto::Outcome;
 use proto::Reason;
 use proto::Request;
@@ -93,7 +95,7 @@
     /// the response is from that incarnation.
     pub(crate) parse_server_report: ParseServerReport,
     /// Whether a response of the backend server belongs to the request.
-    pub(crate) matches_request: fn(&HeaderMap, &Request) -> bool,
+    pub(crate) match_response: fn(ResponseStart<'_>, &Request) -> ResponseMatch,
     /// Derives the result of a run from its complete response.
     pub(crate) classify_response: Box<dyn Fn(CompleteResponse) -> RunEnd>,
     /// What the caller gets instead of a response that is too large. The work is done; if this
--- a/crates/node/src/dialect/native.rs
+++ b/crates/node/src/dialect/native.rs
@@ -22,6 +22,7 @@
 use httpconn::end_to_end_headers;
 use httpconn::single_header;
 use httpconn::CompleteResponse;
+use platform::ResponseMatch;
 use proto::Outcome;
 use proto::Reason;
 use proto::Refusal;
@@ -88,7 +89,7 @@
         },
         is_healthy: |response, _| response.status.is_success(),
         parse_server_report: |_, _, _| None,
-        matches_request: |_, _| true,
+        match_response: |_, _| ResponseMatch::Identified,
         classify_response: Box::new(move |response| classify_response(response, &refusal_header)),
         oversized_response,
     }
--- a/crates/node/src/dialect/platform.rs
+++ b/crates/node/src/dialect/platform.rs
@@ -36,7 +36,7 @@
         encode_health_check: platform::encode_health_check,
         is_healthy: platform::is_healthy,
         parse_server_report: platform::parse_server_report,
-        matches_request: |headers, request| platform::matches_request(headers, &request.id),
+        match_response: |start, request| platform::match_response(start, &request.id),
         classify_response: Box::new(classify_response),
         oversized_response,
     }
