Node: tests with crowds of clients that do not behave

These tests fix the crowds and the bounds before the code changes. Real processes on loopback, one crowd at a time; each process must live, stay within the 160 MB of the smallest machine and within its descriptors, and answer an ordinary request with and after the crowd.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -44,20 +44,39 @@
         store: SocketAddr,
         extra_lines: &str,
     ) -> Self {
-        let text = format!(
-            "[node]\nservice = {service}\nfailure_domain = {domain}\nregion = lombardia\n\
-             http_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n{extra_lines}\n\
-             [backend_server]\naddr = {backend}\n[store]\naddr = {store}\n\
-             [logging]\nlevel = warn\n"
-        );
-        Self::start_from(&text)
+        Self::start_from(&settings_text(service, domain, backend, store, extra_lines))
     }
 
     /// Starts a node with this text as its settings file.
     pub fn start_from(text: &str) -> Self {
+        Self::run(Command::new(env!("CARGO_BIN_EXE_bilberry-node")), text)
+    }
+
+    /// Like [`NodeProcess::start_with`], with a limit on open descriptors if one is set.
+    pub fn start_with_descriptors(
+        service: &str,
+        backend: SocketAddr,
+        store: SocketAddr,
+        extra_lines: &str,
+        descriptors: Option<usize>,
+    ) -> Self {
+        let text = settings_text(service, "milano-1", backend, store, extra_lines);
+        let Some(descriptors) = descriptors else {
+            return Self::start_from(&text);
+        };
+        let mut command = Command::new("sh");
+        command
+            .args(["-c", "ulimit -n \"$0\" && exec \"$1\" \"$2\""])
+            .arg(descriptors.to_string())
+            .arg(env!("CARGO_BIN_EXE_bilberry-node"));
+        Self::run(command, &text)
+    }
+
+    /// Runs a command that starts a node with the settings file that is its last argument.
+    fn run(mut command: Command, text: &str) -> Self {
         let settings_file = std::env::temp_dir().join(format!("node-{}.ini", uuid::Uuid::new_v4()));
         std::fs::write(&settings_file, text).unwrap();
-        let mut process = Command::new(env!("CARGO_BIN_EXE_bilberry-node"))
+        let mut process = command
             .arg(&settings_file)
             .stdout(Stdio::piped())
             .spawn()
@@ -90,6 +109,38 @@
     }
 }
 
+impl NodeProcess {
+    /// The most memory that the process has had so far, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.process.id());
+        let text = std::fs::read_to_string(path).unwrap();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.unwrap().trim().trim_end_matches(" kB");
+        kilobytes.parse::<usize>().unwrap() * 1024
+    }
+
+    /// The number of descriptors that the process has open.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.process.id());
+        std::fs::read_dir(path).unwrap().count()
+    }
+}
+
+fn settings_text(
+    service: &str,
+    domain: &str,
+    backend: SocketAddr,
+    store: SocketAddr,
+    extra_lines: &str,
+) -> String {
+    format!(
+        "[node]\nservice = {service}\nfailure_domain = {domain}\nregion = lombardia\n\
+         http_addr = 127.0.0.1:0\npeer_addr = 127.0.0.1:0\n{extra_lines}\n\
+         [backend_server]\naddr = {backend}\n[store]\naddr = {store}\n\
+         [logging]\nlevel = warn\n"
+    )
+}
+
 fn address(line: &str, name: &str) -> SocketAddr {
     let mut values = line
         .split_whitespace()
