Bound what a node holds for the connections of its callers

Callers saw their node end: clients that do not read long answers, or read them slowly, made it hold every one of them, and it ran out of memory.

Cause: nothing counted answers that wait for their callers. An answer was held in full, and a second time in the write buffer, for up to 75 s per connection and for up to 16 requests each; the same held for heads that do not end. A first suspicion, a process that dies of the answers while they are read from the server, is ruled out by the peak of the server's node (51 MB and less).

One ledger for each process now counts what is held for a connection where it is held: unparsed input, bodies, answers from the moment the engine gives them out. At its limit (max_held, 48 MiB) it closes the connection that has held most for longest while its caller made the least progress; small holdings are spared while there are larger ones, and a connection that waits for accepted work is never closed. Bodies of responses are encoded in pieces, so they are held once. The decision is policy/src/connection_ledger.rs, without I/O or a clock. Each closed connection is counted (connection_shed.memory, .connections) and logged; the gauges callers.connections and callers.held_bytes show the state.

--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -1,6 +1,7 @@
 //! Counters of the engine and the node, and the names of their metrics.
 
 use crate::ReportError;
+use policy::ShedReason;
 use policy::SlackEvent;
 use proto::Class;
 use proto::Reason;
@@ -163,6 +164,8 @@
         ResponseTooLong,
         /// A response of the server was given up because the memory for responses was used up.
         ResponseMemoryUsedUp,
+        /// A connection of a caller was closed, or not accepted, because of a limit for all of them.
+        ConnectionShed(ShedReason),
         /// A record of the log, or a state received from a peer, could not be decoded.
         MalformedRecord,
         /// A published rules file was rejected.
@@ -246,6 +249,7 @@
             Counter::ResponseSkipped => "response_skipped".to_owned(),
             Counter::ResponseTooLong => "response_too_long".to_owned(),
             Counter::ResponseMemoryUsedUp => "response_memory_used_up".to_owned(),
+            Counter::ConnectionShed(reason) => format!("connection_shed.{}", reason.name()),
             Counter::MalformedRecord => "broken_record".to_owned(),
             Counter::PublicationRejected => "rejected_publication".to_owned(),
             Counter::StateRestored => "restored".to_owned(),
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -1,6 +1,8 @@
 //! Reads the bodies of callers' requests completely, within a time limit and a shared memory
 //! budget.
 
+use crate::connections::Account;
+use crate::connections::Held;
 use actix_http::HttpMessage;
 use actix_http::Request as HttpRequest;
 use bytes::Bytes;
@@ -31,10 +33,10 @@
 }
 
 /// A share of the budget, returned when dropped.
-#[derive(Debug)]
 pub(crate) struct Reservation {
     budget: BodyBudget,
     bytes: usize,
+    held: Held,
 }
 
 impl BodyBudget {
@@ -44,10 +46,11 @@
         }
     }
 
-    fn reserve(&self) -> Reservation {
+    fn reserve(&self, account: &Rc<Account>) -> Reservation {
         Reservation {
             budget: self.clone(),
             bytes: 0,
+            held: account.hold_body(),
         }
     }
 }
@@ -58,6 +61,7 @@
         let available = available.checked_sub(bytes).ok_or(Reason::TableFull)?;
         self.budget.available.set(available);
         self.bytes += bytes;
+        self.held.grow(bytes);
         Ok(())
     }
 }
@@ -74,24 +78,28 @@
     req: &mut HttpRequest,
     limits: BodyLimits,
     budget: &BodyBudget,
+    account: &Rc<Account>,
 ) -> Result<(Bytes, Reservation), Reason> {
     if declared_len(req).is_some_and(|len| len > limits.max_bytes) {
         return Err(Reason::TooLarge);
     }
     // Without a time limit, a caller that sends one byte at a time would hold its share of the
     // budget indefinitely.
-    let body = timeout(limits.timeout, collect(req, limits.max_bytes, budget)).await;
+    let body = timeout(
+        limits.timeout,
+        collect(req, limits.max_bytes, budget.reserve(account)),
+    )
+    .await;
     body.unwrap_or(Err(Reason::Deadline))
 }
 
 async fn collect(
     req: &mut HttpRequest,
     max_bytes: usize,
-    budget: &BodyBudget,
+    mut reservation: Reservation,
 ) -> Result<(Bytes, Reservation), Reason> {
     let mut payload = req.take_payload();
     let mut body = BytesMut::new();
-    let mut reservation = budget.reserve();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| Reason::BadRequest)?;
         if body.len() + chunk.len() > max_bytes {
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -3,9 +3,12 @@
 use crate::body;
 use crate::body::BodyLimits;
 use crate::body::Reservation;
+use crate::connections::Account;
+use crate::connections::Connections;
 use crate::dialect::Reply;
 use crate::dialect::RequestHead;
 use crate::pipeline;
+use crate::pipeline::Answer;
 use crate::pipeline::ConnectionError;
 use crate::shell::Shell;
 use actix_http::body::BoxBody;
@@ -14,12 +17,15 @@
 use actix_http::Response as HttpResponse;
 use actix_http::ServiceConfig;
 use actix_http::StatusCode;
+use engine::Counter;
 use engine::Input;
 use engine::RequestToken;
+use policy::ShedReason;
 use proto::Outcome;
 use proto::Reason;
 use proto::Request;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -30,17 +36,18 @@
 
 /// Serves callers on the listener.
 pub(crate) async fn serve_callers(shell: Rc<Shell>, listener: TcpListener) {
-    let handler = |shell, req| handle_request(shell, req);
-    serve(shell, listener, handler).await;
+    let connections = shell.callers.clone();
+    serve(shell, listener, connections, handle_request).await;
 }
 
 /// Accepts connections on the listener and serves HTTP/1.1 on each.
 pub(crate) async fn serve<F>(
     shell: Rc<Shell>,
     listener: TcpListener,
-    handler: impl Fn(Rc<Shell>, HttpRequest) -> F + Copy + 'static,
+    connections: Rc<Connections>,
+    handler: impl Fn(Rc<Shell>, Rc<Account>, HttpRequest) -> F + Copy + 'static,
 ) where
-    F: Future<Output = HttpResponse<BoxBody>> + 'static,
+    F: Future<Output: Into<Answer>> + 'static,
 {
     let cfg = ServiceConfig::default();
     loop {
@@ -49,23 +56,53 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
+        let Ok((account, shed)) = connections.open() else {
+            // Nothing was read, so the caller may send its request elsewhere.
+            shell.count(Counter::ConnectionShed(ShedReason::Connections));
+            continue;
+        };
         let _ = stream.set_nodelay(true);
         let (shell, cfg) = (shell.clone(), cfg.clone());
         actix_rt::spawn(async move {
-            let handle = |req| handler(shell.clone(), req);
+            let handle = |req| handler(shell.clone(), account.clone(), req);
             let is_stopping = || shell.is_stopping();
             let busy = &shell.busy_connections;
-            let served = pipeline::serve_connection(stream, &cfg, handle, is_stopping, busy);
-            if let Err(e) = served.await {
-                log::debug!("event=caller_connection_ended peer={peer} error=\"{e}\"");
-                if let Some(reason) = rejection_reason(&e) {
-                    shell.count(engine::Counter::NotRun(reason));
-                }
+            let served =
+                pipeline::serve_connection(stream, &cfg, handle, is_stopping, busy, &account);
+            let result = tokio::select! {
+                biased;
+                Ok(shed) = shed => Err(ConnectionError::Shed(shed)),
+                result = served => result,
+            };
+            if let Err(e) = result {
+                report_error(&shell, peer, &e);
             }
         });
     }
 }
 
+/// Counts and logs why a connection ended before its caller closed it.
+fn report_error(shell: &Shell, peer: SocketAddr, e: &ConnectionError) {
+    if let ConnectionError::Shed(shed) = e {
+        shell.count(Counter::ConnectionShed(shed.reason));
+        if shell.log_limiter.admit() {
+            let (reason, activity) = (shed.reason.name(), shed.activity.name());
+            log::info!(
+                "event=connection_shed peer={peer} reason={reason} activity={activity} ms={} \
+                 held={} transferred={}",
+                shed.duration.as_millis(),
+                shed.held,
+                shed.transferred
+            );
+        }
+        return;
+    }
+    log::debug!("event=caller_connection_ended peer={peer} error=\"{e}\"");
+    if let Some(reason) = rejection_reason(e) {
+        shell.count(Counter::NotRun(reason));
+    }
+}
+
 /// The reason to count for a request head that was rejected before it reached the handler. The
 /// response has status 400, 408 or 431 and no outcome header.
 fn rejection_reason(e: &ConnectionError) -> Option<Reason> {
@@ -73,7 +110,7 @@
         ConnectionError::Parse(ParseError::TooLarge) => Some(Reason::TooLarge),
         ConnectionError::Parse(_) => Some(Reason::BadRequest),
         ConnectionError::HeadTimeout => Some(Reason::Deadline),
-        ConnectionError::WriteTimeout | ConnectionError::Io(_) => None,
+        ConnectionError::WriteTimeout | ConnectionError::Shed(_) | ConnectionError::Io(_) => None,
     }
 }
 
@@ -86,32 +123,35 @@
 impl Drop for CancelGuard {
     fn drop(&mut self) {
         if let Some(token) = self.token.take() {
-            self.shell.handle_input(Input::CallerGone(token));
+            self.shell.withdraw_request(token);
         }
     }
 }
 
 /// Serves counters and latency quantiles.
-pub(crate) async fn handle_metrics(shell: Rc<Shell>, _req: HttpRequest) -> HttpResponse<BoxBody> {
-    let gauges = shell.engine.borrow().gauges(shell.now());
+pub(crate) async fn handle_metrics(
+    shell: Rc<Shell>,
+    _account: Rc<Account>,
+    _req: HttpRequest,
+) -> HttpResponse<BoxBody> {
+    let gauges = shell.gauges();
     HttpResponse::build(StatusCode::OK)
         .body(shell.metrics.render(&gauges))
         .map_into_boxed_body()
 }
 
-async fn handle_request(shell: Rc<Shell>, mut req: HttpRequest) -> HttpResponse<BoxBody> {
+async fn handle_request(shell: Rc<Shell>, account: Rc<Account>, mut req: HttpRequest) -> Answer {
     if req.path() == STATUS_PATH {
-        return HttpResponse::build(StatusCode::OK)
-            .body(shell.status())
-            .map_into_boxed_body();
+        let response = HttpResponse::build(StatusCode::OK).body(shell.status());
+        return response.map_into_boxed_body().into();
     }
     let started = Instant::now();
-    let (head, _reservation) = match read_request(&shell, &mut req).await {
+    let (head, _reservation) = match read_request(&shell, &account, &mut req).await {
         Ok(request) => request,
         Err(reason) => {
             log::debug!("event=refused reason={}", reason.name());
-            shell.count(engine::Counter::NotRun(reason));
-            return (shell.dialect.reject_head)(&req, reason);
+            shell.count(Counter::NotRun(reason));
+            return (shell.dialect.reject_head)(&req, reason).into();
         }
     };
     let id = head.request.id.clone();
@@ -127,7 +167,7 @@
             .map(|timeout| timeout.saturating_sub(started.elapsed())),
         request: head.request,
     };
-    let (token, rx) = shell.submit_request(input);
+    let (token, rx) = shell.submit_request(&account, input);
     let mut cancel_guard = CancelGuard {
         shell: shell.clone(),
         token: Some(token),
@@ -135,16 +175,23 @@
     let reply = rx.await;
     cancel_guard.token = None;
     let peer_lost = || Reply::new(Outcome::Unknown(Reason::PeerLost));
-    let reply = reply.unwrap_or_else(|_| peer_lost());
+    let (reply, held) = match reply {
+        Ok((reply, held)) => (reply, Some(held)),
+        Err(_) => (peer_lost(), None),
+    };
     shell
         .metrics
         .record_latency(reply.outcome.name(), started.elapsed());
-    (shell.dialect.respond)(&id, reply)
+    Answer {
+        response: (shell.dialect.respond)(&id, reply),
+        held,
+    }
 }
 
 /// Reads a complete request. The reservation covers its body.
 async fn read_request(
     shell: &Shell,
+    account: &Rc<Account>,
     req: &mut HttpRequest,
 ) -> Result<(RequestHead, Reservation), Reason> {
     let head = (shell.dialect.read_head)(req)?;
@@ -152,7 +199,7 @@
         max_bytes: shell.settings.max_body,
         timeout: shell.settings.body_timeout,
     };
-    let (body, reservation) = body::read_body(req, limits, &shell.body_budget).await?;
+    let (body, reservation) = body::read_body(req, limits, &shell.body_budget, account).await?;
     let request = Request {
         body,
         ..head.request
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -33,7 +33,7 @@
 
     /// Whether another line may be logged. At the start of a new window, logs how many lines were
     /// suppressed in the last one.
-    fn admit(&self) -> bool {
+    pub(crate) fn admit(&self) -> bool {
         if self.window_start.get().elapsed() >= Duration::from_secs(1) {
             self.window_start.set(Instant::now());
             self.written.set(0);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod caller;
 mod clock;
+mod connections;
 mod dialect;
 mod events;
 mod fetch;
--- a/crates/node/src/pipeline.rs
+++ b/crates/node/src/pipeline.rs
@@ -9,6 +9,8 @@
 #[cfg(test)]
 mod tests;
 
+use crate::connections::Account;
+use crate::connections::Held;
 use actix_http::body::BoxBody;
 use actix_http::body::MessageBody;
 use actix_http::error::ParseError;
@@ -19,11 +21,14 @@
 use actix_http::Response as HttpResponse;
 use actix_http::ServiceConfig;
 use actix_http::StatusCode;
+use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::future::ready;
 use futures_util::future::Either;
 use futures_util::stream::FuturesOrdered;
 use futures_util::StreamExt;
+use policy::ConnectionActivity;
+use policy::ShedConnection;
 use requests::BodySender;
 use requests::RequestReader;
 use requests::WaitState;
@@ -43,14 +48,16 @@
 use tokio::time::Instant;
 use tokio_util::codec::Encoder;
 
-/// Requests of one connection that may run concurrently. With responses of up to 30 KB each, they
-/// hold half a megabyte for a caller that does not read.
+/// Requests of one connection that may run concurrently.
 const MAX_PIPELINED: usize = 16;
 
-/// While this many bytes are unwritten, no further response is encoded and no further request is
-/// started.
+/// While this many bytes are unwritten, no more of a response is encoded. While answers of this size
+/// wait for the caller, no further request is started.
 const WRITE_BUFFER_LIMIT: usize = 64 * 1024;
 
+/// Bytes of a response's body that are encoded at once.
+const BODY_PIECE: usize = 64 * 1024;
+
 /// How long a connection closed by this end is still read. Closing it with unread bytes would reset
 /// it, and the caller could lose the last response.
 const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -67,6 +74,8 @@
     HeadTimeout,
     /// The caller read no byte of a response for a long time.
     WriteTimeout,
+    /// The node closed the connection because of a limit for all connections.
+    Shed(ShedConnection),
     /// Reading or writing failed.
     Io(io::Error),
 }
@@ -77,6 +86,7 @@
             ConnectionError::Parse(e) => write!(f, "malformed request: {e}"),
             ConnectionError::HeadTimeout => f.write_str("request head not received in time"),
             ConnectionError::WriteTimeout => f.write_str("response not read in time"),
+            ConnectionError::Shed(shed) => write!(f, "closed for {}", shed.reason.name()),
             ConnectionError::Io(e) => write!(f, "{e}"),
         }
     }
@@ -118,6 +128,28 @@
     }
 }
 
+/// The response to a request, and the memory that it holds until it is written.
+pub(crate) struct Answer {
+    pub(crate) response: HttpResponse<BoxBody>,
+    pub(crate) held: Option<Held>,
+}
+
+impl From<HttpResponse<BoxBody>> for Answer {
+    fn from(response: HttpResponse<BoxBody>) -> Self {
+        Self {
+            response,
+            held: None,
+        }
+    }
+}
+
+/// The part of a response's body that is not encoded yet.
+struct PendingBody {
+    codec: RequestCodec,
+    body: Bytes,
+    _held: Option<Held>,
+}
+
 /// Decodes one request's body and encodes its response; the encoding depends on the request.
 type RequestCodec = Rc<RefCell<Codec>>;
 
@@ -129,12 +161,22 @@
     handle: impl Fn(HttpRequest) -> F,
     is_stopping: impl Fn() -> bool,
     busy: &BusyConnections,
+    account: &Account,
 ) -> Result<(), ConnectionError>
 where
-    F: Future<Output = HttpResponse<BoxBody>>,
+    F: Future<Output: Into<Answer>>,
 {
     let (mut reader, mut writer) = stream.split();
-    serve_halves(&mut reader, &mut writer, cfg, handle, is_stopping, busy).await
+    serve_halves(
+        &mut reader,
+        &mut writer,
+        cfg,
+        handle,
+        is_stopping,
+        busy,
+        account,
+    )
+    .await
 }
 
 /// Serves a connection that consists of a reader and a writer.
@@ -145,9 +187,10 @@
     handle: impl Fn(HttpRequest) -> F,
     is_stopping: impl Fn() -> bool,
     busy: &BusyConnections,
+    account: &Account,
 ) -> Result<(), ConnectionError>
 where
-    F: Future<Output = HttpResponse<BoxBody>>,
+    F: Future<Output: Into<Answer>>,
 {
     let mut busy = BusyState {
         connections: busy.clone(),
@@ -155,6 +198,7 @@
     };
     let mut requests = RequestReader::new(cfg.clone());
     let mut unwritten = BytesMut::new();
+    let mut pending_body = None;
     let mut responses = FuturesOrdered::new();
     let mut error = None;
     loop {
@@ -162,16 +206,19 @@
         // Every request that was started has to be answered on this connection, so a stopping node
         // starts none behind one that is still unanswered.
         let may_start = |pending| pending < MAX_PIPELINED && (pending == 0 || !is_stopping());
-        while may_start(responses.len()) && unwritten.len() < WRITE_BUFFER_LIMIT {
+        let may_hold_more = || account.unread_bytes() + unwritten.len() < WRITE_BUFFER_LIMIT;
+        while may_start(responses.len()) && may_hold_more() {
             match requests.next_request() {
                 Ok(Some((codec, req))) => {
                     let response = handle(req);
-                    responses.push_back(Either::Left(async move { (codec, response.await) }));
+                    responses
+                        .push_back(Either::Left(async move { (codec, response.await.into()) }));
                 }
                 Ok(None) => break,
                 Err(e) => {
                     let response = empty_response(error_status(&e));
-                    responses.push_back(Either::Right(ready((requests.new_codec(), response))));
+                    let answer = Answer::from(response);
+                    responses.push_back(Either::Right(ready((requests.new_codec(), answer))));
                     error = Some(e);
                 }
             }
@@ -179,31 +226,45 @@
         if responses.len() == 1 && requests.take_expect_continue() {
             unwritten.extend_from_slice(CONTINUE);
         }
-        if requests.no_more_requests && responses.is_empty() && unwritten.is_empty() {
+        encode_body(&mut pending_body, &mut unwritten)?;
+        let is_written = unwritten.is_empty() && pending_body.is_none();
+        if requests.no_more_requests && responses.is_empty() && is_written {
             break;
         }
-        busy.set(!responses.is_empty() || !unwritten.is_empty());
+        busy.set(!responses.is_empty() || !is_written);
         requests.update_wait_state(responses.is_empty(), unwritten.len());
+        let activity = match requests.is_receiving() {
+            _ if !is_written || account.unread_bytes() > 0 => ConnectionActivity::Sending,
+            true => ConnectionActivity::Receiving,
+            false if responses.is_empty() => ConnectionActivity::Idle,
+            false => ConnectionActivity::Working,
+        };
+        account.update(activity, requests.buffered() + unwritten.len());
         let deadline = requests.deadline();
         let full_channel = requests.full_channel();
         let is_channel_full = full_channel.is_some();
         tokio::select! {
             biased;
             written = writer.write_buf(&mut unwritten), if !unwritten.is_empty() => {
-                written?;
+                account.record_transfer(written?);
+                if unwritten.is_empty() {
+                    // Returns the memory of a large response.
+                    unwritten = BytesMut::new();
+                }
             }
-            Some((codec, response)) = responses.next(), if unwritten.len() < WRITE_BUFFER_LIMIT => {
+            Some((codec, answer)) = responses.next(), if pending_body.is_none() => {
                 let is_last = responses.is_empty() && (requests.no_more_requests || is_stopping());
-                let keep_alive = write_response(&codec, response, is_last, &mut unwritten)?;
+                let keep_alive = encode_head(codec, answer, is_last, &mut unwritten, &mut pending_body)?;
                 requests.no_more_requests |= !keep_alive;
             }
             // Nothing is decoded while the handler's channel is full, and nothing more may be read
             // once the buffer is full as well.
             () = channel_room(full_channel), if is_channel_full => {}
             is_open = requests.read(reader), if requests.has_room() => {
-                // The caller has closed its side: all of its requests are cancelled.
-                if !is_open? {
-                    return error.map_or(Ok(()), Err);
+                match is_open? {
+                    // The caller has closed its side: all of its requests are cancelled.
+                    0 => return error.map_or(Ok(()), Err),
+                    received => account.record_transfer(received),
                 }
             }
             () = sleep_until(deadline), if deadline.is_some() => {
@@ -211,7 +272,8 @@
                     WaitState::ResponseRead { .. } => return Err(ConnectionError::WriteTimeout),
                     WaitState::RestOfHead => {
                         let response = empty_response(StatusCode::REQUEST_TIMEOUT);
-                        responses.push_back(Either::Right(ready((requests.new_codec(), response))));
+                        let answer = Answer::from(response);
+                        responses.push_back(Either::Right(ready((requests.new_codec(), answer))));
                         error = Some(ConnectionError::HeadTimeout);
                     }
                     WaitState::NextRequest | WaitState::Nothing => {}
@@ -239,13 +301,15 @@
     }
 }
 
-/// Encodes a response; returns whether the connection stays open after it.
-fn write_response(
-    codec: &RequestCodec,
-    mut response: HttpResponse<BoxBody>,
+/// Encodes the head of a response; returns whether the connection stays open after it.
+fn encode_head(
+    codec: RequestCodec,
+    answer: Answer,
     is_last: bool,
     buf: &mut BytesMut,
+    pending_body: &mut Option<PendingBody>,
 ) -> io::Result<bool> {
+    let Answer { mut response, held } = answer;
     if is_last {
         response
             .head_mut()
@@ -255,13 +319,36 @@
     let size = body.size();
     let body = body.try_into_bytes();
     let body = body.map_err(|_| io::Error::other("response body is not available as a whole"))?;
-    let mut codec = codec.borrow_mut();
-    codec.encode(Message::Item((response, size)), buf)?;
-    if !body.is_empty() {
-        codec.encode(Message::Chunk(Some(body)), buf)?;
+    let keep_alive = {
+        let mut codec = codec.borrow_mut();
+        codec.encode(Message::Item((response, size)), buf)?;
+        codec.keep_alive()
+    };
+    *pending_body = Some(PendingBody {
+        codec,
+        body,
+        _held: held,
+    });
+    Ok(keep_alive)
+}
+
+/// Encodes as much of a response's body as the buffer has room for. A copy of a long body would take
+/// as much memory again.
+fn encode_body(pending_body: &mut Option<PendingBody>, buf: &mut BytesMut) -> io::Result<()> {
+    let Some(pending) = pending_body else {
+        return Ok(());
+    };
+    let mut codec = pending.codec.borrow_mut();
+    while buf.len() < WRITE_BUFFER_LIMIT && !pending.body.is_empty() {
+        let piece = pending.body.split_to(pending.body.len().min(BODY_PIECE));
+        codec.encode(Message::Chunk(Some(piece)), buf)?;
+    }
+    if pending.body.is_empty() {
+        codec.encode(Message::Chunk(None), buf)?;
+        drop(codec);
+        *pending_body = None;
     }
-    codec.encode(Message::Chunk(None), buf)?;
-    Ok(codec.keep_alive())
+    Ok(())
 }
 
 fn empty_response(status: StatusCode) -> HttpResponse<BoxBody> {
--- a/crates/node/src/pipeline/requests.rs
+++ b/crates/node/src/pipeline/requests.rs
@@ -198,14 +198,34 @@
         self.body.as_ref()?.full_channel().cloned()
     }
 
-    /// Reads more input; returns `false` at the end of the stream. Cancel-safe: bytes that were
-    /// read are kept if the future is dropped.
-    pub(super) async fn read(&mut self, reader: &mut (impl AsyncRead + Unpin)) -> io::Result<bool> {
+    /// Whether the caller is in the middle of a request.
+    pub(super) fn is_receiving(&self) -> bool {
+        self.body.is_some() || !self.buf.is_empty()
+    }
+
+    /// Memory that undecoded bytes occupy. The unused rest of a short buffer is not touched.
+    pub(super) fn buffered(&self) -> usize {
+        match self.buf.len() {
+            len @ ..=READ_SIZE => len,
+            _ => self.buf.capacity(),
+        }
+    }
+
+    /// Reads more input; returns the number of bytes, 0 at the end of the stream. Cancel-safe: bytes
+    /// that were read are kept if the future is dropped.
+    pub(super) async fn read(
+        &mut self,
+        reader: &mut (impl AsyncRead + Unpin),
+    ) -> io::Result<usize> {
         if self.no_more_requests && self.body.is_none() {
             self.buf.clear();
         }
+        if self.buf.is_empty() && self.buf.capacity() > 2 * READ_SIZE {
+            // Returns the memory of a long head.
+            self.buf = BytesMut::new();
+        }
         self.buf.reserve(READ_SIZE);
-        Ok(reader.read_buf(&mut self.buf).await? > 0)
+        reader.read_buf(&mut self.buf).await
     }
 
     /// Updates what the caller is expected to do.
--- a/crates/node/src/pipeline/tests.rs
+++ b/crates/node/src/pipeline/tests.rs
@@ -2,12 +2,14 @@
 
 use super::serve_halves;
 use super::BusyConnections;
+use crate::connections::Connections;
 use actix_http::body::BoxBody;
 use actix_http::Request as HttpRequest;
 use actix_http::Response as HttpResponse;
 use actix_http::ServiceConfig;
 use actix_http::StatusCode;
 use futures_util::StreamExt;
+use policy::ConnectionLimits;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::future::Future;
@@ -21,6 +23,11 @@
 /// Far longer than any of these connections takes.
 const HANG: Duration = Duration::from_secs(3600);
 
+const LIMITS: ConnectionLimits = ConnectionLimits {
+    connections: 1,
+    bytes: 10_000_000,
+};
+
 /// How a caller frames the body of a request.
 #[derive(Debug, Clone)]
 enum Framing {
@@ -87,7 +94,8 @@
         sleep(pause).await;
     }
     let text = format!("{} {len} ", req.path());
-    let body = format!("{text:.<size$}");
+    let padding = ".".repeat(size.saturating_sub(text.len()));
+    let body = text + &padding;
     HttpResponse::with_body(StatusCode::OK, body).map_into_boxed_body()
 }
 
@@ -131,7 +139,16 @@
     let pause = Duration::from_millis(connection.handler_ms);
     let handle = |req| handle(req, pause, connection.response);
     let busy = BusyConnections::default();
-    let served = serve_halves(&mut reader, &mut writer, &cfg, handle, || false, &busy);
+    let (account, _shed) = Connections::new(LIMITS).open().unwrap();
+    let served = serve_halves(
+        &mut reader,
+        &mut writer,
+        &cfg,
+        handle,
+        || false,
+        &busy,
+        &account,
+    );
     let _ = served.await;
     assert_eq!(busy.count(), 0);
 }
@@ -207,7 +224,11 @@
     let requests = prop::collection::vec(framing(), 1..24);
     let window = prop_oneof![1..4000_usize, 16_000..300_000_usize];
     let handler_ms = prop_oneof![Just(0), 1..5_u64];
-    let response = prop_oneof![20..200_usize, 4000..30_000_usize];
+    let response = prop_oneof![
+        3 => 20..200_usize,
+        3 => 4000..30_000_usize,
+        1 => 60_000..200_000_usize,
+    ];
     (requests, window, pace(), pace(), handler_ms, response).prop_map(
         |(requests, window, write, read, handler_ms, response)| Connection {
             requests,
--- a/crates/node/src/platform_mode.rs
+++ b/crates/node/src/platform_mode.rs
@@ -5,6 +5,7 @@
 use crate::body;
 use crate::body::BodyLimits;
 use crate::caller::serve;
+use crate::connections::Account;
 use crate::settings::PlatformSettings;
 use crate::shell::Shell;
 use crate::shell::StartError;
@@ -108,8 +109,18 @@
 ) -> Result<PlatformAddrs, StartError> {
     let (ready, ready_addr) = bind(cfg.ready_addr).await?;
     let (control, control_addr) = bind(cfg.control_addr).await?;
-    actix_rt::spawn(serve(shell.clone(), ready, handle_readiness));
-    actix_rt::spawn(serve(shell.clone(), control, handle_control));
+    actix_rt::spawn(serve(
+        shell.clone(),
+        ready,
+        shell.operators.clone(),
+        handle_readiness,
+    ));
+    actix_rt::spawn(serve(
+        shell.clone(),
+        control,
+        shell.operators.clone(),
+        handle_control,
+    ));
     actix_rt::spawn(join_cluster(shell.clone()));
     Ok(PlatformAddrs {
         ready_addr,
@@ -310,7 +321,11 @@
     }
 }
 
-async fn handle_readiness(shell: Rc<Shell>, req: HttpRequest) -> HttpResponse<BoxBody> {
+async fn handle_readiness(
+    shell: Rc<Shell>,
+    _account: Rc<Account>,
+    req: HttpRequest,
+) -> HttpResponse<BoxBody> {
     let ready = shell.engine.borrow().is_ready();
     let status = match platform::is_readiness_probe(req.method(), req.path()) {
         true if ready => StatusCode::OK,
@@ -322,8 +337,12 @@
 
 /// Handles an announcement of the node's own backend server. The response is sent after the engine
 /// has processed it, so a draining server receives no new work once it has its acknowledgement.
-async fn handle_control(shell: Rc<Shell>, mut req: HttpRequest) -> HttpResponse<BoxBody> {
-    let status = match receive_announcement(&shell, &mut req).await {
+async fn handle_control(
+    shell: Rc<Shell>,
+    account: Rc<Account>,
+    mut req: HttpRequest,
+) -> HttpResponse<BoxBody> {
+    let status = match receive_announcement(&shell, &account, &mut req).await {
         Ok(()) => StatusCode::OK,
         Err(Reason::NoSuchOperation) => StatusCode::NOT_FOUND,
         Err(_) => StatusCode::BAD_REQUEST,
@@ -334,12 +353,16 @@
     response.body(body).map_into_boxed_body()
 }
 
-async fn receive_announcement(shell: &Rc<Shell>, req: &mut HttpRequest) -> Result<(), Reason> {
+async fn receive_announcement(
+    shell: &Rc<Shell>,
+    account: &Rc<Account>,
+    req: &mut HttpRequest,
+) -> Result<(), Reason> {
     let limits = BodyLimits {
         max_bytes: MAX_HEARTBEAT_BYTES,
         timeout: HEARTBEAT_TIMEOUT,
     };
-    let (body, _reservation) = body::read_body(req, limits, &shell.body_budget).await?;
+    let (body, _reservation) = body::read_body(req, limits, &shell.body_budget, account).await?;
     let server = shell.settings.backend_server_addr;
     match platform::parse_announcement(req.method(), req.path(), &body, server) {
         Ok(announcement) => {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -68,6 +68,9 @@
     pub max_bodies: usize,
     /// Most bytes of all bodies that are being read from the backend server.
     pub max_responses: usize,
+    /// Most bytes held for callers' connections together: requests that are being received or
+    /// served, and answers that their callers have not read.
+    pub max_held: usize,
     /// How long a caller may take to send a body.
     pub body_timeout: Duration,
     /// Fleet-wide retry limits for each service.
@@ -103,6 +106,7 @@
 const MAX_BODY_KEY: Key = Key::new("node", "max_body");
 const MAX_BODIES: Key = Key::new("node", "max_bodies");
 const MAX_RESPONSES: Key = Key::new("node", "max_responses");
+const MAX_HELD: Key = Key::new("node", "max_held");
 const BODY_TIMEOUT: Key = Key::new("node", "body_timeout");
 const CALLER_HEADER: Key = Key::new("node", "caller_header");
 const BACKEND_ADDR: Key = Key::new("backend_server", "addr");
@@ -122,7 +126,7 @@
 const METRICS_HTTP_ADDR: Key = Key::new("metrics", "http_addr");
 const METRICS_ADDR: Key = Key::new("metrics", "addr");
 
-const KNOWN_KEYS: [Key; 28] = [
+const KNOWN_KEYS: [Key; 29] = [
     SERVICE,
     FAILURE_DOMAIN,
     REGION,
@@ -133,6 +137,7 @@
     MAX_BODY_KEY,
     MAX_BODIES,
     MAX_RESPONSES,
+    MAX_HELD,
     BODY_TIMEOUT,
     CALLER_HEADER,
     BACKEND_ADDR,
@@ -182,6 +187,11 @@
         let has_advertised_addr = ADVERTISED_ADDR.is_set(&ini);
         let max_body =
             MAX_BODY_KEY.or_default(&ini, 1 << 20, parse_byte_count(1, MAX_BODY_LIMIT))?;
+        let max_bodies = MAX_BODIES.or_default(
+            &ini,
+            DEFAULT_MAX_BODIES.max(max_body),
+            parse_byte_count(max_body, MAX_BODIES_LIMIT),
+        )?;
         Ok(Self {
             service: SERVICE.required(&ini, parse_service_name)?,
             failure_domain: FAILURE_DOMAIN.required(&ini, parse_name)?,
@@ -215,16 +225,17 @@
             metrics_addr: METRICS_ADDR.optional(&ini, parse_remote_addr)?,
             metrics_http_addr: METRICS_HTTP_ADDR.optional(&ini, parse_listen_addr)?,
             max_body,
-            max_bodies: MAX_BODIES.or_default(
-                &ini,
-                DEFAULT_MAX_BODIES.max(max_body),
-                parse_byte_count(max_body, MAX_BODIES_LIMIT),
-            )?,
+            max_bodies,
             max_responses: MAX_RESPONSES.or_default(
                 &ini,
                 DEFAULT_MAX_RESPONSES.max(max_body),
                 parse_byte_count(max_body, MAX_BODIES_LIMIT),
             )?,
+            max_held: MAX_HELD.or_default(
+                &ini,
+                DEFAULT_MAX_HELD.max(max_bodies + max_body),
+                parse_byte_count(max_bodies + max_body, MAX_HELD_LIMIT),
+            )?,
             body_timeout: BODY_TIMEOUT.or_default(
                 &ini,
                 Duration::from_secs(10),
@@ -285,6 +296,12 @@
 /// Default of `node.max_responses`, unless `node.max_body` is larger.
 const DEFAULT_MAX_RESPONSES: usize = 8 << 20;
 
+/// Default of `node.max_held`, unless `node.max_bodies` and `node.max_body` are larger together.
+const DEFAULT_MAX_HELD: usize = 48 << 20;
+
+/// Largest allowed `node.max_held`.
+const MAX_HELD_LIMIT: usize = 2 << 30;
+
 /// Largest allowed `node.max_bodies` and `node.max_responses`.
 const MAX_BODIES_LIMIT: usize = 1 << 30;
 
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -138,7 +138,7 @@
         let number = value.parse().ok();
         number.filter(|number| (min..=max).contains(number)).ok_or(
             "a number of bytes: max_body up to 3145728, max_bodies and max_responses from max_body to \
-             1073741824",
+             1073741824, max_held from max_bodies and max_body together to 2147483648",
         )
     }
 }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -6,6 +6,9 @@
 use crate::body::BodyBudget;
 use crate::caller;
 use crate::clock::Clock;
+use crate::connections::Account;
+use crate::connections::Connections;
+use crate::connections::Held;
 use crate::dialect::Dialect;
 use crate::dialect::Reply;
 use crate::events;
@@ -24,6 +27,7 @@
 use engine::Config;
 use engine::Counter;
 use engine::Engine;
+use engine::Gauge;
 use engine::Input;
 use engine::Output;
 use engine::RequestToken;
@@ -31,6 +35,7 @@
 use journal::TopicEntry;
 use platform::StoreClient;
 use platform::StoreError;
+use policy::ConnectionLimits;
 use policy::FleetRetryLimits;
 use proto::Incarnation;
 use proto::Instance;
@@ -38,6 +43,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::time::Duration;
 use stdx::Time;
 use tokio::net::TcpListener;
@@ -67,6 +73,15 @@
 /// Share of `retries.spare` that nodes plan with.
 const PLANNED_SPARE_SHARE: f64 = 0.9;
 
+/// Most connections of callers.
+const MAX_CONNECTIONS: usize = 4096;
+
+/// Most connections of operators, probes and the server's heartbeats.
+const MAX_OPERATOR_CONNECTIONS: usize = 32;
+
+/// Most bytes held for connections of operators, probes and the server's heartbeats.
+const MAX_OPERATOR_BYTES: usize = 4 << 20;
+
 /// How often gauges are sent to the metrics service.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -162,8 +177,12 @@
     pub(crate) log_limiter: LogRateLimiter,
     pub(crate) body_budget: BodyBudget,
     pub(crate) busy_connections: BusyConnections,
+    /// Connections of callers.
+    pub(crate) callers: Rc<Connections>,
+    /// Connections to the listeners for operators, probes and the server's heartbeats.
+    pub(crate) operators: Rc<Connections>,
     clock: Clock,
-    pending_replies: RefCell<IndexMap<RequestToken, oneshot::Sender<Reply>>>,
+    pending_replies: RefCell<IndexMap<RequestToken, PendingReply>>,
     next_token: Cell<u64>,
     peers: Peers,
     backend: BackendClient,
@@ -173,6 +192,13 @@
     stopped: Notify,
 }
 
+/// A request whose caller waits for the reply.
+struct PendingReply {
+    /// The account of the caller's connection, which may have ended.
+    account: Weak<Account>,
+    tx: oneshot::Sender<(Reply, Held)>,
+}
+
 /// Starts a node on the current `actix-rt` system.
 ///
 /// # Errors
@@ -221,6 +247,14 @@
         log_limiter: LogRateLimiter::new(),
         body_budget: BodyBudget::new(settings.max_bodies),
         busy_connections: BusyConnections::default(),
+        callers: Connections::new(ConnectionLimits {
+            connections: MAX_CONNECTIONS,
+            bytes: settings.max_held,
+        }),
+        operators: Connections::new(ConnectionLimits {
+            connections: MAX_OPERATOR_CONNECTIONS,
+            bytes: MAX_OPERATOR_BYTES,
+        }),
         clock: Clock::new(),
         pending_replies: RefCell::default(),
         next_token: Cell::new(0),
@@ -253,6 +287,7 @@
         actix_rt::spawn(caller::serve(
             shell.clone(),
             listener,
+            shell.operators.clone(),
             caller::handle_metrics,
         ));
     }
@@ -313,8 +348,7 @@
 async fn send_gauges(shell: Rc<Shell>) {
     loop {
         tokio::time::sleep(GAUGE_INTERVAL).await;
-        let gauges = shell.engine.borrow().gauges(shell.now());
-        shell.metrics.report_gauges(&gauges);
+        shell.metrics.report_gauges(&shell.gauges());
     }
 }
 
@@ -323,6 +357,14 @@
         self.clock.now()
     }
 
+    /// Gauges of the engine and of callers' connections.
+    pub(crate) fn gauges(&self) -> Vec<Gauge> {
+        let mut gauges = self.engine.borrow().gauges(self.now());
+        gauges.push(("callers.connections", self.callers.count() as u64));
+        gauges.push(("callers.held_bytes", self.callers.held_bytes() as u64));
+        gauges
+    }
+
     /// Whether a shutdown was requested.
     pub(crate) fn is_stopping(&self) -> bool {
         self.engine.borrow().is_stopping()
@@ -340,16 +382,25 @@
     /// Submits a request to the engine; the receiver yields its reply.
     pub(crate) fn submit_request(
         self: &Rc<Self>,
+        account: &Rc<Account>,
         input: impl FnOnce(RequestToken) -> Input,
-    ) -> (RequestToken, oneshot::Receiver<Reply>) {
+    ) -> (RequestToken, oneshot::Receiver<(Reply, Held)>) {
         let token = RequestToken(self.next_token.get());
         self.next_token.set(token.0 + 1);
         let (tx, rx) = oneshot::channel();
-        self.pending_replies.borrow_mut().insert(token, tx);
+        let account = Rc::downgrade(account);
+        let pending = PendingReply { account, tx };
+        self.pending_replies.borrow_mut().insert(token, pending);
         self.handle_input(input(token));
         (token, rx)
     }
 
+    /// Forgets a request whose caller is gone, and tells the engine.
+    pub(crate) fn withdraw_request(self: &Rc<Self>, token: RequestToken) {
+        self.pending_replies.borrow_mut().swap_remove(&token);
+        self.handle_input(Input::CallerGone(token));
+    }
+
     /// Passes an input to the engine and executes the outputs.
     pub(crate) fn handle_input(self: &Rc<Self>, input: Input) {
         if let Some(suspended) = self.clock.take_suspension() {
@@ -381,12 +432,15 @@
                 outcome,
                 generated_key,
             } => {
-                if let Some(tx) = self.pending_replies.borrow_mut().swap_remove(&token) {
-                    // The caller may have disconnected in the meantime.
-                    let _ = tx.send(Reply {
+                let pending = self.pending_replies.borrow_mut().swap_remove(&token);
+                let pending = pending.and_then(|p| Some((p.account.upgrade()?, p.tx)));
+                if let Some((account, tx)) = pending {
+                    let held = account.hold_answer(outcome.size());
+                    let reply = Reply {
                         outcome,
                         generated_key,
-                    });
+                    };
+                    let _ = tx.send((reply, held));
                 }
             }
             Output::Send { to, frame } => self.peers.send(self, to, frame),
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -16,7 +16,7 @@
             format!("instances {}", engine.journal().instances().count()),
             format!("runs {}", self.run_count()),
         ];
-        let gauges = engine.gauges(self.now());
+        let gauges = self.gauges();
         let gauges = gauges
             .into_iter()
             .chain(self.metrics.control_bytes.gauges());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod admission_level;
 mod concurrency_limit;
+mod connection_ledger;
 mod failure_share;
 mod instance_selector;
 mod instance_speed;
@@ -33,6 +34,13 @@
 pub use admission_level::admission_value;
 pub use admission_level::retry_delay;
 pub use admission_level::retry_jitter;
+pub use connection_ledger::ConnectionActivity;
+pub use connection_ledger::ConnectionId;
+pub use connection_ledger::ConnectionLedger;
+pub use connection_ledger::ConnectionLimits;
+pub use connection_ledger::LedgerFull;
+pub use connection_ledger::ShedConnection;
+pub use connection_ledger::ShedReason;
 pub use instance_selector::Eligibility;
 pub use instance_selector::InstanceSelector;
 pub use instance_selector::Proximity;
--- a/crates/proto/src/answer.rs
+++ b/crates/proto/src/answer.rs
@@ -20,6 +20,22 @@
 }
 
 impl Outcome {
+    /// Approximate memory use of this outcome in bytes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bilberry_proto::{Outcome, Reason};
+    ///
+    /// assert_eq!(Outcome::Unknown(Reason::PeerLost).size(), 0);
+    /// ```
+    pub fn size(&self) -> usize {
+        match self {
+            Outcome::Completed(response) => response.size(),
+            Outcome::NotRun(_) | Outcome::Unknown(_) => 0,
+        }
+    }
+
     /// Returns the name used in headers and metrics.
     ///
     /// # Examples
