Free the memory of closed connections before more is read

Of 2,000 callers that send heads at once, all tasks are ready in the same round of the runtime: each reads before the tasks of the connections that the ledger has just closed have ended, so the limit was exceeded by what all of them read in a round.

--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -19,12 +19,17 @@
 /// bytes.
 const BUFFER_STEP: usize = 4096;
 
+/// How often a task lets others run while connections are being closed.
+const MAX_YIELDS: usize = 16;
+
 /// Open connections that share one ledger.
 pub(crate) struct Connections {
     ledger: RefCell<ConnectionLedger>,
     /// The channels that end the connections' tasks.
     tasks: RefCell<IndexMap<ConnectionId, oneshot::Sender<ShedConnection>>>,
     next_id: Cell<u64>,
+    /// Connections that the ledger has closed and whose tasks have not ended.
+    closing: Cell<usize>,
     started: Instant,
 }
 
@@ -34,6 +39,7 @@
             ledger: RefCell::new(ConnectionLedger::new(limits)),
             tasks: RefCell::default(),
             next_id: Cell::new(0),
+            closing: Cell::new(0),
             started: Instant::now(),
         })
     }
@@ -68,6 +74,17 @@
         self.ledger.borrow().held_bytes()
     }
 
+    /// Waits until the memory of connections that are being closed is free. Tasks that are ready at
+    /// the same moment would otherwise exceed the limit together before any of these has ended.
+    pub(crate) async fn settle(&self) {
+        for _ in 0..MAX_YIELDS {
+            if self.closing.get() == 0 {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
     fn now(&self) -> Time {
         Time::ZERO + self.started.elapsed()
     }
@@ -80,7 +97,8 @@
     fn end_tasks(&self, shed: Vec<ShedConnection>) {
         for shed in shed {
             if let Some(tx) = self.tasks.borrow_mut().swap_remove(&shed.id) {
-                // A task that has just ended needs no notification.
+                self.closing.set(self.closing.get() + 1);
+                // A task that is about to end needs no notification.
                 let _ = tx.send(shed);
             }
         }
@@ -113,6 +131,11 @@
         }
     }
 
+    /// See [`Connections::settle`].
+    pub(crate) async fn settle(&self) {
+        self.connections.settle().await;
+    }
+
     /// Counts bytes that the caller has sent or read.
     pub(crate) fn record_transfer(&self, bytes: usize) {
         let mut ledger = self.connections.ledger.borrow_mut();
@@ -161,8 +184,16 @@
 
 impl Drop for Account {
     fn drop(&mut self) {
-        self.connections.ledger.borrow_mut().close(self.id);
-        self.connections.tasks.borrow_mut().swap_remove(&self.id);
+        let connections = &self.connections;
+        connections.ledger.borrow_mut().close(self.id);
+        if connections
+            .tasks
+            .borrow_mut()
+            .swap_remove(&self.id)
+            .is_none()
+        {
+            connections.closing.set(connections.closing.get() - 1);
+        }
     }
 }
 
--- a/crates/node/src/pipeline.rs
+++ b/crates/node/src/pipeline.rs
@@ -240,6 +240,7 @@
             false => ConnectionActivity::Working,
         };
         account.update(activity, requests.buffered() + unwritten.len());
+        account.settle().await;
         let deadline = requests.deadline();
         let full_channel = requests.full_channel();
         let is_channel_full = full_channel.is_some();
