Keep callers from using up a node's descriptors

Callers got no answer, not even a refusal, while 1,200 clients without a byte, or with connections kept open after an answer, were connected to a node with 1,000 descriptors.

Cause: connections of callers were not limited, and the same descriptors serve the links to other nodes, the backend server, the store and the probes. Connections to the backend server were not limited either: one for each run in progress.

A half of the descriptors that the process may open (getrlimit, or max_descriptors if that is less) is for callers, a quarter for runs on the backend server. Beyond that, the connection that has been idle for longest is closed; if all wait for accepted work, the new one is closed without being read. A run waits for a connection as long as for connecting; then it was not sent. A failed accept is counted (accept_failed).

--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -166,6 +166,8 @@
         ResponseMemoryUsedUp,
         /// A connection of a caller was closed, or not accepted, because of a limit for all of them.
         ConnectionShed(ShedReason),
+        /// A connection could not be accepted, most likely for lack of descriptors.
+        AcceptFailed,
         /// A record of the log, or a state received from a peer, could not be decoded.
         MalformedRecord,
         /// A published rules file was rejected.
@@ -250,6 +252,7 @@
             Counter::ResponseTooLong => "response_too_long".to_owned(),
             Counter::ResponseMemoryUsedUp => "response_memory_used_up".to_owned(),
             Counter::ConnectionShed(reason) => format!("connection_shed.{}", reason.name()),
+            Counter::AcceptFailed => "accept_failed".to_owned(),
             Counter::MalformedRecord => "broken_record".to_owned(),
             Counter::PublicationRejected => "rejected_publication".to_owned(),
             Counter::StateRestored => "restored".to_owned(),
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -25,6 +25,8 @@
 use std::time::Duration;
 use stdx::Time;
 use tokio::sync::oneshot;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
 use tokio::time::Instant;
 
 /// Time-out for connecting to the server. When many connections open at once, the server's accept
@@ -37,6 +39,8 @@
     parser: Parser,
     addr: SocketAddr,
     limits: ReadLimits,
+    /// One for each connection that may serve a run.
+    permits: Semaphore,
     idle: RefCell<IdleConnections>,
     /// Runs in progress, with the channels that cancel them.
     running: RefCell<IndexMap<RunId, oneshot::Sender<()>>>,
@@ -69,11 +73,12 @@
 }
 
 impl BackendClient {
-    pub(crate) fn new(settings: &Settings) -> Self {
+    pub(crate) fn new(settings: &Settings, max_connections: usize) -> Self {
         Self {
             parser: Parser::default(),
             addr: settings.backend_server_addr,
             limits: ReadLimits::new(settings.max_body, settings.max_responses),
+            permits: Semaphore::new(max_connections.min(Semaphore::MAX_PERMITS)),
             idle: RefCell::default(),
             running: RefCell::default(),
         }
@@ -105,6 +110,9 @@
 
     async fn exchange(&self, shell: &Rc<Shell>, backend_run: &BackendRun) -> RunEnd {
         let started = Instant::now();
+        let Ok(Ok(_permit)) = timeout(CONNECT_TIMEOUT, self.permits.acquire()).await else {
+            return RunEnd::NeverSent;
+        };
         let connection = match self.acquire(backend_run).await {
             Ok(connection) => connection,
             Err(_) => return RunEnd::NeverSent,
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -53,6 +53,7 @@
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             // Most likely out of file descriptors; back off instead of spinning.
+            shell.count(Counter::AcceptFailed);
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod clock;
 mod connections;
+mod descriptors;
 mod dialect;
 mod events;
 mod fetch;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -15,6 +15,7 @@
 use value::parse_advertised_addr;
 use value::parse_byte_count;
 use value::parse_contacts;
+use value::parse_count;
 use value::parse_duration;
 use value::parse_header_name;
 use value::parse_listen_addr;
@@ -71,6 +72,10 @@
     /// Most bytes held for callers' connections together: requests that are being received or
     /// served, and answers that their callers have not read.
     pub max_held: usize,
+    /// Most connections of callers; by default a share of the descriptors.
+    pub max_connections: Option<usize>,
+    /// Descriptors that the process may open, if the system allows as many.
+    pub max_descriptors: usize,
     /// How long a caller may take to send a body.
     pub body_timeout: Duration,
     /// Fleet-wide retry limits for each service.
@@ -107,6 +112,8 @@
 const MAX_BODIES: Key = Key::new("node", "max_bodies");
 const MAX_RESPONSES: Key = Key::new("node", "max_responses");
 const MAX_HELD: Key = Key::new("node", "max_held");
+const MAX_CONNECTIONS: Key = Key::new("node", "max_connections");
+const MAX_DESCRIPTORS: Key = Key::new("node", "max_descriptors");
 const BODY_TIMEOUT: Key = Key::new("node", "body_timeout");
 const CALLER_HEADER: Key = Key::new("node", "caller_header");
 const BACKEND_ADDR: Key = Key::new("backend_server", "addr");
@@ -126,7 +133,7 @@
 const METRICS_HTTP_ADDR: Key = Key::new("metrics", "http_addr");
 const METRICS_ADDR: Key = Key::new("metrics", "addr");
 
-const KNOWN_KEYS: [Key; 29] = [
+const KNOWN_KEYS: [Key; 31] = [
     SERVICE,
     FAILURE_DOMAIN,
     REGION,
@@ -138,6 +145,8 @@
     MAX_BODIES,
     MAX_RESPONSES,
     MAX_HELD,
+    MAX_CONNECTIONS,
+    MAX_DESCRIPTORS,
     BODY_TIMEOUT,
     CALLER_HEADER,
     BACKEND_ADDR,
@@ -236,6 +245,12 @@
                 DEFAULT_MAX_HELD.max(max_bodies + max_body),
                 parse_byte_count(max_bodies + max_body, MAX_HELD_LIMIT),
             )?,
+            max_connections: MAX_CONNECTIONS.optional(&ini, parse_count(CONNECTION_RANGE))?,
+            max_descriptors: MAX_DESCRIPTORS.or_default(
+                &ini,
+                usize::MAX,
+                parse_count(DESCRIPTOR_RANGE),
+            )?,
             body_timeout: BODY_TIMEOUT.or_default(
                 &ini,
                 Duration::from_secs(10),
@@ -302,6 +317,12 @@
 /// Largest allowed `node.max_held`.
 const MAX_HELD_LIMIT: usize = 2 << 30;
 
+/// Allowed range of `node.max_connections`.
+const CONNECTION_RANGE: (usize, usize) = (1, 1_000_000);
+
+/// Allowed range of `node.max_descriptors`.
+const DESCRIPTOR_RANGE: (usize, usize) = (128, 1_000_000);
+
 /// Largest allowed `node.max_bodies` and `node.max_responses`.
 const MAX_BODIES_LIMIT: usize = 1 << 30;
 
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -143,6 +143,16 @@
     }
 }
 
+/// A count within a range. The error text lists the ranges of all settings of this type.
+pub(super) fn parse_count((min, max): (usize, usize)) -> impl Fn(&str) -> ParseResult<usize> {
+    move |value| {
+        let number = value.parse().ok();
+        number
+            .filter(|number| (min..=max).contains(number))
+            .ok_or("a whole number: max_connections 1 to 1000000, max_descriptors 128 to 1000000")
+    }
+}
+
 /// A number within a range. The error text lists the ranges of all settings of this type, as does
 /// docs/CONFIGURATION.md.
 pub(super) fn parse_number(min: f64, max: f64) -> impl Fn(&str) -> ParseResult<f64> {
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -9,6 +9,9 @@
 use crate::connections::Account;
 use crate::connections::Connections;
 use crate::connections::Held;
+use crate::descriptors;
+use crate::descriptors::DescriptorShares;
+use crate::descriptors::MAX_OPERATOR_CONNECTIONS;
 use crate::dialect::Dialect;
 use crate::dialect::Reply;
 use crate::events;
@@ -73,12 +76,6 @@
 /// Share of `retries.spare` that nodes plan with.
 const PLANNED_SPARE_SHARE: f64 = 0.9;
 
-/// Most connections of callers.
-const MAX_CONNECTIONS: usize = 4096;
-
-/// Most connections of operators, probes and the server's heartbeats.
-const MAX_OPERATOR_CONNECTIONS: usize = 32;
-
 /// Most bytes held for connections of operators, probes and the server's heartbeats.
 const MAX_OPERATOR_BYTES: usize = 4 << 20;
 
@@ -236,6 +233,8 @@
     }
     cfg.membership.seed = seed;
     let udp_socket = Rc::new(udp_socket);
+    let descriptors = descriptors::system_limit().min(settings.max_descriptors);
+    let shares = DescriptorShares::new(descriptors);
     let shell = Rc::new(Shell {
         engine: RefCell::new(Engine::new(cfg, own_instance.clone())),
         dialect: Dialect::new(&settings),
@@ -248,7 +247,7 @@
         body_budget: BodyBudget::new(settings.max_bodies),
         busy_connections: BusyConnections::default(),
         callers: Connections::new(ConnectionLimits {
-            connections: MAX_CONNECTIONS,
+            connections: settings.max_connections.unwrap_or(shares.callers),
             bytes: settings.max_held,
         }),
         operators: Connections::new(ConnectionLimits {
@@ -259,7 +258,7 @@
         pending_replies: RefCell::default(),
         next_token: Cell::new(0),
         peers: Peers::default(),
-        backend: BackendClient::new(&settings),
+        backend: BackendClient::new(&settings, shares.backend),
         udp_socket: udp_socket.clone(),
         timer_changed: Notify::new(),
         stopped: Notify::new(),
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -74,6 +74,17 @@
         "[node] max_body = 9999999: takes",
     );
     assert_rejected(node, "max_bodies = 10", "[node] max_bodies = 10: takes");
+    assert_rejected(node, "max_held = 10", "[node] max_held = 10: takes");
+    assert_rejected(
+        node,
+        "max_connections = 0",
+        "[node] max_connections = 0: takes",
+    );
+    assert_rejected(
+        node,
+        "max_descriptors = 10",
+        "[node] max_descriptors = 10: takes",
+    );
     // A duration without a unit.
     assert_rejected(node, "body_timeout = 5", "[node] body_timeout = 5: takes");
     assert_rejected(
