Bound what a node reads of a caller that is part of no request

Cause: only bodies were limited. Extensions and trailers of chunked bodies, the rest of a body that the handler does not read, and input behind the last request were read and discarded without a limit.

64 KiB and eight bytes for each byte of a body may frame it; 4 MiB, more than the largest body, may be discarded. Beyond that the connection ends and request_overhead is counted. Each of the six shapes of the test ends within its bound.

--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -168,6 +168,8 @@
         ConnectionShed(ShedReason),
         /// A connection could not be accepted, most likely for lack of descriptors.
         AcceptFailed,
+        /// A caller's connection was closed because too many of its bytes were part of no request.
+        RequestOverhead,
         /// A record of the log, or a state received from a peer, could not be decoded.
         MalformedRecord,
         /// A published rules file was rejected.
@@ -253,6 +255,7 @@
             Counter::ResponseMemoryUsedUp => "response_memory_used_up".to_owned(),
             Counter::ConnectionShed(reason) => format!("connection_shed.{}", reason.name()),
             Counter::AcceptFailed => "accept_failed".to_owned(),
+            Counter::RequestOverhead => "request_overhead".to_owned(),
             Counter::MalformedRecord => "broken_record".to_owned(),
             Counter::PublicationRejected => "rejected_publication".to_owned(),
             Counter::StateRestored => "restored".to_owned(),
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -99,6 +99,9 @@
         return;
     }
     log::debug!("event=caller_connection_ended peer={peer} error=\"{e}\"");
+    if let ConnectionError::Overhead = e {
+        shell.count(Counter::RequestOverhead);
+    }
     if let Some(reason) = rejection_reason(e) {
         shell.count(Counter::NotRun(reason));
     }
@@ -111,7 +114,10 @@
         ConnectionError::Parse(ParseError::TooLarge) => Some(Reason::TooLarge),
         ConnectionError::Parse(_) => Some(Reason::BadRequest),
         ConnectionError::HeadTimeout => Some(Reason::Deadline),
-        ConnectionError::WriteTimeout | ConnectionError::Shed(_) | ConnectionError::Io(_) => None,
+        ConnectionError::WriteTimeout
+        | ConnectionError::Shed(_)
+        | ConnectionError::Overhead
+        | ConnectionError::Io(_) => None,
     }
 }
 
--- a/crates/node/src/pipeline.rs
+++ b/crates/node/src/pipeline.rs
@@ -32,6 +32,7 @@
 use requests::BodySender;
 use requests::RequestReader;
 use requests::WaitState;
+use requests::MAX_DISCARDED;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::fmt;
@@ -76,6 +77,8 @@
     WriteTimeout,
     /// The node closed the connection because of a limit for all connections.
     Shed(ShedConnection),
+    /// The caller sent more than a request may consist of.
+    Overhead,
     /// Reading or writing failed.
     Io(io::Error),
 }
@@ -87,6 +90,7 @@
             ConnectionError::HeadTimeout => f.write_str("request head not received in time"),
             ConnectionError::WriteTimeout => f.write_str("response not read in time"),
             ConnectionError::Shed(shed) => write!(f, "closed for {}", shed.reason.name()),
+            ConnectionError::Overhead => f.write_str("too many bytes that are part of no request"),
             ConnectionError::Io(e) => write!(f, "{e}"),
         }
     }
@@ -284,6 +288,9 @@
         }
     }
     writer.shutdown().await?;
+    if requests.is_excessive {
+        return Err(ConnectionError::Overhead);
+    }
     let _ = timeout(LINGERING_CLOSE_TIMEOUT, discard_input(reader)).await;
     error.map_or(Ok(()), Err)
 }
@@ -365,5 +372,11 @@
 
 async fn discard_input(reader: &mut (impl AsyncRead + Unpin)) {
     let mut buf = [0; 1024];
-    while reader.read(&mut buf).await.is_ok_and(|len| len > 0) {}
+    let mut left = MAX_DISCARDED;
+    while let Ok(len @ 1..) = reader.read(&mut buf).await {
+        left = left.saturating_sub(len);
+        if left == 0 {
+            return;
+        }
+    }
 }
--- a/crates/node/src/pipeline/requests.rs
+++ b/crates/node/src/pipeline/requests.rs
@@ -3,6 +3,7 @@
 
 use super::ConnectionError;
 use super::RequestCodec;
+use actix_http::error::ParseError;
 use actix_http::error::PayloadError;
 use actix_http::h1::Codec;
 use actix_http::h1::Message;
@@ -33,6 +34,17 @@
 /// Body chunks that may wait for the handler.
 const BODY_CHANNEL_CAPACITY: usize = 4;
 
+/// Bytes that frame a body, such as the extensions of chunks, beyond those for each byte of it. A
+/// caller that sends more sends no request.
+const MAX_FRAMING: usize = 64 * 1024;
+
+/// Bytes that frame a body for each byte of it; for bodies in very small chunks.
+const FRAMING_PER_BODY_BYTE: usize = 8;
+
+/// Most bytes that are received and discarded, so that the caller gets the response; more than the
+/// largest body that is accepted.
+pub(super) const MAX_DISCARDED: usize = 4 << 20;
+
 /// How long a connection may be idle, or a response unread. Callers that advertise a keep-alive
 /// time use much less; closing a connection too early costs the caller a request.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
@@ -51,6 +63,10 @@
     expect_continue: bool,
     /// No further request is decoded; any remaining input is discarded.
     pub(super) no_more_requests: bool,
+    /// The caller sent too much that is part of no request.
+    pub(super) is_excessive: bool,
+    /// Bytes discarded behind the last request.
+    discarded: usize,
     /// What the caller is expected to do next.
     pub(super) wait_state: WaitState,
     /// When `wait_state` last changed.
@@ -63,12 +79,37 @@
 /// A body that is being received.
 struct Body {
     codec: RequestCodec,
+    /// Bytes received of the body itself.
+    received: usize,
+    /// Bytes received that frame it.
+    framing: usize,
     /// The channel to the handler; `None` once the handler stopped reading and the rest is
     /// discarded.
     tx: Option<BodySender>,
 }
 
 impl Body {
+    /// Counts what was decoded.
+    fn count(
+        &mut self,
+        decoded: usize,
+        message: &Result<Option<Message<HttpRequest>>, ParseError>,
+    ) {
+        let len = match message {
+            Ok(Some(Message::Chunk(Some(chunk)))) => chunk.len(),
+            _ => 0,
+        };
+        self.received += len;
+        self.framing += decoded.saturating_sub(len);
+    }
+
+    /// Whether the caller sends more than a body may consist of, or more of a body that the handler
+    /// does not read than may be discarded.
+    fn is_excessive(&self) -> bool {
+        let allowed = self.received.saturating_mul(FRAMING_PER_BODY_BYTE) + MAX_FRAMING;
+        self.framing > allowed || (self.tx.is_none() && self.received > MAX_DISCARDED)
+    }
+
     /// The handler's channel, if it is full.
     fn full_channel(&self) -> Option<&BodySender> {
         let tx = self.tx.as_ref().filter(|tx| !tx.is_closed());
@@ -106,6 +147,8 @@
             body: None,
             expect_continue: false,
             no_more_requests: false,
+            is_excessive: false,
+            discarded: 0,
             wait_state: WaitState::NextRequest,
             wait_started: Instant::now(),
         }
@@ -144,6 +187,8 @@
             self.expect_continue = req.head().expect();
             self.body = Some(Body {
                 codec: codec.clone(),
+                received: 0,
+                framing: 0,
                 tx: Some(tx),
             });
             self.decode_body();
@@ -158,8 +203,16 @@
             if body.full_channel().is_some() {
                 return false;
             }
+            let before = self.buf.len();
             let chunk = body.codec.borrow_mut().decode(&mut self.buf);
+            body.count(before - self.buf.len(), &chunk);
             match chunk {
+                _ if body.is_excessive() => {
+                    body.forward(Err(PayloadError::EncodingCorrupted));
+                    self.body = None;
+                    self.no_more_requests = true;
+                    self.is_excessive = true;
+                }
                 Ok(Some(Message::Chunk(Some(chunk)))) => body.forward(Ok(chunk)),
                 Ok(None) => return false,
                 Ok(Some(_)) => {
@@ -187,8 +240,8 @@
     pub(super) fn has_room(&self) -> bool {
         // An incomplete head may be larger than the buffer limit; `actix-http` has its own limit
         // for it.
-        let discards_input = self.no_more_requests && self.body.is_none();
-        discards_input
+        let discards_input = self.no_more_requests && self.body.is_none() && !self.is_excessive;
+        (discards_input && self.discarded <= MAX_DISCARDED)
             || self.wait_state == WaitState::RestOfHead
             || self.buf.len() < READ_BUFFER_LIMIT
     }
@@ -218,6 +271,7 @@
         reader: &mut (impl AsyncRead + Unpin),
     ) -> io::Result<usize> {
         if self.no_more_requests && self.body.is_none() {
+            self.discarded += self.buf.len();
             self.buf.clear();
         }
         if self.buf.is_empty() && self.buf.capacity() > 2 * READ_SIZE {
--- a/crates/node/src/pipeline/tests.rs
+++ b/crates/node/src/pipeline/tests.rs
@@ -2,6 +2,7 @@
 
 use super::serve_halves;
 use super::BusyConnections;
+use super::ConnectionError;
 use crate::connections::Connections;
 use actix_http::body::BoxBody;
 use actix_http::Request as HttpRequest;
@@ -205,6 +206,80 @@
     assert!(result.is_ok(), "the connection does not end");
 }
 
+/// Reads the whole body, or none of it, and answers with its length.
+async fn count_body(mut req: HttpRequest, reads: bool) -> HttpResponse<BoxBody> {
+    let mut payload = req.take_payload();
+    let mut len = 0;
+    while let (true, Some(Ok(chunk))) = (reads, payload.next().await) {
+        len += chunk.len();
+    }
+    HttpResponse::with_body(StatusCode::OK, len.to_string()).map_into_boxed_body()
+}
+
+/// Sends `start` and then `piece` until the connection ends; returns the number of bytes sent and
+/// the error.
+async fn send_without_end(
+    start: &str,
+    piece: &[u8],
+    handler_reads: bool,
+) -> (usize, Result<(), ConnectionError>) {
+    let (client, server) = tokio::io::duplex(4096);
+    let (mut reader, mut writer) = tokio::io::split(client);
+    let call = async move {
+        let mut sent = start.len();
+        let mut result = writer.write_all(start.as_bytes()).await;
+        while result.is_ok() {
+            result = writer.write_all(piece).await;
+            sent += piece.len();
+        }
+        sent
+    };
+    let read = async move { reader.read_to_end(&mut Vec::new()).await };
+    let serve = async move {
+        let cfg = ServiceConfig::default();
+        let (mut reader, mut writer) = tokio::io::split(server);
+        let handle = |req| count_body(req, handler_reads);
+        let busy = BusyConnections::default();
+        let (account, _shed) = Connections::new(LIMITS).open().unwrap();
+        let served = serve_halves(
+            &mut reader,
+            &mut writer,
+            &cfg,
+            handle,
+            || false,
+            &busy,
+            &account,
+        );
+        served.await
+    };
+    let all = async { tokio::join!(call, read, serve) };
+    let (sent, _, result) = timeout(HANG, all).await.unwrap();
+    (sent, result)
+}
+
+/// Guards against a caller that occupies its node with bytes that never become a request.
+#[test]
+fn endless_input_ends_the_connection() {
+    const HEAD: &str = "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
+    let extension = format!("{HEAD}3;a=");
+    let byte_chunk = format!("1;{:x<100}\r\ni\r\n", "");
+    let trailer = format!("{HEAD}0\r\na: ");
+    let long = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999999\r\n\r\n";
+    let closing = "GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let shapes: [(&str, &[u8], bool, usize); 6] = [
+        (&extension, &[b'x'; 500], true, 200_000),
+        (&extension, &[b'x'; 500], false, 200_000),
+        (HEAD, byte_chunk.as_bytes(), true, 200_000),
+        (&trailer, &[b'x'; 500], true, 200_000),
+        (long, &[b'x'; 500], false, 5_000_000),
+        (closing, &[b'x'; 500], false, 9_000_000),
+    ];
+    for (start, piece, handler_reads, most) in shapes {
+        let (sent, _) = run(send_without_end(start, piece, handler_reads));
+        assert!(sent <= most, "{start:?}: {sent} bytes");
+    }
+}
+
 fn framing() -> impl Strategy<Value = Framing> {
     let len = || prop_oneof![0..2_000_usize, 10_000..120_000_usize];
     let size = prop_oneof![1..300_usize, 300..5000_usize, 5000..40_000_usize];
