Take no truncated response for a whole one after a failed write

A caller got part of a response as a complete one, signed: its server had answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was still being written.

Cause: the reset is reported once. If the write of the upload gets the error, the next read returns the end of the stream, and a response that ends with the connection looks whole; if the read gets it first, the response is lost as it should be. Both are ready at once, hence only sometimes. Evidence: reset_during_an_upload_does_not_complete_a_response gets "part" on the code before, within 60 exchanges.

A response that ends with its connection is now whole only if the request was written completely; no other call on such a connection can take the error then (is_reusable reads it and gives the connection up, frames between nodes carry their length, and the store's answers and health checks pass through this code).

--- a/crates/httpconn/src/connection.rs
+++ b/crates/httpconn/src/connection.rs
@@ -136,6 +136,11 @@
                 }
             }
         };
+        // A reset can take the form of a failed write, after which the end of the stream is read
+        // instead of the error. A body that ends with the connection may be truncated then.
+        if !written && response.ended_by_close {
+            return Err(ExchangeError::ConnectionClosed);
+        }
         if !written {
             // The server still expects the rest of the body on this connection.
             response.reuse = Reuse::No;
--- a/crates/httpconn/src/response.rs
+++ b/crates/httpconn/src/response.rs
@@ -46,6 +46,8 @@
     pub body: Bytes,
     /// Whether the connection may carry another request.
     pub reuse: Reuse,
+    /// Whether the body ended with the connection, without a declared length.
+    pub ended_by_close: bool,
 }
 
 /// Whether a connection may carry another request.
@@ -130,12 +132,7 @@
                 }
                 Ok(Some(head)) => break head,
                 Ok(None) => self.read_more().await?,
-                Err(_) => {
-                    return Err(self
-                        .check_overhead()
-                        .err()
-                        .unwrap_or(ExchangeError::Malformed))
-                }
+                Err(_) => return Err(self.malformed()),
             }
         };
         let (status, headers) = (head.status, std::mem::take(head.headers_mut()));
@@ -172,6 +169,7 @@
             headers,
             body,
             reuse,
+            ended_by_close: !is_framed,
         })
     }
 
@@ -214,12 +212,7 @@
                 }
                 Ok(Some(None)) => break,
                 Ok(None) => self.read_more().await?,
-                Err(_) => {
-                    return Err(self
-                        .check_overhead()
-                        .err()
-                        .unwrap_or(ExchangeError::Malformed))
-                }
+                Err(_) => return Err(self.malformed()),
             }
         }
         Ok(match rest.is_empty() {
@@ -243,6 +236,12 @@
         }
     }
 
+    /// The error for bytes that are no response.
+    fn malformed(&self) -> ExchangeError {
+        let excessive = self.check_overhead().err();
+        excessive.unwrap_or(ExchangeError::Malformed)
+    }
+
     fn check_body_length(&self, len: usize) -> Result<(), ExchangeError> {
         match len > self.limits.max_body {
             true => Err(ExchangeError::TooLarge),
--- a/crates/httpconn/tests/exchange.rs
+++ b/crates/httpconn/tests/exchange.rs
@@ -11,6 +11,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_BODY: usize = 1000;
@@ -214,3 +215,40 @@
     }
     assert_eq!(statuses, [503, 200]);
 }
+
+/// Sends this response to the head of an upload, and resets the connection while the rest of the
+/// upload is still being written.
+async fn reset_upload(listener: &TcpListener, response: &str) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut buf = [0; 1024];
+    assert!(stream.read(&mut buf).await.unwrap() > 0);
+    stream.write_all(response.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(2)).await;
+    stream.set_zero_linger().unwrap();
+}
+
+/// Guards against a truncated response that passes for a whole one: a failed write takes the error
+/// of the reset, and the response seems to end with the connection.
+#[actix_rt::test]
+async fn reset_during_an_upload_does_not_complete_a_response() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(8).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 6000000\r\n\r\n";
+    let upload = [head.as_bytes(), &vec![b'i'; 6_000_000]].concat();
+    let limits = ReadLimits::new(MAX_BODY, MAX_BODY);
+    for line in ["", "connection: close\r\n"] {
+        let response = format!("HTTP/1.1 200 OK\r\n{line}\r\npart");
+        for _ in 0..60 {
+            let call = async {
+                let connection = Connection::open(&Parser::default(), addr, TIMEOUT).await?;
+                let (response, _) = connection.exchange(&upload, &limits, |_| true).await?;
+                Ok(response.body)
+            };
+            let (result, ()) = tokio::join!(call, reset_upload(&listener, &response));
+            assert_eq!(result, Err(ExchangeError::ConnectionClosed));
+        }
+    }
+}
