Accept no response whose head is malformed or ambiguous

Callers got answers of a failing server that are none in the protocol: a blank between a header's name and the colon was removed, the line passed on, and a body framed by such a line taken for the server's; a status of 600 or more, and a body with both a length and chunked coding, passed as well. A status of 000 and other blanks in names were refused already; the tests keep it so.

Cause: actix-http allows blanks after names in responses (RFC 9112, 5.1, lets a proxy remove them) and prefers chunked coding to a length.

The head is parsed by httparse, with its defaults, before it is decoded. Refused are also both framings together and a transfer coding in HTTP/1.0 (RFC 9112, 6.1 and 6.3) and a status outside 100 to 599 (RFC 9110, 15). Lines that end in LF only stay accepted (RFC 9112, 2.2); a test keeps that. The connection is closed, the caller gets 502 or a retry where it is safe, and response_malformed is counted. The store's answers and health checks pass through the same code.

--- a/crates/engine/src/counter.rs
+++ b/crates/engine/src/counter.rs
@@ -162,6 +162,8 @@
         ResponseSkipped,
         /// A response of the server was cut off because it exceeded the limits for reading it.
         ResponseTooLong,
+        /// The server sent bytes that are not a response.
+        ResponseMalformed,
         /// A response of the server was given up because the memory for responses was used up.
         ResponseMemoryUsedUp,
         /// A connection of a caller was closed, or not accepted, because of a limit for all of them.
@@ -252,6 +254,7 @@
             Counter::RunLost => "run_lost".to_owned(),
             Counter::ResponseSkipped => "response_skipped".to_owned(),
             Counter::ResponseTooLong => "response_too_long".to_owned(),
+            Counter::ResponseMalformed => "response_malformed".to_owned(),
             Counter::ResponseMemoryUsedUp => "response_memory_used_up".to_owned(),
             Counter::ConnectionShed(reason) => format!("connection_shed.{}", reason.name()),
             Counter::AcceptFailed => "accept_failed".to_owned(),
--- a/crates/httpconn/src/response.rs
+++ b/crates/httpconn/src/response.rs
@@ -1,5 +1,6 @@
 //! Response parsing.
 
+mod head;
 #[cfg(test)]
 mod tests;
 
@@ -17,6 +18,7 @@
 use actix_http::StatusCode;
 use bytes::Bytes;
 use bytes::BytesMut;
+use head::check_head;
 use std::time::Duration;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
@@ -121,6 +123,7 @@
     pub(crate) async fn read_head(&mut self) -> Result<ResponseHead, ExchangeError> {
         let mut codec = ClientCodec::new(self.parser.0.clone());
         let mut head = loop {
+            check_head(self.buf).map_err(|_| self.malformed())?;
             match codec.decode(self.buf) {
                 // An interim response; the final one follows.
                 Ok(Some(head)) if head.status.is_informational() => {
--- a/crates/httpconn/src/response/tests.rs
+++ b/crates/httpconn/src/response/tests.rs
@@ -175,6 +175,72 @@
     });
 }
 
+/// Reads one response of a server that sends these bytes and closes the connection.
+fn read_bytes(bytes: &[u8]) -> Result<Vec<u8>, ExchangeError> {
+    let limits = ReadLimits::new(MAX_BODY, MAX_BODY);
+    run(async {
+        let (client, mut server) = tokio::io::duplex(WINDOW);
+        let send = async move {
+            let _ = server.write_all(bytes).await;
+        };
+        tokio::join!(read(client, &limits), send).0
+    })
+}
+
+/// Guards against bytes that are no response and reach the caller as one, or with a body that is
+/// not the server's.
+#[test]
+fn malformed_heads_are_no_response() {
+    let heads: [&[u8]; 21] = [
+        b"HTTP/1.1 000 OK\r\ncontent-length: 3",
+        b"HTTP/1.1 099 OK\r\ncontent-length: 3",
+        b"HTTP/1.1 600 OK\r\ncontent-length: 3",
+        b"HTTP/1.1 999 OK\r\ncontent-length: 3",
+        b"HTTP/1.1 20 OK\r\ncontent-length: 3",
+        b"HTTP/1.1 2000 OK\r\ncontent-length: 3",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\na : b",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\na\t: b",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\na b: c",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\na\x01b: c",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\na\x7f: c",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\na\0: c",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n: c",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\na",
+        b"HTTP/1.1 200 OK\r\n content-length: 3",
+        b"HTTP/1.1 200 OK\r\ncontent-length : 3",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding : chunked",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked",
+        b"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 3",
+    ];
+    for head in heads {
+        let text = String::from_utf8_lossy(head);
+        for body in ["ink", "3\r\nink\r\n0\r\n\r\n"] {
+            let bytes = [head, b"\r\n\r\n", body.as_bytes()].concat();
+            assert_eq!(read_bytes(&bytes), Err(ExchangeError::Malformed), "{text}");
+        }
+        // An interim response has to be well-formed as well.
+        let interim = [b"HTTP/1.1 103 Early Hints\r\na : b\r\n\r\n", head].concat();
+        assert!(read_bytes(&interim).is_err(), "{text}");
+    }
+}
+
+/// Guards against sound responses that are refused for their form.
+#[test]
+fn unusual_heads_are_accepted() {
+    let heads = [
+        "HTTP/1.1 200 OK\ncontent-length: 3\n\n",
+        "HTTP/1.1 599 \r\ncontent-length: 3\r\n\r\n",
+        "HTTP/1.1 200\r\ncontent-length:3\r\na:\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: \t3 \r\na!#$%&'*+-.^_`|~9: é\r\n\r\n",
+    ];
+    for head in heads {
+        let bytes = format!("{head}ink");
+        assert_eq!(read_bytes(bytes.as_bytes()), Ok(b"ink".to_vec()), "{head}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 100,
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -241,12 +241,13 @@
     }
 }
 
-/// Counts a response that was not read to its end because of the limits for reading it.
+/// Counts a response that was not read to its end for what the server sent.
 fn count_cut_off(shell: &Shell, e: ExchangeError) {
     match e {
         ExchangeError::TooLarge | ExchangeError::ExcessiveOverhead => {
             shell.count(Counter::ResponseTooLong);
         }
+        ExchangeError::Malformed => shell.count(Counter::ResponseMalformed),
         ExchangeError::NoMemory => shell.count(Counter::ResponseMemoryUsedUp),
         _ => {}
     }
