Read no more long responses than can be sent on

Ordinary callers got 504 (peer-lost) while 1,000 clients at another node asked for answers of 0.9 MB: the answers were read from the server faster than the link took them, the link's queue (16 MiB) was full, and giving the link up lost the calls of all callers on it.

Cause: max_responses covered a body only while it was read from the server; what waited in the queues of links counted nowhere.

What waits in the links' queues now takes its room from max_responses. While there is none, no further long body of known length is read, and the server is slowed down by its connection; short responses pass. Frames that arrive are handled one by one while connections are being closed, so answers of one read do not exceed the limit together.

--- a/crates/httpconn/src/limits.rs
+++ b/crates/httpconn/src/limits.rs
@@ -55,7 +55,9 @@
 #[derive(Debug)]
 struct Shared {
     available: Cell<usize>,
-    /// Notified when a share is returned.
+    /// Bytes of responses that were read and wait to be sent on.
+    queued: Cell<usize>,
+    /// Notified when a share is returned, or when fewer bytes wait to be sent on.
     returned: Notify,
     next_id: Cell<u64>,
     /// The shares of bodies of unknown length.
@@ -74,12 +76,33 @@
     pub fn new(max_bytes: usize) -> Self {
         Self(Rc::new(Shared {
             available: Cell::new(max_bytes),
+            queued: Cell::new(0),
             returned: Notify::new(),
             next_id: Cell::new(0),
             growing: RefCell::default(),
         }))
     }
 
+    /// Counts bytes that wait to be sent on. While they leave no room, no body of declared length is
+    /// read, so that the server is slowed down instead of responses being lost.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let budget = bilberry_httpconn::ResponseBudget::new(4 << 20);
+    /// budget.add_queued(1000);
+    /// budget.remove_queued(1000);
+    /// ```
+    pub fn add_queued(&self, bytes: usize) {
+        self.0.queued.set(self.0.queued.get() + bytes);
+    }
+
+    /// Counts bytes that were sent on, or are not sent any more.
+    pub fn remove_queued(&self, bytes: usize) {
+        self.0.queued.set(self.0.queued.get() - bytes);
+        self.0.returned.notify_waiters();
+    }
+
     /// A share for one response. It is empty.
     pub(crate) fn share(&self) -> Share {
         Share {
@@ -132,9 +155,16 @@
     /// Reserves the length of a body before it is read, and waits until there is room for it.
     pub(crate) async fn reserve(&mut self, len: usize) {
         let bytes = len.saturating_sub(UNCOUNTED_BYTES);
-        while !self.shared.take(bytes) {
+        let has_room = || {
+            let left = self.shared.available.get().checked_sub(bytes);
+            left.is_some_and(|left| left >= self.shared.queued.get())
+        };
+        while bytes > 0 && !has_room() {
             self.shared.returned.notified().await;
         }
+        self.shared
+            .available
+            .set(self.shared.available.get() - bytes);
         self.reserved = bytes;
     }
 
--- a/crates/httpconn/src/response/tests.rs
+++ b/crates/httpconn/src/response/tests.rs
@@ -175,6 +175,40 @@
     });
 }
 
+/// Guards against answers that are lost because more of them are read from the server than can be
+/// sent on.
+#[test]
+fn long_response_waits_until_queued_ones_are_sent_on() {
+    run(async {
+        let limits = ReadLimits::new(MAX_BODY, 500_000);
+        limits.budget.add_queued(450_000);
+        let (client, mut server) = tokio::io::duplex(WINDOW);
+        let send = actix_rt::spawn(async move {
+            let head = "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n";
+            server.write_all(head.as_bytes()).await.unwrap();
+            server.write_all(&[b'i'; 200_000]).await.unwrap();
+        });
+        let reading = read(client, &limits);
+        tokio::pin!(reading);
+        let waits = timeout(Duration::from_secs(60), &mut reading).await;
+        assert!(waits.is_err(), "the response was read");
+        assert_eq!(read_short(b"ink", &limits).await, Ok(b"ink".to_vec()));
+        limits.budget.remove_queued(450_000);
+        let body = timeout(HANG, reading).await.unwrap();
+        assert_eq!(body.map(|body| body.len()), Ok(200_000));
+        send.await.unwrap();
+    });
+}
+
+/// Reads a short response.
+async fn read_short(body: &[u8], limits: &ReadLimits) -> Result<Vec<u8>, ExchangeError> {
+    let (client, mut server) = tokio::io::duplex(WINDOW);
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    server.write_all(head.as_bytes()).await.unwrap();
+    server.write_all(body).await.unwrap();
+    timeout(HANG, read(client, limits)).await.unwrap()
+}
+
 /// Reads one response of a server that sends these bytes and closes the connection.
 fn read_bytes(bytes: &[u8]) -> Result<Vec<u8>, ExchangeError> {
     let limits = ReadLimits::new(MAX_BODY, MAX_BODY);
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -11,6 +11,7 @@
 use httpconn::Parser;
 use httpconn::Pool;
 use httpconn::ReadLimits;
+use httpconn::ResponseBudget;
 use httpconn::ResponseStart;
 use httpconn::Reuse;
 use indexmap::IndexMap;
@@ -84,6 +85,11 @@
         }
     }
 
+    /// The memory for responses.
+    pub(crate) fn budget(&self) -> ResponseBudget {
+        self.limits.budget.clone()
+    }
+
     pub(crate) fn run(&self, shell: &Rc<Shell>, backend_run: BackendRun) {
         let run = backend_run.run;
         let (cancel, cancelled) = oneshot::channel();
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -17,6 +17,7 @@
 use futures_util::stream::SplitStream;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use httpconn::ResponseBudget;
 use indexmap::IndexSet;
 use proto::CallId;
 use proto::Frame;
@@ -85,8 +86,9 @@
 pub(crate) struct SendQueueFull(pub(crate) Frame);
 
 /// Frames waiting to be written to one link, and calls whose answers are expected on it.
-#[derive(Default)]
 pub(crate) struct SendQueue {
+    /// The memory that queued frames share with responses that are being read.
+    budget: ResponseBudget,
     /// Encoded frames, with the id if the frame is a call.
     frames: RefCell<VecDeque<(Option<CallId>, Bytes)>>,
     /// Calls that are still in `frames`.
@@ -104,6 +106,21 @@
 }
 
 impl SendQueue {
+    pub(crate) fn new(budget: ResponseBudget) -> Self {
+        Self {
+            budget,
+            frames: RefCell::default(),
+            queued_calls: RefCell::default(),
+            queued_bytes: Cell::new(0),
+            awaited_calls: RefCell::default(),
+            wake: Notify::new(),
+            pending_pong: Cell::new(None),
+            ping_requested: Cell::new(false),
+            retired: Cell::new(false),
+            aborted: Notify::new(),
+        }
+    }
+
     /// Queues a frame with its encoding.
     pub(crate) fn push(&self, frame: Frame, encoded: Bytes) -> Result<(), SendQueueFull> {
         // A call that is still queued need not be queued again; that happens when another link to
@@ -129,6 +146,7 @@
         }
         self.queued_bytes
             .set(self.queued_bytes.get() + encoded.len());
+        self.budget.add_queued(encoded.len());
         let call = match &frame {
             Frame::Call(call) => Some(call.id),
             _ => None,
@@ -144,6 +162,7 @@
             self.queued_calls.borrow_mut().swap_remove(&call);
         }
         self.queued_bytes.set(self.queued_bytes.get() - bytes.len());
+        self.budget.remove_queued(bytes.len());
         Some(bytes)
     }
 
@@ -192,6 +211,12 @@
     }
 }
 
+impl Drop for SendQueue {
+    fn drop(&mut self) {
+        self.budget.remove_queued(self.queued_bytes.get());
+    }
+}
+
 /// When things last happened on a link.
 struct LinkActivity {
     /// The first write since bytes were last received.
@@ -257,6 +282,7 @@
                 }
                 activity.last_used.set(Instant::now());
                 shell.handle_input(Input::Frame { from: peer, frame });
+                shell.callers.settle().await;
             }
         }
     }
--- a/crates/node/src/link/tests.rs
+++ b/crates/node/src/link/tests.rs
@@ -4,6 +4,7 @@
 use super::SendQueueFull;
 use super::MAX_QUEUED_FRAMES;
 use bytes::Bytes;
+use httpconn::ResponseBudget;
 use proto::ActionId;
 use proto::Call;
 use proto::CallId;
@@ -40,7 +41,7 @@
 
 /// Pushes calls of this size; checks how many are accepted and that they are drained in order.
 fn check(size: usize, calls: u64, expected: usize) {
-    let queue = SendQueue::default();
+    let queue = SendQueue::new(ResponseBudget::new(1 << 20));
     let mut accepted = Vec::new();
     for number in 0..calls {
         let frame = call(number, size);
@@ -65,7 +66,7 @@
 /// A link is lost while a call is still queued on its replacement, so the call is pushed again.
 #[test]
 fn a_queued_call_is_not_queued_again() {
-    let queue = SendQueue::default();
+    let queue = SendQueue::new(ResponseBudget::new(1 << 20));
     for number in [1, 2, 1, 2, 3] {
         let frame = call(number, 10);
         let encoded = Bytes::from(proto::encode(&frame));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -16,6 +16,7 @@
 use engine::Counter;
 use engine::Input;
 use engine::LinkEvent;
+use httpconn::ResponseBudget;
 use indexmap::IndexMap;
 use proto::Frame;
 use proto::Incarnation;
@@ -48,8 +49,8 @@
 const MAX_FAILURE_ENTRIES: usize = 4096;
 
 /// Links, by the peer's incarnation.
-#[derive(Default)]
 pub(crate) struct Peers {
+    budget: ResponseBudget,
     links: RefCell<IndexMap<Incarnation, Link>>,
     recent_failures: RefCell<IndexMap<Incarnation, PeerFailures>>,
     next_link_id: Cell<u64>,
@@ -74,6 +75,16 @@
 }
 
 impl Peers {
+    /// Without links. Frames that wait to be written share `budget` with responses.
+    pub(crate) fn new(budget: ResponseBudget) -> Self {
+        Self {
+            budget,
+            links: RefCell::default(),
+            recent_failures: RefCell::default(),
+            next_link_id: Cell::new(0),
+        }
+    }
+
     /// Whether any link has frames that are still to be written.
     pub(crate) fn has_unsent(&self) -> bool {
         self.links
@@ -155,7 +166,7 @@
     fn register_link(&self, peer: Incarnation, dialled: bool) -> (u64, Rc<SendQueue>) {
         let link_id = self.next_link_id.get();
         self.next_link_id.set(link_id + 1);
-        let queue = Rc::new(SendQueue::default());
+        let queue = Rc::new(SendQueue::new(self.budget.clone()));
         let link = Link {
             id: link_id,
             queue: queue.clone(),
@@ -185,7 +196,7 @@
         }
         let link_id = self.next_link_id.get();
         self.next_link_id.set(link_id + 1);
-        let queue = Rc::new(SendQueue::default());
+        let queue = Rc::new(SendQueue::new(self.budget.clone()));
         queue.retire();
         (link_id, queue)
     }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -235,6 +235,7 @@
     let udp_socket = Rc::new(udp_socket);
     let descriptors = descriptors::system_limit().min(settings.max_descriptors);
     let shares = DescriptorShares::new(descriptors);
+    let backend = BackendClient::new(&settings, shares.backend);
     let shell = Rc::new(Shell {
         engine: RefCell::new(Engine::new(cfg, own_instance.clone())),
         dialect: Dialect::new(&settings),
@@ -257,8 +258,8 @@
         clock: Clock::new(),
         pending_replies: RefCell::default(),
         next_token: Cell::new(0),
-        peers: Peers::default(),
-        backend: BackendClient::new(&settings, shares.backend),
+        peers: Peers::new(backend.budget()),
+        backend,
         udp_socket: udp_socket.clone(),
         timer_changed: Notify::new(),
         stopped: Notify::new(),
--- a/crates/node/tests/crowds.rs
+++ b/crates/node/tests/crowds.rs
@@ -77,6 +77,18 @@
     setting.check().await;
 }
 
+/// Guards against ordinary callers that lose their answers with a link whose queue is full of long
+/// ones.
+#[actix_rt::test]
+async fn crowd_whose_answers_fill_a_link() {
+    let setting = Setting::start(LARGE_BODIES, None).await;
+    let mut setting = setting.with_ingress_node(LARGE_BODIES, None).await;
+    let crowd = connect_crowd(setting.http(), 1000, || get(LONG)).await;
+    setting.check().await;
+    drop(crowd);
+    setting.check().await;
+}
+
 /// Guards against a process that runs out of memory because heads of requests do not end.
 #[actix_rt::test]
 async fn crowd_whose_heads_do_not_end() {
