Let the refusal of a large body reach its caller

Callers may send bodies of up to 64 MiB and the node accepts 3 MiB. With the limit of 4 MiB for discarded input, a caller that was still sending a body of more than that could lose its 413, because the connection was reset. Seen when the diff was read, before any release.

72 MiB may be discarded now. refusal_of_a_large_body_reaches_the_caller covers it; the bounds of two shapes of endless_input_ends_the_connection follow the limit.

--- a/crates/node/src/pipeline/requests.rs
+++ b/crates/node/src/pipeline/requests.rs
@@ -41,9 +41,9 @@
 /// Bytes that frame a body for each byte of it; for bodies in very small chunks.
 const FRAMING_PER_BODY_BYTE: usize = 8;
 
-/// Most bytes that are received and discarded, so that the caller gets the response; more than the
-/// largest body that is accepted.
-pub(super) const MAX_DISCARDED: usize = 4 << 20;
+/// Most bytes that are received and discarded, so that the caller gets the response. Callers may send
+/// bodies of up to 64 MiB; a larger one than the node accepts is refused while they send it.
+pub(super) const MAX_DISCARDED: usize = 72 << 20;
 
 /// How long a connection may be idle, or a response unread. Callers that advertise a keep-alive
 /// time use much less; closing a connection too early costs the caller a request.
--- a/crates/node/src/pipeline/tests.rs
+++ b/crates/node/src/pipeline/tests.rs
@@ -257,6 +257,43 @@
     (sent, result)
 }
 
+/// Guards against a caller that does not get the refusal of its body, because the connection is reset
+/// while it still sends.
+#[test]
+fn refusal_of_a_large_body_reaches_the_caller() {
+    let head = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 20000000\r\n\r\n";
+    run(async {
+        let (client, server) = tokio::io::duplex(4096);
+        let (mut reader, mut writer) = tokio::io::split(client);
+        let call = async move {
+            writer.write_all(head.as_bytes()).await.unwrap();
+            writer.write_all(&vec![b'x'; 20_000_000]).await.unwrap();
+            let mut start = [0; 12];
+            reader.read_exact(&mut start).await.unwrap();
+            start
+        };
+        let serve = async move {
+            let cfg = ServiceConfig::default();
+            let (mut reader, mut writer) = tokio::io::split(server);
+            let handle = |req| count_body(req, false);
+            let busy = BusyConnections::default();
+            let (account, _shed) = Connections::new(LIMITS).open().unwrap();
+            let served = serve_halves(
+                &mut reader,
+                &mut writer,
+                &cfg,
+                handle,
+                || false,
+                &busy,
+                &account,
+            );
+            served.await
+        };
+        let start = timeout(HANG, async { tokio::join!(call, serve).0 }).await;
+        assert_eq!(&start.unwrap(), b"HTTP/1.1 200");
+    });
+}
+
 /// Guards against a caller that occupies its node with bytes that never become a request.
 #[test]
 fn endless_input_ends_the_connection() {
@@ -271,8 +308,8 @@
         (&extension, &[b'x'; 500], false, 200_000),
         (HEAD, byte_chunk.as_bytes(), true, 200_000),
         (&trailer, &[b'x'; 500], true, 200_000),
-        (long, &[b'x'; 500], false, 5_000_000),
-        (closing, &[b'x'; 500], false, 9_000_000),
+        (long, &[b'x'; 4000], false, 80_000_000),
+        (closing, &[b'x'; 4000], false, 160_000_000),
     ];
     for (start, piece, handler_reads, most) in shapes {
         let (sent, _) = run(send_without_end(start, piece, handler_reads));
