--- a/crates/node/src/pipeline/tests.rs
+++ b/crates/node/src/pipeline/tests.rs
@@ -135,10 +135,20 @@
 }
 
 async fn serve(server: DuplexStream, connection: &Connection) {
+    let pause = Duration::from_millis(connection.handler_ms);
+    let _ = serve_with(server, |req| handle(req, pause, connection.response)).await;
+}
+
+/// Serves one connection until it ends.
+async fn serve_with<F>(
+    server: DuplexStream,
+    handle: impl Fn(HttpRequest) -> F,
+) -> Result<(), ConnectionError>
+where
+    F: Future<Output = HttpResponse<BoxBody>>,
+{
     let cfg = ServiceConfig::default();
     let (mut reader, mut writer) = tokio::io::split(server);
-    let pause = Duration::from_millis(connection.handler_ms);
-    let handle = |req| handle(req, pause, connection.response);
     let busy = BusyConnections::default();
     let (account, _shed) = Connections::new(LIMITS).open().unwrap();
     let served = serve_halves(
@@ -150,8 +160,9 @@
         &busy,
         &account,
     );
-    let _ = served.await;
+    let result = served.await;
     assert_eq!(busy.count(), 0);
+    result
 }
 
 fn run<T>(test: impl Future<Output = T>) -> T {
@@ -235,23 +246,7 @@
         sent
     };
     let read = async move { reader.read_to_end(&mut Vec::new()).await };
-    let serve = async move {
-        let cfg = ServiceConfig::default();
-        let (mut reader, mut writer) = tokio::io::split(server);
-        let handle = |req| count_body(req, handler_reads);
-        let busy = BusyConnections::default();
-        let (account, _shed) = Connections::new(LIMITS).open().unwrap();
-        let served = serve_halves(
-            &mut reader,
-            &mut writer,
-            &cfg,
-            handle,
-            || false,
-            &busy,
-            &account,
-        );
-        served.await
-    };
+    let serve = serve_with(server, |req| count_body(req, handler_reads));
     let all = async { tokio::join!(call, read, serve) };
     let (sent, _, result) = timeout(HANG, all).await.unwrap();
     (sent, result)
@@ -272,23 +267,7 @@
             reader.read_exact(&mut start).await.unwrap();
             start
         };
-        let serve = async move {
-            let cfg = ServiceConfig::default();
-            let (mut reader, mut writer) = tokio::io::split(server);
-            let handle = |req| count_body(req, false);
-            let busy = BusyConnections::default();
-            let (account, _shed) = Connections::new(LIMITS).open().unwrap();
-            let served = serve_halves(
-                &mut reader,
-                &mut writer,
-                &cfg,
-                handle,
-                || false,
-                &busy,
-                &account,
-            );
-            served.await
-        };
+        let serve = serve_with(server, |req| count_body(req, false));
         let start = timeout(HANG, async { tokio::join!(call, serve).0 }).await;
         assert_eq!(&start.unwrap(), b"HTTP/1.1 200");
     });
