--- a/crates/policy/src/connection_ledger.rs
+++ b/crates/policy/src/connection_ledger.rs
@@ -121,10 +121,11 @@
 }
 
 impl Connection {
-    /// Bytes held times the seconds for which they were held, per byte transferred meanwhile.
+    /// Bytes held times the seconds for which they were held, per byte transferred meanwhile. The
+    /// allowance keeps a caller that has just connected from being the costliest one.
     fn cost(&self, now: Time) -> f64 {
         let seconds = now.since(self.since).as_secs_f64();
-        self.held as f64 * seconds / (self.transferred as f64 + 1.0)
+        self.held as f64 * seconds / (self.transferred + SMALL_HOLDING) as f64
     }
 }
 
--- a/crates/policy/tests/connection_ledger.rs
+++ b/crates/policy/tests/connection_ledger.rs
@@ -56,6 +56,28 @@
     assert_eq!(send(&mut ledger, at(5100), 2, 300_000), [1]);
 }
 
+/// Guards against a caller that has just connected and is closed in favour of requests that do not
+/// end.
+#[test]
+fn new_connection_outlives_unfinished_requests() {
+    let receiving = ConnectionActivity::Receiving;
+    let small = ConnectionLimits {
+        bytes: 285_000,
+        ..LIMITS
+    };
+    let mut ledger = ConnectionLedger::new(small);
+    for id in 0..4 {
+        let id = ConnectionId(id);
+        ledger.open(at(0), id).unwrap();
+        ledger.set_activity(at(0), id, receiving);
+        ledger.hold(at(0), id, 60_000);
+        ledger.record_transfer(id, 60_000);
+    }
+    ledger.open(at(2990), ConnectionId(9)).unwrap();
+    let shed = ledger.hold(at(3000), ConnectionId(1), 4100);
+    assert!(!shed.is_empty() && !ids(&shed).contains(&9));
+}
+
 /// Guards against accepted work that is given up in favour of new connections.
 #[test]
 fn connections_with_accepted_work_stay() {
